Let each engine follow the versions of one model

Ruled out: loads given twice (65 orders, 65 loads, none refused). Change: engines go to models by the size of their latest batches; one moves only if a model lacks most of an engine, or has none.

--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -27,7 +27,7 @@
 )
 from bankrudder.fleet import EndpointClient, EndpointDirectory
 from bankrudder.presence import Lifetime, Presence
-from bankrudder.routing import Route, RoutingTable
+from bankrudder.routing import ModelName, Route, RoutingTable
 from bankrudder.store import (
     ABSENT,
     NotSettledError,
@@ -52,6 +52,12 @@
 DEFAULT_RETENTION_S = 60.0
 """Time for which samples are tried if the route does not say it."""
 
+WORK_WEIGHT = 0.3
+"""Weight of the newest batch in the mean size of a model's batches."""
+
+USUAL_TOKENS = 1000
+"""Tokens that a sample is expected to generate if it says nothing."""
+
 RELOAD_PAUSE_S = 0.2
 """Pause after a batch could not be read from the store."""
 
@@ -87,6 +93,7 @@
         self._runs: dict[BatchId, asyncio.Task[None]] = {}
         self._batches: dict[BatchId, BatchRun] = {}
         self._fences: dict[BatchId, RowVersion] = {}
+        self._mean_work: dict[ModelName, float] = {}
         self._is_leaving = False
         self._background: set[asyncio.Task[None]] = set()
         self._follower = TableFollower(
@@ -112,9 +119,12 @@
         NotSettledError
             If that is not known.
         """
-        owner = self._me(batch)
-        if self._is_leaving:
-            owner = Owner("", "", batch.model)
+        owner = Owner(
+            host="" if self._is_leaving else self._presence.host,
+            lifetime="" if self._is_leaving else self._presence.lifetime,
+            model=batch.model,
+            work=_expected_tokens(batch),
+        )
         outcome = await self._repository.accept(batch, owner)
         _log.info(
             "batches: accepted" if outcome.fence else "batches: accepted before",
@@ -127,6 +137,10 @@
             self._begin(batch.id, outcome.fence, batch)
         return outcome.is_same
 
+    def work_of(self, model: ModelName) -> float:
+        """Return the mean size of a model's latest batches in tokens, 0 if unknown."""
+        return self._mean_work.get(model, 0.0)
+
     async def run(self) -> None:
         """Follow the owners and take over what is without one, until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -148,8 +162,8 @@
             return
         await self._repository.save_progress(run.batch.model, run.unfinished())
         known = self._owners.get(batch_id)
-        accepted_at = known[0].accepted_at if known else 0.0
-        nobody = Owner("", "", run.batch.model, accepted_at)
+        before = known[0] if known else Owner("", "", run.batch.model)
+        nobody = msgspec.structs.replace(before, host="", lifetime="")
         try:
             await self._repository.set_owner(batch_id, fence, nobody)
         except (StoreUnavailableError, NotSettledError) as error:
@@ -159,9 +173,6 @@
             return
         _log.info("batches: handed over", batch=batch_id)
 
-    def _me(self, batch: Batch) -> Owner:
-        return Owner(self._presence.host, self._presence.lifetime, batch.model)
-
     def _begin(
         self, batch_id: BatchId, fence: RowVersion, batch: Batch | None = None
     ) -> None:
@@ -265,6 +276,8 @@
     def _on_owner(self, row: Row) -> None:
         batch_id = BatchId(row.key.part)
         owner = msgspec.json.decode(row.value, type=Owner)
+        if batch_id not in self._owners:
+            self._note_work(owner)
         self._owners[batch_id] = (owner, row.version)
         fence = self._fences.get(batch_id, ABSENT)
         is_mine = owner.lifetime == self._presence.lifetime
@@ -275,6 +288,10 @@
             # The reply to the acceptance or the takeover was lost.
             self._begin(batch_id, row.version)
 
+    def _note_work(self, owner: Owner) -> None:
+        mean = self._mean_work.get(owner.model, owner.work)
+        self._mean_work[owner.model] = mean + WORK_WEIGHT * (owner.work - mean)
+
     def _on_ended(self, key: RowKey) -> None:
         batch_id = BatchId(key.part)
         self._owners.pop(batch_id, None)
@@ -326,11 +343,8 @@
     async def _take_over(
         self, batch_id: BatchId, before: Owner, version: RowVersion
     ) -> None:
-        owner = Owner(
-            self._presence.host,
-            self._presence.lifetime,
-            before.model,
-            before.accepted_at,
+        owner = msgspec.structs.replace(
+            before, host=self._presence.host, lifetime=self._presence.lifetime
         )
         try:
             fence = await self._repository.set_owner(batch_id, version, owner)
@@ -350,3 +364,7 @@
         )
         self._owners[batch_id] = (owner, fence)
         self._begin(batch_id, fence)
+
+
+def _expected_tokens(batch: Batch) -> int:
+    return sum(sample.length_hint or USUAL_TOKENS for sample in batch.samples)
--- a/src/bankrudder/batches/_values.py
+++ b/src/bankrudder/batches/_values.py
@@ -87,12 +87,15 @@
     accepted_at : float
         Store time in seconds at which the batch was accepted; 0 if the store
         has not told its time yet.
+    work : int
+        Tokens that the batch is expected to generate.
     """
 
     host: str
     lifetime: str
     model: ModelName
     accepted_at: float = 0.0
+    work: int = 0
 
 
 class ResultState(Enum):
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -130,6 +130,7 @@
             directory,
             adapter.endpoints,
             self._view.named_versions,
+            self._batches.work_of,
             self._routes,
             clock,
         )
--- a/src/bankrudder/orders/_switching.py
+++ b/src/bankrudder/orders/_switching.py
@@ -21,6 +21,7 @@
     VersionOrder,
 )
 from bankrudder.leases import Lease
+from bankrudder.orders._assignment import assign_engines
 from bankrudder.routing import ModelName, RoutingTable, ServiceName
 from bankrudder.world import Clock, HostId, ModelVersion
 
@@ -52,6 +53,8 @@
     ----------
     named : mapping
         Newest version that was named for each model; read anew each time.
+    work : callable
+        Size of a model's latest batches, in tokens, 0 if none is known.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         directory: EndpointDirectory,
         client: EndpointClient,
         named: Mapping[ModelName, ModelVersion],
+        work: Callable[[ModelName], float],
         routes: Callable[[], RoutingTable | None],
         clock: Clock,
     ):
@@ -69,6 +73,8 @@
         self._directory = directory
         self._client = client
         self._named = named
+        self._work = work
+        self._assigned: dict[ServiceName, dict[EndpointId, ModelName]] = {}
         self._routes = routes
         self._clock = clock
         self._switching: dict[EndpointId, asyncio.Task[None]] = {}
@@ -95,11 +101,15 @@
 
     def _start_switches(self) -> None:
         for service in self._directory.services():
-            engines = [
-                each
-                for each in self._directory.of_service(service)
-                if each.endpoint.models
-            ]
+            engines = sorted(
+                (
+                    each
+                    for each in self._directory.of_service(service)
+                    if each.endpoint.models
+                ),
+                key=lambda each: each.endpoint.id,
+            )
+            self._assign(service, engines)
             most = max(MIN_LOADING, math.floor(LOADING_SHARE * len(engines)))
             loading = sum(each.endpoint.id in self._switching for each in engines)
             for engine in engines:
@@ -107,17 +117,33 @@
                     break
                 if engine.endpoint.id in self._switching:
                     continue
-                model = self._outdated_model(engine)
+                model = self._outdated_model(engine, service)
                 if model is not None:
                     self._start(engine, service, model)
                     loading += 1
 
-    def _outdated_model(self, engine: TrackedEndpoint) -> ModelName | None:
-        for state in engine.endpoint.models:
-            named = self._named.get(state.model)
-            if named is not None and (engine.version_of(state.model) or 0) < named:
-                return state.model
-        return None
+    def _assign(self, service: ServiceName, engines: list[TrackedEndpoint]) -> None:
+        models = {state.model for each in engines for state in each.endpoint.models}
+        shares = {model: self._work(model) for model in models}
+        before = self._assigned.get(service, {})
+        after = assign_engines([each.endpoint.id for each in engines], shares, before)
+        if after != before:
+            self._assigned[service] = after
+            _log.info(
+                "orders: engines assigned",
+                service=service,
+                engines=after,
+                work={model: round(work) for model, work in shares.items()},
+            )
+
+    def _outdated_model(
+        self, engine: TrackedEndpoint, service: ServiceName
+    ) -> ModelName | None:
+        model = self._assigned[service].get(engine.endpoint.id)
+        named = self._named.get(model) if model is not None else None
+        if model is None or named is None:
+            return None
+        return model if (engine.version_of(model) or 0) < named else None
 
     def _start(
         self, engine: TrackedEndpoint, service: ServiceName, model: ModelName
