--- a/src/bankrudder/relay/_forwarder.py
+++ b/src/bankrudder/relay/_forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Collection
 
 import structlog
 
@@ -120,7 +119,7 @@
                 and refusals < MAX_REFUSALS
                 and (runs + len(race.tasks) == 0 or _may_repeat(route))
             )
-            if may_send and (target := self._choose(service, tried, race)):
+            if may_send and (target := self._directory.choose(service, tried)):
                 tried.append(target.endpoint.id)
                 self._start(request, route, target, left_s, race)
                 may_send = runs + len(race.tasks) < route.max_attempts
@@ -152,14 +151,6 @@
                 refusals=refusals,
             )
 
-    def _choose(
-        self, service: ServiceName, tried: Collection[EndpointId], race: _Race
-    ) -> TrackedEndpoint | None:
-        target = self._directory.choose(service, tried)
-        if target is None or target in race.tasks.values():
-            return None
-        return target
-
     def _start(
         self,
         request: IncomingRequest,
--- /dev/null
+++ b/tests/node/test_batches.py
@@ -0,0 +1,204 @@
+"""Batches survive what may happen to hosts, engines and the store."""
+
+import asyncio
+
+import pytest
+
+from outside.site import FREEZE, THAW, check_results, until
+from outside.store import GateMode
+
+SLOW_GAP_S = 0.05
+"""Time between two events that leaves room for a fault in the middle of a batch."""
+
+
+def owner_index(site):
+    """Return which host last wrote an owner's row."""
+    rows = [row for key, row in site.rows.rows.items() if key[0] == "owners"]
+    text = max(rows)[1].decode()
+    return next(n for n, host in enumerate(site.hosts) if host.name in text)
+
+
+def slow(site, events=20):
+    """Let the engines be so slow that a fault comes in the middle of a batch."""
+    for engine in site.engines:
+        engine.event_gap_s = SLOW_GAP_S
+        engine.events = events
+
+
+async def test_a_batch_is_generated_scored_and_read_at_any_host(site):
+    assert await site.submit(site.hosts[0], "b1") == 202
+    for host in site.hosts:
+        results = await site.read_all("b1", 8, [host])
+        check_results(results, "b1", 8)
+        assert all(each["versions"] == [1] for each in results)
+    first = await site.read_all("b1", 8, site.hosts[:1])
+    second = await site.read_all("b1", 8, site.hosts[1:2])
+    assert first == second
+
+
+async def test_a_batch_that_comes_again_is_accepted_once(site):
+    statuses = await asyncio.gather(*(site.submit(host, "b1") for host in site.hosts))
+    assert statuses == [202, 202, 202]
+    check_results(await site.read_all("b1", 8), "b1", 8)
+    assert await site.submit(site.hosts[2], "b1") == 202
+    _, page = await site.read(site.hosts[1], "b1")
+    assert page["total_count"] == 8
+    assert page["next"] == 8
+
+
+async def test_an_unknown_batch_is_not_found(site):
+    assert (await site.read(site.hosts[0], "none"))[0] == 404
+    status, _, _ = await site.call(site.hosts[0], "DELETE", "/bankrudder/lots/none")
+    assert status == 404
+
+
+async def test_bodies_are_given_until_the_end(site):
+    slow(site)
+    await site.submit(site.hosts[0], "b1")
+    path = "/bankrudder/items/b1?id=b1-s3"
+    status, _, body = await site.call(site.hosts[1], "GET", path)
+    assert (status, body) == (200, b"\0\1\2")
+
+
+async def test_an_ended_batch_runs_no_further(site):
+    slow(site, events=200)
+    await site.submit(site.hosts[0], "b1", samples=20)
+    await until(lambda: sum(len(each.arrivals) for each in site.engines) >= 8)
+    for _ in range(2):
+        status, _, _ = await site.call(site.hosts[1], "DELETE", "/bankrudder/lots/b1")
+        assert status == 200
+    await asyncio.sleep(0.5)
+    arrivals = sum(len(each.arrivals) for each in site.engines)
+    await asyncio.sleep(0.5)
+    assert sum(len(each.arrivals) for each in site.engines) == arrivals
+
+
+async def test_runs_resume_where_an_engine_broke_off(site):
+    for engine in site.engines:
+        engine.cut_after = [2, 1, 2]
+    await site.submit(site.hosts[0], "b1")
+    check_results(await site.read_all("b1", 8), "b1", 8)
+
+
+@pytest.mark.parametrize("fault", ["500", "full", "reset", "foreign"])
+async def test_a_sample_is_tried_again_after_a_failure(site, fault):
+    site.engines[0].fail_next = [fault, fault]
+    site.scorers[0].fail_next = [fault, fault]
+    await site.submit(site.hosts[0], "b1")
+    check_results(await site.read_all("b1", 8), "b1", 8)
+
+
+async def test_a_sample_that_always_fails_is_aborted(site):
+    for engine in site.engines:
+        engine.fail_next = ["500"] * 50
+    await site.submit(site.hosts[0], "b1", samples=1)
+    [result] = await site.read_all("b1", 1)
+    assert result["state"] == "aborted"
+    runs = sum(each.ran["b1-s0"] for each in site.engines)
+    assert runs == 3
+
+
+async def test_another_host_goes_on_when_the_owner_is_killed(site):
+    slow(site)
+    await site.submit(site.hosts[0], "b1")
+    await until(lambda: any(engine.arrivals for engine in site.engines))
+    await site.hosts[0].kill()
+    results = await site.read_all("b1", 8, site.hosts[1:])
+    check_results(results, "b1", 8, events=20)
+
+
+async def test_a_frozen_owner_lists_nothing_after_it_wakes(site):
+    slow(site)
+    await site.submit(site.hosts[0], "b1")
+    await until(lambda: any(engine.arrivals for engine in site.engines))
+    site.hosts[0].signal(FREEZE)
+    results = await site.read_all("b1", 8, site.hosts[1:])
+    site.hosts[0].signal(THAW)
+    await asyncio.sleep(1.0)
+    assert await site.read_all("b1", 8) == results
+    check_results(results, "b1", 8, events=20)
+
+
+@pytest.mark.parametrize("mode", [GateMode.BUSY, GateMode.SILENT, GateMode.RESET])
+async def test_a_host_cut_from_the_store_is_replaced(site, mode):
+    slow(site)
+    await site.submit(site.hosts[0], "b1")
+    await until(lambda: any(engine.arrivals for engine in site.engines))
+    site.hosts[0].gate.mode = mode
+    results = await site.read_all("b1", 8, site.hosts[1:])
+    site.hosts[0].gate.mode = GateMode.OPEN
+    check_results(results, "b1", 8, events=20)
+    assert await site.read_all("b1", 8, limit_s=5) == results
+
+
+async def test_nothing_accepted_is_lost_when_all_hosts_lose_power(site):
+    slow(site)
+    await site.submit(site.hosts[0], "b1")
+    for host in site.hosts:
+        await host.kill()
+    for host in site.hosts:
+        await host.start()
+    check_results(await site.read_all("b1", 8), "b1", 8, events=20)
+
+
+async def test_a_planned_stop_hands_the_batch_over(site):
+    slow(site, events=150)
+    await site.submit(site.hosts[0], "b1", samples=2)
+    await until(lambda: any(engine.arrivals for engine in site.engines))
+    assert await site.hosts[0].stop() == 0
+    results = await site.read_all("b1", 2, site.hosts[1:])
+    check_results(results, "b1", 2, events=150)
+    # The events before the stop were not generated again.
+    runs = sum(sum(each.ran.values()) for each in site.engines)
+    assert runs == 4
+
+
+async def test_lost_and_late_replies_of_the_store_double_nothing(site):
+    gate = site.hosts[0].gate
+    gate.lose_replies = 2
+    assert await site.submit(site.hosts[0], "b1") == 202
+    gate.delay_commits = 3
+    results = await site.read_all("b1", 8)
+    gate.carry_out_delayed()
+    await asyncio.sleep(0.3)
+    assert await site.read_all("b1", 8) == results
+    check_results(results, "b1", 8)
+
+
+async def test_a_store_outage_delays_and_loses_nothing(site):
+    slow(site)
+    await site.submit(site.hosts[0], "b1")
+    await until(lambda: any(engine.arrivals for engine in site.engines))
+    for host in site.hosts:
+        host.gate.mode = GateMode.BUSY
+    status, _ = await site.read(site.hosts[1], "b1")
+    assert status == 503
+    await asyncio.sleep(1.5)
+    for host in site.hosts:
+        host.gate.mode = GateMode.OPEN
+    check_results(await site.read_all("b1", 8), "b1", 8, events=20)
+
+
+async def test_a_batch_is_refused_while_the_store_is_away(site):
+    for host in site.hosts:
+        host.gate.mode = GateMode.BUSY
+    assert await site.submit(site.hosts[0], "b1") == 503
+    for host in site.hosts:
+        host.gate.mode = GateMode.OPEN
+    await asyncio.sleep(0.5)
+    assert (await site.read(site.hosts[0], "b1"))[0] == 404
+    assert not any(engine.arrivals for engine in site.engines)
+
+
+async def test_a_later_batch_goes_on_with_what_an_earlier_one_left(site):
+    slow(site, events=40)
+    await site.submit(site.hosts[0], "b1", samples=2)
+    await asyncio.sleep(1.0)
+    await site.call(site.hosts[1], "DELETE", "/bankrudder/lots/b1")
+    await until(lambda: any(key[0] == "progress" for key in site.rows.rows))
+    assert await site.submit(site.hosts[2], "b2", samples=2, names="b1") == 202
+    results = await site.read_all("b2", 2)
+    check_results(results, "b1", 2, events=40)
+    resumed = [each for engine in site.engines for each in engine.resumed]
+    assert len(resumed) == 2
+    assert all(number > 5 for number in resumed)
--- a/tests/outside/endpoints.py
+++ b/tests/outside/endpoints.py
@@ -102,6 +102,7 @@
         self.events = events
         self.event_gap_s = 0.002
         self.cut_after = []
+        self.resumed = []
         self.orders = []
         self.orders_taken = 0
         self.load_s = 0.05
@@ -166,6 +167,8 @@
         if fault in ("500", "reset", "silent", "foreign"):
             return await super()._run(request, request_id, body, fault)
         start = int(request.headers.get("Last-Event-Id", "-1")) + 1
+        if start:
+            self.resumed.append(start)
         cut = self.cut_after.pop(0) if self.cut_after else None
         response = web.StreamResponse(
             headers={
--- /dev/null
+++ b/tests/outside/site.py
@@ -0,0 +1,313 @@
+"""A whole site on this machine: daemons as processes, and stand-ins around them."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+
+import aiohttp
+
+from loopback import own_address
+from outside.endpoints import EngineStandIn, ServiceStandIn
+from outside.store import StoreGate, StoreRows
+
+MODEL = "m0"
+ENGINES = "engines"
+SCORERS = "scorers"
+HOST_NAME = "site.test"
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 15.0
+
+PROGRAM = Path(__file__).parents[2] / "src" / "bankrudder_node.py"
+
+
+class HostProcess:
+    """One daemon and its own gate to the store."""
+
+    def __init__(self, name, data_centre, gate, folder):
+        self.name = name
+        self.gate = gate
+        self._data_centre = data_centre
+        self._folder = folder
+        self._process = None
+        self.address = own_address()
+
+        self._readiness = own_address()
+
+    @property
+    def log_path(self):
+        """Where the daemon's log lines go."""
+        return self._folder / f"{self.name}.log"
+
+    def log_lines(self):
+        """Return the log lines so far, decoded."""
+        lines = self.log_path.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    async def start(self):
+        """Start the daemon without waiting until it is ready."""
+        settings = {
+            "host": self.name,
+            "data_centre": self._data_centre,
+            "callers_address": self.address,
+            "readiness_address": self._readiness,
+            "store": {"address": self.gate.address},
+            "lease_ms": 1000,
+            "grace_s": 8,
+        }
+        path = self._folder / f"{self.name}.json"
+        path.write_text(json.dumps(settings))
+        with self.log_path.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(PROGRAM),
+                env={**os.environ, "BANKRUDDER_SETTINGS": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def is_ready(self):
+        """Whether it says that it takes new connections."""
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(
+                    f"http://{self._readiness}/bankrudder/readiness"
+                ) as response,
+            ):
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    def signal(self, number):
+        """Send a signal to the daemon."""
+        self._process.send_signal(number)
+
+    async def kill(self):
+        """End the daemon at once, as a loss of power does."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.kill()
+            await self._process.wait()
+
+    async def stop(self):
+        """End the daemon as planned; return its exit code."""
+        self._process.terminate()
+        return await asyncio.wait_for(self._process.wait(), STOP_LIMIT_S)
+
+
+class Site:
+    """Hosts, engines and scorers, and what callers do."""
+
+    def __init__(self, folder, hosts=3, engines=2, events=4):
+        self.rows = StoreRows()
+        self.hosts = []
+        self.engines = []
+        self.scorers = []
+        self._folder = folder
+        self._sizes = (hosts, engines, events)
+        self._session = None
+
+    async def start(self):
+        """Start all, and wait until every host is ready."""
+        hosts, engines, events = self._sizes
+        for number in range(engines):
+            engine = await EngineStandIn(f"engine-{number}", MODEL, events).start()
+            self.engines.append(engine)
+            self.rows.put("servers", engine.id, engine.document(ENGINES))
+        for number in range(2):
+            scorer = await ServiceStandIn(f"scorer-{number}").start()
+            self.scorers.append(scorer)
+            self.rows.put("servers", scorer.id, scorer.document(SCORERS))
+        self.rows.put("op", "config", configuration(1))
+        for number in range(hosts):
+            gate = await StoreGate(self.rows).start()
+            host = HostProcess(f"host-{number}", "north", gate, self._folder)
+            await host.start()
+            self.hosts.append(host)
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True),
+            timeout=aiohttp.ClientTimeout(total=10),
+        )
+        await self.wait_ready()
+        return self
+
+    async def stop(self):
+        """End all that was started."""
+        for host in self.hosts:
+            await host.kill()
+            await host.gate.stop()
+        for endpoint in self.engines + self.scorers:
+            await endpoint.stop()
+        if self._session is not None:
+            await self._session.close()
+
+    async def wait_ready(self):
+        """Wait until every host is ready."""
+        for host in self.hosts:
+            await until(host.is_ready, START_LIMIT_S)
+
+    async def call(self, host, method, path, *, body=b"", headers=None):
+        """Make a request of a caller; return its status, headers and body."""
+        async with self._session.request(
+            method,
+            f"http://{host.address}{path}",
+            data=body,
+            headers={"Host": HOST_NAME, **(headers or {})},
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+    async def submit(self, host, batch_id, **changes):
+        """Submit a batch; return the status."""
+        document = batch(batch_id, **changes)
+        status, _, _ = await self.call(
+            host,
+            "POST",
+            "/rollout/all",
+            body=json.dumps(document).encode(),
+            headers={"X-Request-Id": batch_id},
+        )
+        return status
+
+    async def read(self, host, batch_id, after=0):
+        """Read results once; return status and document."""
+        status, _, body = await self.call(
+            host,
+            "GET",
+            f"/bankrudder/lots/{batch_id}?after={after}",
+            headers={"X-Max-Wait": "500"},
+        )
+        return status, json.loads(body) if status == 200 else None
+
+    async def read_all(self, batch_id, count, hosts=None, limit_s=15.0):
+        """Read at the hosts in turn until all results are there; return them."""
+        hosts = hosts or self.hosts
+        results = []
+        deadline = time.monotonic() + limit_s
+        turn = 0
+        while len(results) < count:
+            assert time.monotonic() < deadline, f"{len(results)} of {count} in time"
+            turn += 1
+            try:
+                status, page = await self.read(
+                    hosts[turn % len(hosts)], batch_id, len(results)
+                )
+            except (aiohttp.ClientError, TimeoutError):
+                status, page = 0, None
+            if status == 200:
+                results += page["results"]
+            else:
+                await asyncio.sleep(0.05)
+        return results
+
+    def name_version(self, version):
+        """Name a version of the weights, as a trainer does."""
+        document = {"model": MODEL, "version": version}
+        self.rows.put("op", f"version/{MODEL}", document)
+
+
+def configuration(version, **changes):
+    """Return a configuration as operators write it."""
+    routes = [
+        {
+            "name": "rollout",
+            "host": HOST_NAME,
+            "path_prefix": "/rollout/",
+            "kind": "rollout",
+            "service": ENGINES,
+            "max_attempts": 3,
+            "retention_s": 20,
+            "result_target_ms": 5000,
+        },
+        {
+            "name": "score",
+            "host": HOST_NAME,
+            "path_prefix": "/score/",
+            "kind": "idempotent",
+            "service": SCORERS,
+            "timeout_ms": 1500,
+            "target_latency_ms": 200,
+            "max_attempts": 3,
+        },
+        {
+            "name": "once",
+            "host": HOST_NAME,
+            "path_prefix": "/once/",
+            "kind": "non_idempotent",
+            "service": SCORERS,
+            "timeout_ms": 1500,
+            "target_latency_ms": 200,
+            "max_attempts": 3,
+        },
+    ]
+    document = {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": ENGINES, "engine": {"models": [{"name": MODEL}]}},
+            {"name": SCORERS},
+        ],
+    }
+    return {**document, **changes}
+
+
+def batch(batch_id, samples=8, min_version=1, group_size=4, names=None):
+    """Return a batch as trainers submit it; ``names`` begins its samples' names."""
+    names = names or batch_id
+    items = [
+        {
+            "id": f"{names}-s{number}",
+            "path": f"/rollout/{number}",
+            "headers": {"X-Model": MODEL, "X-Length-Hint": "100"},
+            "body": "AAEC",
+            "tokens": 200,
+            "group": f"g{number // group_size}",
+            "scorer": {
+                "id": f"{names}-r{number}",
+                "host": HOST_NAME,
+                "path": f"/score/{number}",
+                "body": "AAEC",
+            },
+        }
+        for number in range(samples)
+    ]
+    return {
+        "step": 0,
+        "model": MODEL,
+        "min_version": min_version,
+        "target_groups": 2,
+        "items": items,
+    }
+
+
+def check_results(results, batch_id, count, events=4):
+    """Check that every sample is there once, whole, and scored."""
+    assert sorted(each["id"] for each in results) == sorted(
+        f"{batch_id}-s{number}" for number in range(count)
+    )
+    for each in results:
+        assert each["state"] == "succeeded"
+        whole = "\n".join(f"{each['id']}-{number}" for number in range(events))
+        assert each["text"] == whole
+        reward = each["id"].replace("-s", "-r")
+        assert each["score"].endswith(f".{reward}")
+
+
+async def until(condition, limit_s=10.0):
+    """Wait until a condition, plain or asynchronous, holds."""
+    deadline = time.monotonic() + limit_s
+    while True:
+        outcome = condition()
+        if asyncio.iscoroutine(outcome):
+            outcome = await outcome
+        if outcome:
+            return
+        assert time.monotonic() < deadline, "not in time"
+        await asyncio.sleep(0.02)
+
+
+FREEZE = signal.SIGSTOP
+THAW = signal.SIGCONT
+HANG_UP = signal.SIGHUP
