Give a model's batches to the owner of the last one

Cause: each batch was worked on where it arrived: new connections to every engine, nothing known of their speed; on the grown files new connections are the largest price (0.04), and steps started slower. Change: the acceptance names the owner of the model's last batch if it is alive, else a host with much room; connections are kept as long as endpoints state.

--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -93,6 +93,7 @@
         self._runs: dict[BatchId, asyncio.Task[None]] = {}
         self._batches: dict[BatchId, BatchRun] = {}
         self._fences: dict[BatchId, RowVersion] = {}
+        self._last_owner: dict[ModelName, HostId] = {}
         self._mean_work: dict[ModelName, float] = {}
         self._is_leaving = False
         self._background: set[asyncio.Task[None]] = set()
@@ -119,12 +120,7 @@
         NotSettledError
             If that is not known.
         """
-        owner = Owner(
-            host="" if self._is_leaving else self._presence.host,
-            lifetime="" if self._is_leaving else self._presence.lifetime,
-            model=batch.model,
-            work=_expected_tokens(batch),
-        )
+        owner = self._pick_owner(batch)
         outcome = await self._repository.accept(batch, owner)
         _log.info(
             "batches: accepted" if outcome.fence else "batches: accepted before",
@@ -133,7 +129,7 @@
             min_version=batch.min_version,
             is_same=outcome.is_same,
         )
-        if outcome.fence and not self._is_leaving:
+        if outcome.fence and owner.lifetime == self._presence.lifetime:
             self._begin(batch.id, outcome.fence, batch)
         return outcome.is_same
 
@@ -279,6 +275,8 @@
         if batch_id not in self._owners:
             self._note_work(owner)
         self._owners[batch_id] = (owner, row.version)
+        if owner.host:
+            self._last_owner[owner.model] = HostId(owner.host)
         fence = self._fences.get(batch_id, ABSENT)
         is_mine = owner.lifetime == self._presence.lifetime
         if not is_mine and batch_id in self._runs and row.version > fence:
@@ -288,6 +286,43 @@
             # The reply to the acceptance or the takeover was lost.
             self._begin(batch_id, row.version)
 
+    def _pick_owner(self, batch: Batch) -> Owner:
+        """Return who shall work on a batch: the owner of the model's last one.
+
+        That host has connections to the engines and knows how quick they are.
+        """
+        live = [
+            host
+            for host in self._presence.live_hosts()
+            if host != self._presence.host or not self._is_leaving
+        ]
+        host = self._last_owner.get(batch.model)
+        if host not in live:
+            host = self._roomiest(live, batch.model)
+        lifetime = self._presence.lifetime_of(host) if host is not None else None
+        if host == self._presence.host:
+            lifetime = self._presence.lifetime
+        is_known = host is not None and lifetime is not None
+        return Owner(
+            host=host if host is not None and is_known else "",
+            lifetime=lifetime if lifetime is not None else "",
+            model=batch.model,
+            work=_expected_tokens(batch),
+        )
+
+    def _roomiest(self, hosts: Sequence[HostId], model: ModelName) -> HostId | None:
+        """Return a host with much room, another one for each model if there are."""
+        taken = set(self._last_owner.values())
+        return max(
+            hosts,
+            key=lambda host: (
+                self._presence.room_of(host),
+                host not in taken,
+                hashlib.md5(f"{model}/{host}".encode()).digest(),
+            ),
+            default=None,
+        )
+
     def _note_work(self, owner: Owner) -> None:
         mean = self._mean_work.get(owner.model, owner.work)
         self._mean_work[owner.model] = mean + WORK_WEIGHT * (owner.work - mean)
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -101,7 +101,8 @@
         self._lifetime = Lifetime(str(uuid_utils.uuid4()))
         directory = EndpointDirectory(settings.data_centre, clock)
         self._view = WorldView(store, adapter.documents, directory, clock)
-        self._presence = Presence(store, settings.host, self._lifetime, clock)
+        room = settings.processor_share * settings.processor_speed
+        self._presence = Presence(store, settings.host, self._lifetime, clock, room)
         forwarder = Forwarder(directory, adapter.endpoints, clock)
         repository = BatchRepository(store, clock, settings.store.row_bytes)
         scorer = Scorer(forwarder, directory, self._routes, clock)
--- a/src/bankrudder/node/_settings.py
+++ b/src/bankrudder/node/_settings.py
@@ -29,6 +29,8 @@
     ----------
     callers_address, readiness_address : Address
         Listeners for callers and for the platform's balancer.
+    processor_share, processor_speed : float
+        Share of a core, and how many times as fast as the usual one it is.
     lease_ms : float
         Length of a lease on a duty.
     grace_s : float
@@ -40,6 +42,8 @@
     callers_address: Address
     readiness_address: Address
     store: StoreSettings
+    processor_share: float = 1.0
+    processor_speed: float = 1.0
     lease_ms: float = 3000.0
     grace_s: float = 8.0
 
@@ -80,6 +84,8 @@
             _fail(field, address)
     positive = {
         "store.row_bytes": settings.store.row_bytes,
+        "processor_share": settings.processor_share,
+        "processor_speed": settings.processor_speed,
         "lease_ms": settings.lease_ms,
         "grace_s": settings.grace_s,
     }
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import msgspec
+import structlog
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -30,7 +31,7 @@
 )
 from bankrudder.platform import _names as names
 from bankrudder.platform._events import read_events
-from bankrudder.routing import ModelName
+from bankrudder.routing import ModelName, ServiceName
 from bankrudder.world import ModelVersion
 
 CONNECT_TIMEOUT_S = 0.4
@@ -38,11 +39,22 @@
 in which most answers are still useful."""
 
 IDLE_S = 3.0
-"""An idle connection is closed after this time, before endpoints do so."""
+"""An idle connection is closed after this time if the endpoint does not say how long
+it keeps one."""
+
+IDLE_MARGIN_S = 1.0
+"""How long before the endpoint an idle connection is closed here, so that no request
+is sent on a connection that is being closed."""
+
+MAX_IDLE_S = 30.0
+"""Longest time for which an idle connection is kept."""
 
 CONTROL_TIMEOUT_S = 1.0
 """Longest wait for the answer to an order or a question about state."""
 
+NOT_KEPT = 0.0
+"""Idle time of connections that are closed after each request."""
+
 NOT_FORWARDED = frozenset(
     name.lower()
     for name in (
@@ -76,6 +88,9 @@
 }
 
 
+_log = structlog.get_logger("endpoints")
+
+
 class _WireModelState(msgspec.Struct):
     name: str
     version: int = 0
@@ -93,19 +108,19 @@
     """Sends to endpoints; each send names the endpoint that it is meant for."""
 
     def __init__(self) -> None:
-        self._pooled: aiohttp.ClientSession | None = None
-        self._unpooled: aiohttp.ClientSession | None = None
+        self._sessions: dict[float, aiohttp.ClientSession] = {}
+        self._idle_s: dict[ServiceName, float] = {}
 
     async def close(self) -> None:
         """Close all connections."""
-        for session in (self._pooled, self._unpooled):
-            if session is not None:
-                await session.close()
+        for session in self._sessions.values():
+            await session.close()
 
     async def send(self, endpoint: Endpoint, request: OutgoingRequest) -> SendOutcome:
         """Send a request and read the whole answer."""
         try:
             async with self._request(endpoint, request) as response:
+                self._learn_idle_time(endpoint, response)
                 if not _is_answer_to(response, request):
                     response.close()
                     return Lost(LossReason.FOREIGN_ANSWER)
@@ -128,6 +143,7 @@
         outcome: StreamOutcome
         try:
             response = await self._request(endpoint, request)
+            self._learn_idle_time(endpoint, response)
             outcome = await _stream_outcome(response, request)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             outcome = Refused(RefusalReason.UNREACHABLE)
@@ -145,7 +161,7 @@
     async def state(self, endpoint: Endpoint) -> EngineState | None:
         """Ask an engine for its state, None if it does not tell."""
         try:
-            async with self._session(True).get(
+            async with self._session(self._idle_s.get(endpoint.service, IDLE_S)).get(
                 _url(endpoint, names.STATE_PATH),
                 headers={names.EXPECTED_ENDPOINT: endpoint.id},
                 timeout=aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S),
@@ -172,7 +188,7 @@
             "precondition": order.expected_orders,
         }
         try:
-            async with self._session(False).post(
+            async with self._session(NOT_KEPT).post(
                 _url(endpoint, names.ORDERS_PATH),
                 data=msgspec.json.encode(body),
                 headers={
@@ -190,7 +206,10 @@
             return OrderOutcome.UNKNOWN
 
     def _request(self, endpoint: Endpoint, request: OutgoingRequest) -> Any:
-        return self._session(request.may_reuse_connection).request(
+        idle_s = self._idle_s.get(endpoint.service, IDLE_S)
+        return self._session(
+            idle_s if request.may_reuse_connection else NOT_KEPT
+        ).request(
             request.method,
             _url(endpoint, request.target),
             headers=_headers(endpoint, request),
@@ -202,19 +221,37 @@
             ),
         )
 
-    def _session(self, is_pooled: bool) -> aiohttp.ClientSession:
+    def _session(self, idle_s: float) -> aiohttp.ClientSession:
         # Sessions are made here because they need the running loop.
-        if is_pooled:
-            self._pooled = self._pooled or _new_session(is_pooled)
-            return self._pooled
-        self._unpooled = self._unpooled or _new_session(is_pooled)
-        return self._unpooled
+        if idle_s not in self._sessions:
+            self._sessions[idle_s] = _new_session(idle_s)
+        return self._sessions[idle_s]
+
+    def _learn_idle_time(
+        self, endpoint: Endpoint, response: aiohttp.ClientResponse
+    ) -> None:
+        idle_s = _stated_idle_s(response)
+        if idle_s is None or idle_s == self._idle_s.get(endpoint.service):
+            return
+        self._idle_s[endpoint.service] = idle_s
+        _log.info(
+            "endpoints: idle time learned", service=endpoint.service, idle_s=idle_s
+        )
+
+
+def _stated_idle_s(response: aiohttp.ClientResponse) -> float | None:
+    """Return for how long a connection may stay idle, None if it is not stated."""
+    for part in response.headers.get("Keep-Alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return min(max(int(value) - IDLE_MARGIN_S, 0.0), MAX_IDLE_S)
+    return None
 
 
-def _new_session(is_pooled: bool) -> aiohttp.ClientSession:
+def _new_session(idle_s: float) -> aiohttp.ClientSession:
     connector = (
-        aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_S)
-        if is_pooled
+        aiohttp.TCPConnector(limit=0, keepalive_timeout=idle_s)
+        if idle_s > NOT_KEPT
         else aiohttp.TCPConnector(limit=0, force_close=True)
     )
     return aiohttp.ClientSession(
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -44,21 +44,40 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
-    """Value of a host's row; ``count`` grows, ``is_leaving`` before a planned stop."""
+    """Value of a host's row.
+
+    Attributes
+    ----------
+    count : int
+        Grows with each heartbeat.
+    is_leaving : bool
+        Whether the host is about to stop as planned.
+    room : float
+        What the host can carry, in cores of usual speed.
+    """
 
     lifetime: Lifetime
     count: int
     is_leaving: bool = False
+    room: float = 1.0
 
 
 class Presence:
     """The heartbeat of this host, and the view of all others."""
 
-    def __init__(self, store: Store, host: HostId, lifetime: Lifetime, clock: Clock):
+    def __init__(
+        self,
+        store: Store,
+        host: HostId,
+        lifetime: Lifetime,
+        clock: Clock,
+        room: float = 1.0,
+    ):
         self._store = store
         self._host = host
         self._lifetime = lifetime
         self._clock = clock
+        self._room = room
         self._count = 0
         self._is_leaving = False
         self._last_commit_at: float | None = None
@@ -110,6 +129,16 @@
             return not self._follower.is_loaded
         return seen[0].lifetime == lifetime and self._is_fresh(host)
 
+    def lifetime_of(self, host: HostId) -> Lifetime | None:
+        """Return the newest run of a host, None if the host is not known."""
+        seen = self._seen.get(host)
+        return seen[0].lifetime if seen is not None else None
+
+    def room_of(self, host: HostId) -> float:
+        """Return what a host can carry, in cores of usual speed."""
+        seen = self._seen.get(host)
+        return seen[0].room if seen is not None else 0.0
+
     def leave(self) -> None:
         """Tell the others that this host is about to stop."""
         self._is_leaving = True
@@ -123,7 +152,7 @@
     async def announce(self) -> None:
         """Send one heartbeat now."""
         self._count += 1
-        beat = Heartbeat(self._lifetime, self._count, self._is_leaving)
+        beat = Heartbeat(self._lifetime, self._count, self._is_leaving, self._room)
         key = RowKey(HOSTS_TABLE, "", self._host)
         put = Put(key, msgspec.json.encode(beat))
         outcome = await self._store.commit(Transaction(puts=(put,)))
