--- a/src/bankrudder/batches/_scoring.py
+++ b/src/bankrudder/batches/_scoring.py
@@ -78,14 +78,17 @@
             match reply:
                 case Relayed(status=status, proof=proof) if status < 300 and proof:
                     return proof
-                case Relayed(status=status):
-                    # The forwarder has tried as many endpoints as the route allows.
-                    failures += route.max_attempts
+                case Relayed(status=status, failed_answers=failed):
+                    failures += failed
                     _log.info(
-                        "batches: reward call failed", call=call.id, status=status
+                        "batches: reward call failed",
+                        call=call.id,
+                        status=status,
+                        failures=failures,
                     )
                     if failures >= route.max_attempts:
                         raise ScoreFailedError(f"status {status}")
+                    await asyncio.sleep(RETRY_PAUSE_S)
                 case _:
                     await asyncio.sleep(RETRY_PAUSE_S)
 
--- a/src/bankrudder/relay/_forwarder.py
+++ b/src/bankrudder/relay/_forwarder.py
@@ -109,6 +109,7 @@
         tried: list[EndpointId] = []
         refusals = 0
         runs = 0
+        failed = 0
         last: Answered | None = None
         deadline -= ANSWER_MARGIN_S
         while True:
@@ -124,20 +125,21 @@
                 self._start(request, route, target, left_s, race)
                 may_send = runs + len(race.tasks) < route.max_attempts
             if not race.tasks:
-                return self._give_up(request, last, runs, left_s, service)
+                return self._give_up(request, last, failed, runs, left_s, service)
             outcome, target = await self._next(race, route, may_send, deadline)
             if outcome is None:
                 if self._clock.monotonic() >= deadline:
-                    return self._give_up(request, last, runs + 1, 0.0, service)
+                    return self._give_up(request, last, failed, runs + 1, 0.0, service)
                 continue
             match outcome:
                 case Answered() if outcome.status < 500:
                     return _relayed(outcome)
                 case Answered():
                     runs += 1
+                    failed += 1
                     last = outcome
                     if not _may_repeat(route):
-                        return _relayed(outcome)
+                        return _relayed(outcome, failed)
                 case Refused():
                     refusals += 1
                 case Lost():
@@ -204,12 +206,13 @@
         self,
         request: IncomingRequest,
         last: Answered | None,
+        failed: int,
         runs: int,
         left_s: float,
         service: ServiceName,
     ) -> Reply:
         if last is not None:
-            return _relayed(last)
+            return _relayed(last, failed)
         has_endpoints = bool(self._directory.of_service(service))
         reply: Reply
         if runs:
@@ -258,8 +261,8 @@
             )
 
 
-def _relayed(answer: Answered) -> Relayed:
-    return Relayed(answer.status, answer.headers, answer.body, answer.proof)
+def _relayed(answer: Answered, failed: int = 0) -> Relayed:
+    return Relayed(answer.status, answer.headers, answer.body, answer.proof, failed)
 
 
 def _may_repeat(route: Route) -> bool:
--- a/src/bankrudder/relay/_values.py
+++ b/src/bankrudder/relay/_values.py
@@ -37,12 +37,21 @@
 
 
 class Relayed(msgspec.Struct, frozen=True):
-    """An endpoint's own answer, passed on unchanged; ``proof`` is its receipt."""
+    """An endpoint's own answer, passed on unchanged.
+
+    Attributes
+    ----------
+    proof : str
+        The endpoint's receipt, empty without one.
+    failed_answers : int
+        Endpoints that answered with an error of their own, this one among them.
+    """
 
     status: int
     headers: Headers
     body: bytes
     proof: str = ""
+    failed_answers: int = 0
 
 
 class RejectReason(Enum):
--- /dev/null
+++ b/tests/batches/test_scoring.py
@@ -0,0 +1,75 @@
+"""A sample is given up only after as many failed answers as its route allows."""
+
+import pytest
+
+from bankrudder.batches._scoring import ScoreFailedError, Scorer
+from bankrudder.batches._values import RewardCall
+from bankrudder.fleet import Endpoint, EndpointDirectory
+from bankrudder.relay import NotRun, RejectReason, Relayed, Unanswered
+from bankrudder.routing import (
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    RoutingTable,
+    WeightedService,
+)
+
+ROUTE = Route(
+    "score", "h", "/s/", RouteKind.IDEMPOTENT, (WeightedService("g", 1),), 1.5, 0.2,
+    max_attempts=3,
+)  # fmt: skip
+CALL = RewardCall("r1", "h", "/s/1", b"")
+SCORED = Relayed(200, (), b"", proof="receipt")
+
+
+class ScriptedForwarder:
+    """Gives the replies of a script, one for each request."""
+
+    def __init__(self, replies):
+        self.replies = list(replies)
+
+    def pick_service(self, route):
+        return route.services[0].service
+
+    async def forward(self, request, route):
+        assert request.request_id == "r1"
+        return self.replies.pop(0)
+
+
+@pytest.fixture
+def score(hand_clock):
+    async def score(*replies):
+        directory = EndpointDirectory("north", hand_clock)
+        directory.put(Endpoint("e", "g", "127.0.0.1:1", "north", slots=4))
+        table = RoutingTable(RoutingConfiguration(1, (ROUTE,), ()))
+        forwarder = ScriptedForwarder(replies)
+        return await Scorer(forwarder, directory, lambda: table, hand_clock).score(CALL)
+
+    return score
+
+
+def failed(count):
+    return Relayed(500, (), b"", failed_answers=count)
+
+
+async def test_the_proof_of_the_answer_is_the_score(score):
+    assert await score(SCORED) == "receipt"
+
+
+async def test_a_call_goes_on_while_fewer_answers_failed_than_allowed(score):
+    assert await score(failed(1), failed(1), SCORED) == "receipt"
+
+
+async def test_a_call_is_given_up_after_as_many_failed_answers(score):
+    with pytest.raises(ScoreFailedError):
+        await score(failed(2), failed(1))
+
+
+async def test_a_call_without_an_answer_is_made_again(score):
+    lost = Unanswered(RejectReason.OUT_OF_TIME, is_timeout=True)
+    refused = NotRun(RejectReason.FULL, 0.1)
+    assert await score(lost, refused, lost, SCORED) == "receipt"
+
+
+async def test_an_answer_without_a_proof_is_no_score(score):
+    assert await score(Relayed(200, (), b""), SCORED) == "receipt"
