Forward streams of callers, and resume those that may be

Cause: a route of streams was answered as a plain request, its whole body first. Change: events go out as they come; a stream that may be resumed goes on at another endpoint after its last event, others end plainly broken and are run once. Test: tests/node/test_streams.py.

--- a/src/bankrudder/node/_gateway.py
+++ b/src/bankrudder/node/_gateway.py
@@ -20,6 +20,8 @@
     NotRun,
     RejectReason,
     Reply,
+    StreamForwarder,
+    StreamStarted,
     Unanswered,
 )
 from bankrudder.routing import Route, RoutingTable
@@ -43,6 +45,7 @@
         routes: Callable[[], RoutingTable | None],
         is_ready: Callable[[], bool],
         forwarder: Forwarder,
+        streams: StreamForwarder,
         batches: BatchService,
         reader: BatchReader,
         repository: BatchRepository,
@@ -50,6 +53,7 @@
         self._routes = routes
         self._is_ready = is_ready
         self._forwarder = forwarder
+        self._streams = streams
         self._batches = batches
         self._reader = reader
         self._repository = repository
@@ -80,6 +84,13 @@
         """Return an endpoint's answer to a request, or why there is none."""
         return await self._forwarder.forward(request, route)
 
+    async def stream(
+        self, request: IncomingRequest, route: Route
+    ) -> StreamStarted | Reply:
+        """Return the stream of an endpoint, or why there is none."""
+        service = self._forwarder.pick_service(route)
+        return await self._streams.forward(request, route, service)
+
     async def accept(self, batch: Batch, route: Route) -> Reply | None:
         """Keep a batch; None means that it is kept."""
         try:
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -15,7 +15,7 @@
 from bankrudder.node._world_view import Documents, WorldView
 from bankrudder.orders import VersionSwitcher
 from bankrudder.presence import Lifetime, Presence
-from bankrudder.relay import Forwarder
+from bankrudder.relay import Forwarder, StreamForwarder
 from bankrudder.routing import RoutingTable
 from bankrudder.store import Store
 from bankrudder.world import Clock
@@ -139,6 +139,7 @@
             self._routes,
             lambda: self._view.is_complete,
             forwarder,
+            StreamForwarder(directory, adapter.endpoints, clock),
             self._batches,
             BatchReader(repository, clock),
             repository,
--- a/src/bankrudder/platform/_front.py
+++ b/src/bankrudder/platform/_front.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict
 
 from bankrudder.batches import BatchId, SampleId
+from bankrudder.fleet import StreamBrokenError
 from bankrudder.node import Gateway
 from bankrudder.platform import _names as names
 from bankrudder.platform._batch_documents import (
@@ -23,6 +24,7 @@
     NotRun,
     Relayed,
     Reply,
+    StreamStarted,
     Unanswered,
 )
 from bankrudder.routing import Route, RouteKind
@@ -111,11 +113,39 @@
         match route:
             case Route(kind=RouteKind.ROLLOUT):
                 return await self._accept_batch(incoming, route)
+            case Route(kind=RouteKind.STREAM):
+                return await self._stream(request, incoming, route)
             case Route():
                 return _response(await self._gateway.forward(incoming, route))
             case _:
                 return _response(route)
 
+    async def _stream(
+        self, request: web.BaseRequest, incoming: IncomingRequest, route: Route
+    ) -> web.StreamResponse:
+        started = await self._gateway.stream(incoming, route)
+        if not isinstance(started, StreamStarted):
+            return _response(started)
+        response = web.StreamResponse(
+            status=started.status, headers=CIMultiDict(started.headers)
+        )
+        if self._gateway.is_leaving:
+            response.force_close()
+        await response.prepare(request)
+        try:
+            async for event in started.events:
+                await response.write(event)
+        except StreamBrokenError as error:
+            _log.warning(
+                "front: stream ends early",
+                request=incoming.request_id,
+                reason=str(error),
+            )
+            # The caller must see that it is not whole.
+            if request.transport is not None:
+                request.transport.abort()
+        return response
+
     async def _accept_batch(
         self, incoming: IncomingRequest, route: Route
     ) -> web.Response:
--- a/src/bankrudder/relay/__init__.py
+++ b/src/bankrudder/relay/__init__.py
@@ -1,6 +1,7 @@
 """Requests of callers: what they are, and forwarding them to endpoints."""
 
 from bankrudder.relay._forwarder import Forwarder, note_outcome
+from bankrudder.relay._streaming import StreamForwarder, StreamStarted
 from bankrudder.relay._values import (
     IncomingRequest,
     Malformed,
@@ -21,6 +22,8 @@
     "RejectReason",
     "Relayed",
     "Reply",
+    "StreamForwarder",
+    "StreamStarted",
     "Unanswered",
     "note_outcome",
 ]
--- /dev/null
+++ b/src/bankrudder/relay/_streaming.py
@@ -0,0 +1,256 @@
+"""Forwarding of requests whose answer is a stream of events."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+
+import msgspec
+import structlog
+
+from bankrudder.fleet import (
+    Answered,
+    EndpointClient,
+    EndpointDirectory,
+    EndpointId,
+    Headers,
+    Lost,
+    OpenedStream,
+    OutgoingRequest,
+    RefusalReason,
+    Refused,
+    StreamBrokenError,
+    StreamEvent,
+    StreamOutcome,
+    TrackedEndpoint,
+)
+from bankrudder.relay._forwarder import MAX_REFUSALS, MIN_SEND_S, RETRY_AFTER_S
+from bankrudder.relay._values import (
+    IncomingRequest,
+    NotRun,
+    RejectReason,
+    Relayed,
+    Reply,
+    Unanswered,
+)
+from bankrudder.routing import Route, ServiceName
+from bankrudder.world import Clock
+
+GAP_TIMEOUT_S = 1.5
+"""Longest wait for the next event of a stream that may go on elsewhere: below the
+two seconds after which callers leave at the earliest."""
+
+_log = structlog.get_logger("relay")
+
+
+class StreamStarted(msgspec.Struct, frozen=True):
+    """An endpoint streams; ``events`` raises `StreamBrokenError` if it ends early."""
+
+    status: int
+    headers: Headers
+    events: AsyncIterator[bytes]
+
+
+class _Run:
+    """One stream at one endpoint, open until `close`."""
+
+    def __init__(self, target: TrackedEndpoint):
+        self.target = target
+        self._stack = AsyncExitStack()
+
+    async def open(
+        self, client: EndpointClient, outgoing: OutgoingRequest
+    ) -> StreamOutcome:
+        self.target.in_flight += 1
+        self._stack.callback(self._leave)
+        return await self._stack.enter_async_context(
+            client.open_stream(self.target.endpoint, outgoing)
+        )
+
+    async def close(self) -> None:
+        await self._stack.aclose()
+
+    def _leave(self) -> None:
+        self.target.in_flight -= 1
+
+
+class StreamForwarder:
+    """Sends requests for streams; one that may be resumed goes on elsewhere."""
+
+    def __init__(
+        self, directory: EndpointDirectory, client: EndpointClient, clock: Clock
+    ):
+        self._directory = directory
+        self._client = client
+        self._clock = clock
+
+    async def forward(
+        self, request: IncomingRequest, route: Route, service: ServiceName
+    ) -> StreamStarted | Reply:
+        """Return the stream of an endpoint, or why there is none."""
+        sender = _StreamSender(self, request, route, service)
+        outcome = await sender.open_first()
+        if not isinstance(outcome, OpenedStream):
+            return outcome
+        return StreamStarted(outcome.status, outcome.headers, sender.events(outcome))
+
+    def choose(
+        self, service: ServiceName, tried: list[EndpointId]
+    ) -> TrackedEndpoint | None:
+        """Return the endpoint to send to."""
+        return self._directory.choose(service, tried)
+
+    @property
+    def client(self) -> EndpointClient:
+        """How endpoints are reached."""
+        return self._client
+
+    @property
+    def clock(self) -> Clock:
+        """The clock that deadlines are on."""
+        return self._clock
+
+
+class _StreamSender:
+    """The runs of one request, one after the other."""
+
+    def __init__(
+        self,
+        parent: StreamForwarder,
+        request: IncomingRequest,
+        route: Route,
+        service: ServiceName,
+    ):
+        self._parent = parent
+        self._request = request
+        self._route = route
+        self._service = service
+        self._tried: list[EndpointId] = []
+        self._runs = 0
+        self._refusals = 0
+        self._last_number = request.resume_after
+        self._run: _Run | None = None
+
+    async def open_first(self) -> OpenedStream | Reply:
+        """Open the stream; what is returned otherwise is final."""
+        while True:
+            outcome = await self._open_next()
+            match outcome:
+                case OpenedStream():
+                    return outcome
+                case Answered() if outcome.status < 500 or not self._may_go_on():
+                    await self._close()
+                    return Relayed(
+                        outcome.status, outcome.headers, outcome.body, outcome.proof
+                    )
+                case None:
+                    return self._given_up()
+                case Lost() if not self._may_go_on():
+                    await self._close()
+                    return self._given_up()
+            await self._close()
+
+    async def events(self, opened: OpenedStream) -> AsyncIterator[bytes]:
+        """Yield the events as they come, from run after run."""
+        try:
+            while True:
+                try:
+                    async for event in self._timed(opened):
+                        if event.number <= self._last_number:
+                            raise StreamBrokenError("event came again")
+                        self._last_number = event.number
+                        yield event.raw
+                    return
+                except (StreamBrokenError, TimeoutError) as error:
+                    opened = await self._resume(str(error) or "no event in time")
+        finally:
+            await self._close()
+
+    async def _resume(self, reason: str) -> OpenedStream:
+        _log.info(
+            "relay: stream broken off",
+            request=self._request.request_id,
+            endpoint=self._run.target.endpoint.id if self._run else "",
+            last_event=self._last_number,
+            reason=reason,
+            is_resumable=self._route.is_resumable,
+        )
+        while self._may_go_on():
+            await self._close()
+            outcome = await self._open_next()
+            if isinstance(outcome, OpenedStream):
+                return outcome
+            if outcome is None:
+                break
+        raise StreamBrokenError(reason)
+
+    async def _timed(self, opened: OpenedStream) -> AsyncIterator[StreamEvent]:
+        limit_s = GAP_TIMEOUT_S if self._may_go_on() else self._left_s()
+        while True:
+            try:
+                async with asyncio.timeout(limit_s):
+                    event = await anext(opened.events)
+            except StopAsyncIteration:
+                return
+            yield event
+
+    async def _open_next(self) -> StreamOutcome | None:
+        """Open a run at the next endpoint; None if there is none or no time."""
+        target = self._parent.choose(self._service, self._tried)
+        if target is None or self._left_s() < MIN_SEND_S:
+            return None
+        if self._refusals >= MAX_REFUSALS:
+            return None
+        self._tried.append(target.endpoint.id)
+        self._run = _Run(target)
+        outcome = await self._run.open(self._parent.client, self._outgoing())
+        match outcome:
+            case Refused(reason=reason):
+                self._refusals += 1
+                if reason is not RefusalReason.FULL:
+                    target.note_failure(self._parent.clock.monotonic())
+            case Lost():
+                self._runs += 1
+                target.note_failure(self._parent.clock.monotonic())
+            case _:
+                self._runs += 1
+        return outcome
+
+    def _outgoing(self) -> OutgoingRequest:
+        return OutgoingRequest(
+            request_id=self._request.request_id,
+            method=self._request.method,
+            target=self._request.target,
+            host=self._request.host,
+            headers=self._request.headers,
+            body=self._request.body,
+            timeout_s=self._left_s(),
+            may_reuse_connection=self._route.is_resumable,
+            resume_after=self._last_number,
+        )
+
+    def _may_go_on(self) -> bool:
+        return self._route.is_resumable and self._runs < self._route.max_attempts
+
+    def _left_s(self) -> float:
+        return max(self._request.deadline - self._parent.clock.monotonic(), 0.0)
+
+    async def _close(self) -> None:
+        run, self._run = self._run, None
+        if run is not None:
+            await run.close()
+
+    def _given_up(self) -> Reply:
+        is_timeout = self._left_s() < MIN_SEND_S
+        _log.warning(
+            "relay: stream given up",
+            request=self._request.request_id,
+            runs=self._runs,
+            refusals=self._refusals,
+            left_s=round(self._left_s(), 3),
+        )
+        if self._runs:
+            return Unanswered(RejectReason.ENDPOINT_FAILED, is_timeout)
+        return NotRun(
+            RejectReason.FULL if self._refusals else RejectReason.NO_ENDPOINT,
+            RETRY_AFTER_S,
+        )
--- /dev/null
+++ b/tests/node/test_streams.py
@@ -0,0 +1,79 @@
+"""Streams of callers: forwarded as they come, resumed only where that is allowed."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from outside.site import until
+
+
+async def call(site, path, **headers):
+    headers = {"X-Request-Id": "q1", "X-Request-Deadline": "5000", **headers}
+    return await site.call(site.hosts[0], "POST", path, body=b"x", headers=headers)
+
+
+def whole(start=0, count=4):
+    return "".join(f"id: {n}\ndata: q1-{n}\n\n" for n in range(start, count)).encode()
+
+
+def runs(site):
+    return sum(engine.ran["q1"] for engine in site.engines)
+
+
+async def test_a_stream_is_passed_on_whole(site):
+    status, headers, body = await call(site, "/stream/1")
+    assert (status, body) == (200, whole())
+    assert headers["X-Response-Stamp"].endswith(".q1")
+
+
+async def test_a_resumable_stream_goes_on_at_another_endpoint(site):
+    for engine in site.engines:
+        engine.cut_after = [2]
+    status, headers, body = await call(site, "/resumable/1")
+    assert (status, body) == (200, whole())
+    assert runs(site) > 1
+    # The head is that of the first endpoint.
+    assert headers["X-Response-Stamp"].endswith(".q1")
+
+
+async def test_another_stream_ends_plainly_broken_and_is_run_once(site):
+    for engine in site.engines:
+        engine.cut_after = [2]
+    with pytest.raises(aiohttp.ClientError):
+        await call(site, "/stream/1")
+    assert runs(site) == 1
+
+
+async def test_a_caller_resumes_by_itself(site):
+    status, _, body = await call(site, "/resumable/1", **{"Last-Event-Id": "1"})
+    assert (status, body) == (200, whole(start=2))
+
+
+@pytest.mark.parametrize(("path", "count"), [("/stream/1", 1), ("/resumable/1", 2)])
+async def test_a_request_without_an_answer_is_sent_again_only_if_resumable(
+    site, path, count
+):
+    for engine in site.engines:
+        engine.fail_next = ["reset"]
+    status, _, _ = await call(site, path)
+    assert status == (502 if count == 1 else 200)
+    assert runs(site) >= count
+
+
+async def test_a_full_endpoint_is_passed_over(site):
+    for engine in site.engines:
+        engine.fail_next = ["full"]
+    status, _, body = await call(site, "/stream/1")
+    assert (status, body) == (200, whole())
+    assert runs(site) == 1
+
+
+async def test_a_stream_is_stopped_when_its_caller_leaves(site):
+    for engine in site.engines:
+        engine.event_gap_s = 0.2
+        engine.events = 50
+    with pytest.raises(asyncio.TimeoutError):
+        async with asyncio.timeout(0.5):
+            await call(site, "/stream/1")
+    await until(lambda: any(each.broken_off["q1"] for each in site.engines), 0.6)
--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -242,6 +242,19 @@
             "max_attempts": 3,
         },
     ]
+    routes += [
+        {
+            "name": f"stream-{name}",
+            "host": HOST_NAME,
+            "path_prefix": f"/{name}/",
+            "kind": "streaming",
+            "service": ENGINES,
+            "timeout_ms": 5000,
+            "max_attempts": 3,
+            "resumable": resumable,
+        }
+        for name, resumable in (("stream", False), ("resumable", True))
+    ]
     document = {
         "version": version,
         "routes": routes,
