Bound the log, count decisions, clean up ended batches

Cause: log lines were unbounded and blocked on a full pipe; nothing was counted; batches stayed in the store for ever. Change: each event has a bound a second, warnings a wider one, a full pipe drops and counts; every line is counted as a decision on the metrics address, with histograms of requests and store calls; one host removes batches after their retention.

--- a/src/bankrudder/batches/__init__.py
+++ b/src/bankrudder/batches/__init__.py
@@ -1,5 +1,6 @@
 """Batches of samples: acceptance, work on them, results."""
 
+from bankrudder.batches._cleaning import Cleaner
 from bankrudder.batches._reading import BatchReader
 from bankrudder.batches._repository import BatchRepository
 from bankrudder.batches._scoring import Scorer
@@ -22,6 +23,7 @@
     "BatchReader",
     "BatchRepository",
     "BatchService",
+    "Cleaner",
     "GroupId",
     "ResultPage",
     "ResultState",
--- /dev/null
+++ b/src/bankrudder/batches/_cleaning.py
@@ -0,0 +1,133 @@
+"""Removal of batches that nobody may ask for any more.
+
+One host removes, under a lease. It goes by the store's own steady clock, which a
+row of its own tells, so that a restart forgets no batch.
+"""
+
+import asyncio
+
+import msgspec
+import structlog
+
+from bankrudder.batches._repository import (
+    BATCHES_TABLE,
+    OWNERS_TABLE,
+    PROGRESS_TABLE,
+    BatchRepository,
+    row_trouble,
+)
+from bankrudder.batches._values import BatchId
+from bankrudder.leases import Lease
+from bankrudder.store import (
+    Committed,
+    Put,
+    RowKey,
+    Store,
+    StoreUnavailableError,
+    Transaction,
+)
+
+LOOK_S = 20.0
+"""How often the store is looked through: a sixth of the usual retention."""
+
+MARGIN_S = 30.0
+"""Time beyond the retention for which a batch is kept, for late readers."""
+
+SEEN_TABLE = "cleaning"
+"""Part: batch or ``progress/MODEL``; one row that tells when it was first found to be
+ended, in seconds of the store's clock."""
+
+_SEEN_KEY = "ended"
+
+_log = structlog.get_logger("batches")
+
+
+class FirstSeen(msgspec.Struct, frozen=True):
+    """When something was first found to be ended, in the store's time."""
+
+    store_time_s: float
+
+
+class Cleaner:
+    """Removes ended batches after their retention, and progress nobody took up."""
+
+    def __init__(
+        self,
+        store: Store,
+        repository: BatchRepository,
+        lease: Lease,
+        retention_s: float,
+    ):
+        self._store = store
+        self._repository = repository
+        self._lease = lease
+        self._kept_s = retention_s + MARGIN_S
+
+    async def run(self) -> None:
+        """Remove what is due while this host holds the lease, until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            if not self._lease.is_valid:
+                continue
+            try:
+                await self.clean()
+            except StoreUnavailableError as error:
+                _log.warning("batches: not cleaned", reason=row_trouble(error))
+
+    async def clean(self) -> None:
+        """Look through the store once."""
+        now_s = await self._store_time()
+        if now_s is None:
+            return
+        open_batches = set(await self._store.parts(OWNERS_TABLE))
+        kept = await self._store.parts(BATCHES_TABLE)
+        ended = [name for name in kept if name not in open_batches]
+        for name in ended:
+            if self._lease.is_valid and await self._is_due(name, now_s):
+                await self._repository.forget(BatchId(name))
+                await self._forget_seen(name)
+                _log.info("batches: removed after retention", batch=name)
+        for model in await self._store.parts(PROGRESS_TABLE):
+            await self._clean_progress(model, now_s)
+
+    async def _store_time(self) -> float | None:
+        key = RowKey(SEEN_TABLE, "clock", "clock")
+        outcome = await self._store.commit(Transaction(puts=(Put(key, b"{}"),)))
+        match outcome:
+            case Committed(store_time_s=now_s):
+                return now_s
+            case _:
+                return None
+
+    async def _is_due(self, name: str, now_s: float) -> bool:
+        """Whether something has been ended for long enough; notes it at first."""
+        page = await self._store.read(SEEN_TABLE, name)
+        if page.rows:
+            seen = msgspec.json.decode(page.rows[0].value, type=FirstSeen)
+            return now_s - seen.store_time_s >= self._kept_s
+        value = msgspec.json.encode(FirstSeen(now_s))
+        put = Put(RowKey(SEEN_TABLE, name, _SEEN_KEY), value)
+        await self._store.commit(Transaction(puts=(put,)))
+        return False
+
+    async def _forget_seen(self, name: str) -> None:
+        key = RowKey(SEEN_TABLE, name, _SEEN_KEY)
+        await self._store.commit(Transaction(removals=(key,)))
+
+    async def _clean_progress(self, model: str, now_s: float) -> None:
+        """Remove progress that has not changed between two looks, long apart."""
+        page = await self._store.read(PROGRESS_TABLE, model, limit=500)
+        name = f"progress/{model}"
+        newest = max((row.version for row in page.rows), default=0)
+        seen = await self._store.read(SEEN_TABLE, name)
+        if page.rows and seen.rows and newest < seen.rows[0].version:
+            if not await self._is_due(name, now_s):
+                return
+            keys = [row.key for row in page.rows]
+            for start in range(0, len(keys), 90):
+                part = tuple(keys[start : start + 90])
+                await self._store.commit(Transaction(removals=part))
+            _log.info("batches: old progress removed", model=model, samples=len(keys))
+        if page.rows:
+            await self._forget_seen(name)
+            await self._is_due(name, now_s)
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -110,6 +110,11 @@
         """Number of batches that this host works on."""
         return len(self._runs)
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of samples that wait for an engine."""
+        return self._dispatcher.waiting_count
+
     async def accept(self, batch: Batch, route: Route) -> bool:
         """Keep a batch and begin with it; False if one of its name is another one.
 
--- a/src/bankrudder/logs/_setup.py
+++ b/src/bankrudder/logs/_setup.py
@@ -6,11 +6,13 @@
 from datetime import UTC, datetime
 from enum import Enum
 from types import TracebackType
-from typing import TextIO
+from typing import TextIO, cast
 
 import structlog
 from structlog.typing import EventDict, Processor, WrappedLogger
 
+from bankrudder.logs._limit import LineLimit
+from bankrudder.logs._sink import NonBlockingSink
 from bankrudder.world import Clock, SystemClock
 
 MAX_VALUE_LENGTH = 400
@@ -48,7 +50,8 @@
     level: LogLevel = LogLevel.INFO,
     *,
     clock: Clock | None = None,
-    stream: TextIO | None = None,
+    stream: TextIO | NonBlockingSink | None = None,
+    limit: LineLimit | None = None,
 ) -> None:
     """Send the lines of this package and of its libraries to one stream.
 
@@ -65,6 +68,8 @@
         Source of the time stamps, the host's clock by default.
     stream : text file, optional
         Standard error by default.
+    limit : LineLimit, optional
+        Bound on the lines of this package; none by default.
     """
     stream = stream or sys.stderr
     number = logging.getLevelNamesMapping()[level.name]
@@ -76,18 +81,21 @@
     ]
     renderer = _renderer(format)
     structlog.configure(
-        processors=[*shared, renderer],
+        processors=[*([limit] if limit is not None else []), *shared, renderer],
         wrapper_class=structlog.make_filtering_bound_logger(number),
-        logger_factory=structlog.WriteLoggerFactory(file=stream),
+        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, stream)),
         cache_logger_on_first_use=False,
     )
     _configure_libraries(shared, renderer, max(number, logging.WARNING), stream)
 
 
 def _configure_libraries(
-    shared: list[Processor], renderer: Processor, number: int, stream: TextIO
+    shared: list[Processor],
+    renderer: Processor,
+    number: int,
+    stream: TextIO | NonBlockingSink,
 ) -> None:
-    handler = logging.StreamHandler(stream)
+    handler = logging.StreamHandler(cast(TextIO, stream))
     handler.setFormatter(
         structlog.stdlib.ProcessorFormatter(
             foreign_pre_chain=shared,
--- a/src/bankrudder/node/_gateway.py
+++ b/src/bankrudder/node/_gateway.py
@@ -13,6 +13,7 @@
     ResultPage,
     SampleId,
 )
+from bankrudder.node._instruments import Instruments
 from bankrudder.relay import (
     Forwarder,
     IncomingRequest,
@@ -26,6 +27,7 @@
 )
 from bankrudder.routing import Route, RoutingTable
 from bankrudder.store import NotSettledError, StoreUnavailableError
+from bankrudder.world import Clock
 
 STORE_RETRY_AFTER_S = 0.5
 """When to come back while the store gives no result here: another host may reach
@@ -49,6 +51,8 @@
         batches: BatchService,
         reader: BatchReader,
         repository: BatchRepository,
+        instruments: Instruments,
+        clock: Clock,
     ):
         self._routes = routes
         self._is_ready = is_ready
@@ -57,6 +61,8 @@
         self._batches = batches
         self._reader = reader
         self._repository = repository
+        self._instruments = instruments
+        self._clock = clock
         self._is_leaving = False
 
     @property
@@ -82,14 +88,18 @@
 
     async def forward(self, request: IncomingRequest, route: Route) -> Reply:
         """Return an endpoint's answer to a request, or why there is none."""
-        return await self._forwarder.forward(request, route)
+        reply = await self._forwarder.forward(request, route)
+        self._note(request, route, reply)
+        return reply
 
     async def stream(
         self, request: IncomingRequest, route: Route
     ) -> StreamStarted | Reply:
         """Return the stream of an endpoint, or why there is none."""
         service = self._forwarder.pick_service(route)
-        return await self._streams.forward(request, route, service)
+        reply = await self._streams.forward(request, route, service)
+        self._note(request, route, reply)
+        return reply
 
     async def accept(self, batch: Batch, route: Route) -> Reply | None:
         """Keep a batch; None means that it is kept."""
@@ -107,6 +117,12 @@
             return Unanswered(RejectReason.STORE_UNAVAILABLE, False)
         return None
 
+    def _note(
+        self, request: IncomingRequest, route: Route, reply: Reply | StreamStarted
+    ) -> None:
+        seconds = self._clock.monotonic() - request.received_at
+        self._instruments.note_request(route.kind, reply, seconds)
+
     async def results(
         self, batch_id: BatchId, after: int, wait_s: float
     ) -> ResultPage | NotRun | NotFound:
--- /dev/null
+++ b/src/bankrudder/node/_instruments.py
@@ -0,0 +1,83 @@
+"""Metrics of a node."""
+
+from collections.abc import Iterable
+
+from bankrudder.logs import LineLimit
+from bankrudder.observe import Metrics, Sample
+from bankrudder.relay import (
+    Malformed,
+    NotFound,
+    NotRun,
+    Relayed,
+    Reply,
+    StreamStarted,
+    Unanswered,
+)
+from bankrudder.routing import RouteKind
+from bankrudder.world import HostId
+
+
+class Instruments:
+    """What a node measures itself; levels are gathered by sources of their own."""
+
+    def __init__(self, metrics: Metrics, lines: LineLimit):
+        self._metrics = metrics
+        self._lines = lines
+        self._requests = metrics.histogram(
+            "bankrudder_request_seconds",
+            "Time from the reading of a request to its reply, in seconds.",
+        )
+        self._store_calls = metrics.histogram(
+            "bankrudder_store_call_seconds",
+            "Time of a call to the store, in seconds.",
+        )
+        metrics.add_source(self._line_samples)
+
+    @classmethod
+    def from_config(cls, host: HostId, lines: LineLimit) -> "Instruments":
+        """Make the instruments of the node on `host`."""
+        return cls(Metrics.from_config(host), lines)
+
+    @property
+    def metrics(self) -> Metrics:
+        """All metrics of the node."""
+        return self._metrics
+
+    def note_request(
+        self, kind: RouteKind, reply: Reply | StreamStarted, seconds: float
+    ) -> None:
+        """Count a request and its time."""
+        outcome, reason = _outcome(reply)
+        self._requests.observe(seconds, kind=kind.value, outcome=outcome, reason=reason)
+
+    def note_store_call(self, call: str, outcome: str, seconds: float) -> None:
+        """Count a call to the store and its time."""
+        self._store_calls.observe(seconds, call=call, outcome=outcome)
+
+    def _line_samples(self) -> Iterable[Sample]:
+        # Each decision writes a line, so the counts of lines are those of decisions,
+        # also of the lines that were left out.
+        for (event, level), count in self._lines.totals.items():
+            yield Sample.counter(
+                "bankrudder_decisions_total",
+                count,
+                "Decisions and events, by their log line.",
+                event=event,
+                level=level,
+            )
+
+
+def _outcome(reply: Reply | StreamStarted) -> tuple[str, str]:
+    match reply:
+        case Relayed(status=status):
+            return "answered", f"{status // 100}xx"
+        case StreamStarted():
+            return "streamed", ""
+        case NotRun(reason=reason):
+            return "not_run", reason.value
+        case NotFound(reason=reason):
+            return "not_found", reason.value
+        case Unanswered(reason=reason):
+            return "unanswered", reason.value
+        case Malformed():
+            return "malformed", ""
--- a/src/bankrudder/node/_main.py
+++ b/src/bankrudder/node/_main.py
@@ -12,10 +12,16 @@
 import uvloop
 
 from bankrudder.exceptions import InvalidError
-from bankrudder.logs import LogFormat, LogLevel, configure_logging
+from bankrudder.logs import (
+    LineLimit,
+    LogFormat,
+    LogLevel,
+    NonBlockingSink,
+    configure_logging,
+)
 from bankrudder.node._node import Adapter, Node
 from bankrudder.node._settings import NodeSettings, load_settings
-from bankrudder.world import SystemClock
+from bankrudder.world import Clock, SystemClock
 
 EXIT_NOT_STARTED = 1
 EXIT_WRONG_SETTINGS = 2
@@ -36,7 +42,10 @@
         Makes what connects the daemon to the outside.
     """
     arguments = _parser().parse_args(argv)
-    configure_logging(LogFormat.JSON, LogLevel.INFO, stream=sys.stdout)
+    clock = SystemClock()
+    lines = LineLimit(clock)
+    sink = NonBlockingSink(sys.stdout.fileno())
+    configure_logging(LogFormat.JSON, LogLevel.INFO, stream=sink, limit=lines)
     try:
         settings = load_settings(Path(arguments.settings))
     except InvalidError as error:
@@ -44,16 +53,19 @@
         _log.error("node: wrong settings", field=failure.field, reason=failure.detail)
         sys.exit(EXIT_WRONG_SETTINGS)
     try:
-        uvloop.run(_run(settings, make_adapter))
+        uvloop.run(_run(settings, make_adapter, clock, lines))
     except OSError as error:
         _log.error("node: not started", reason=str(error))
         sys.exit(EXIT_NOT_STARTED)
 
 
 async def _run(
-    settings: NodeSettings, make_adapter: Callable[[NodeSettings], Adapter]
+    settings: NodeSettings,
+    make_adapter: Callable[[NodeSettings], Adapter],
+    clock: Clock,
+    lines: LineLimit,
 ) -> None:
-    node = Node.from_config(settings, make_adapter(settings), SystemClock())
+    node = Node.from_config(settings, make_adapter(settings), clock, lines)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -1,23 +1,32 @@
 """One host of the system: its parts, its start, and its planned stop."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol, Self
 
 import structlog
 import uuid_utils
 
-from bankrudder.batches import BatchReader, BatchRepository, BatchService, Scorer
+from bankrudder.batches import (
+    BatchReader,
+    BatchRepository,
+    BatchService,
+    Cleaner,
+    Scorer,
+)
 from bankrudder.fleet import EndpointClient, EndpointDirectory
 from bankrudder.leases import Lease
+from bankrudder.logs import LineLimit
 from bankrudder.node._gateway import Gateway
+from bankrudder.node._instruments import Instruments
 from bankrudder.node._settings import NodeSettings
 from bankrudder.node._world_view import Documents, WorldView
+from bankrudder.observe import ObserveServer, Sample
 from bankrudder.orders import VersionSwitcher
 from bankrudder.presence import Lifetime, Presence
 from bankrudder.relay import Forwarder, StreamForwarder
 from bankrudder.routing import RoutingTable
-from bankrudder.store import Store
+from bankrudder.store import MeasuredStore, Store
 from bankrudder.world import Clock
 
 NOTICE_S = 2.6
@@ -93,13 +102,22 @@
 class Node:
     """One daemon."""
 
-    def __init__(self, settings: NodeSettings, adapter: Adapter, clock: Clock):
+    def __init__(
+        self,
+        settings: NodeSettings,
+        adapter: Adapter,
+        clock: Clock,
+        lines: LineLimit,
+    ):
         self._settings = settings
         self._adapter = adapter
         self._clock = clock
-        store = adapter.store
+        self._instruments = Instruments.from_config(settings.host, lines)
+        self._instruments.metrics.add_source(self._samples)
+        store = MeasuredStore(adapter.store, clock, self._instruments.note_store_call)
+        self._directory = EndpointDirectory(settings.data_centre, clock)
+        directory = self._directory
         self._lifetime = Lifetime(str(uuid_utils.uuid4()))
-        directory = EndpointDirectory(settings.data_centre, clock)
         self._view = WorldView(store, adapter.documents, directory, clock)
         room = settings.processor_share * settings.processor_speed
         self._presence = Presence(store, settings.host, self._lifetime, clock, room)
@@ -143,6 +161,20 @@
             self._batches,
             BatchReader(repository, clock),
             repository,
+            self._instruments,
+            clock,
+        )
+        self._cleaner = Cleaner(
+            store, repository, self._lease, settings.status_retention_s
+        )
+        self._metrics_server = (
+            ObserveServer.from_config(
+                settings.metrics_address,
+                self._instruments.metrics,
+                lambda: self._gateway.is_ready,
+            )
+            if settings.metrics_address is not None
+            else None
         )
         self._callers = adapter.caller_listener(settings, self._gateway, clock)
         self._readiness = adapter.readiness_listener(settings, self._gateway)
@@ -151,10 +183,14 @@
 
     @classmethod
     def from_config(
-        cls, settings: NodeSettings, adapter: Adapter, clock: Clock
+        cls,
+        settings: NodeSettings,
+        adapter: Adapter,
+        clock: Clock,
+        lines: LineLimit,
     ) -> Self:
         """Make a node that `run` starts."""
-        return cls(settings, adapter, clock)
+        return cls(settings, adapter, clock, lines)
 
     def stop(self) -> None:
         """Begin a planned stop."""
@@ -170,15 +206,38 @@
         """
         await self._readiness.start()
         await self._callers.start()
+        if self._metrics_server is not None:
+            await self._metrics_server.start()
         _log.info("node: started", host=self._settings.host, lifetime=self._lifetime)
         self._start("view", self._view.run)
         self._start("presence", self._presence.run)
         self._start("batches", self._batches.run)
         self._start("lease", self._lease.run)
         self._start("orders", self._switcher.run)
+        self._start("cleaning", self._cleaner.run)
         await self._stop_asked.wait()
         await self._drain()
 
+    def _samples(self) -> Iterable[Sample]:
+        """Yield what the node holds now, for its metrics."""
+        routes = self._view.routes
+        levels = {
+            "bankrudder_batches_in_work": self._batches.running_count,
+            "bankrudder_samples_waiting": self._batches.waiting_count,
+            "bankrudder_endpoints_listed": len(self._directory),
+            "bankrudder_requests_in_progress": self._callers.in_progress,
+            "bankrudder_orders_lease_held": int(self._lease.is_valid),
+            "bankrudder_hosts_alive": len(self._presence.live_hosts()),
+            "bankrudder_ready": int(self._gateway.is_ready),
+            "bankrudder_configuration_revision": (
+                routes.configuration.revision if routes else 0
+            ),
+        }
+        for name, value in levels.items():
+            yield Sample.gauge(name, value)
+        for table, age_s in self._view.ages().items():
+            yield Sample.gauge("bankrudder_table_age_seconds", age_s, table=table)
+
     def _routes(self) -> RoutingTable | None:
         return self._view.routes
 
@@ -218,6 +277,8 @@
             task.cancel()
         await self._callers.stop()
         await self._readiness.stop()
+        if self._metrics_server is not None:
+            await self._metrics_server.stop()
         await self._adapter.close()
         _log.info("node: stopped", seconds=round(self._clock.monotonic() - began, 3))
 
--- a/src/bankrudder/node/_settings.py
+++ b/src/bankrudder/node/_settings.py
@@ -31,6 +31,10 @@
         Listeners for callers and for the platform's balancer.
     processor_share, processor_speed : float
         Share of a core, and how many times as fast as the usual one it is.
+    metrics_address : Address or None
+        Listener for metrics and health; None for none.
+    status_retention_s : float
+        Time for which results can be read after the end of a batch.
     lease_ms : float
         Length of a lease on a duty.
     grace_s : float
@@ -44,6 +48,8 @@
     store: StoreSettings
     processor_share: float = 1.0
     processor_speed: float = 1.0
+    metrics_address: Address | None = None
+    status_retention_s: float = 120.0
     lease_ms: float = 3000.0
     grace_s: float = 8.0
 
@@ -78,6 +84,8 @@
         "readiness_address": settings.readiness_address,
         "store.address": settings.store.address,
     }
+    if settings.metrics_address is not None:
+        addresses["metrics_address"] = settings.metrics_address
     for field, address in addresses.items():
         host, _, port = address.rpartition(":")
         if not host or not port.isdigit():
@@ -86,6 +94,7 @@
         "store.row_bytes": settings.store.row_bytes,
         "processor_share": settings.processor_share,
         "processor_speed": settings.processor_speed,
+        "status_retention_s": settings.status_retention_s,
         "lease_ms": settings.lease_ms,
         "grace_s": settings.grace_s,
     }
--- a/src/bankrudder/node/_world_view.py
+++ b/src/bankrudder/node/_world_view.py
@@ -94,6 +94,19 @@
         """Whether configuration and endpoints are known."""
         return self._routes is not None and self._endpoints.is_loaded
 
+    def ages(self) -> dict[str, float]:
+        """Return, by table, the seconds since it was last read."""
+        now = self._clock.monotonic()
+        followers = {
+            self._documents.configuration_table: self._configuration,
+            self._documents.endpoints_table: self._endpoints,
+        }
+        return {
+            table: now - each.last_read_at
+            for table, each in followers.items()
+            if each.last_read_at is not None
+        }
+
     async def run(self) -> None:
         """Follow until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/src/bankrudder/relay/_forwarder.py
+++ b/src/bankrudder/relay/_forwarder.py
@@ -133,6 +133,14 @@
                 continue
             match outcome:
                 case Answered() if outcome.status < 500:
+                    _log.info(
+                        "relay: answered",
+                        request=request.request_id,
+                        endpoint=target.endpoint.id if target else "",
+                        status=outcome.status,
+                        attempts=len(tried),
+                        left_s=round(deadline - self._clock.monotonic(), 3),
+                    )
                     return _relayed(outcome)
                 case Answered():
                     runs += 1
--- a/src/bankrudder/store/__init__.py
+++ b/src/bankrudder/store/__init__.py
@@ -6,6 +6,7 @@
     StoreUnavailableError,
 )
 from bankrudder.store._following import TableFollower
+from bankrudder.store._measured import MeasuredStore
 from bankrudder.store._port import Store
 from bankrudder.store._settling import commit_settled
 from bankrudder.store._values import (
@@ -36,6 +37,7 @@
     "Conflict",
     "Expectation",
     "HistoryLostError",
+    "MeasuredStore",
     "NotCommitted",
     "NotSettledError",
     "Page",
--- /dev/null
+++ b/tests/batches/test_cleaning.py
@@ -0,0 +1,73 @@
+"""Nothing is kept for ever, and nothing is removed too early."""
+
+import pytest
+
+from bankrudder.batches import Cleaner
+from bankrudder.batches._cleaning import MARGIN_S
+from bankrudder.batches._values import Progress
+from batches.test_repository import ME, batch
+
+RETENTION_S = 120.0
+
+
+class HeldLease:
+    """A lease that this host holds."""
+
+    is_valid = True
+
+
+class MovableTime:
+    """Passes calls on; commits tell a store time that is moved by hand."""
+
+    def __init__(self, store):
+        self._store = store
+        self.now_s = 1000.0
+
+    def __getattr__(self, name):
+        return getattr(self._store, name)
+
+    async def commit(self, transaction):
+        outcome = await self._store.commit(transaction)
+        return type(outcome)(outcome.version, self.now_s)
+
+
+@pytest.fixture
+def timed(store):
+    return MovableTime(store)
+
+
+@pytest.fixture
+def cleaner(timed, repository):
+    return Cleaner(timed, repository, HeldLease(), RETENTION_S)
+
+
+async def test_an_ended_batch_goes_after_its_retention(cleaner, timed, repository):
+    await repository.accept(batch(), ME)
+    await repository.end("b1")
+    await cleaner.clean()
+    timed.now_s += RETENTION_S
+    await cleaner.clean()
+    assert await repository.head("b1") is not None
+    timed.now_s += MARGIN_S
+    await cleaner.clean()
+    assert await repository.head("b1") is None
+
+
+async def test_an_open_batch_stays(cleaner, timed, repository):
+    await repository.accept(batch(), ME)
+    for _ in range(3):
+        await cleaner.clean()
+        timed.now_s += 10 * RETENTION_S
+    assert await repository.load("b1") == batch()
+
+
+async def test_progress_that_nobody_takes_up_goes(cleaner, timed, repository):
+    await repository.save_progress("m", [("s1", Progress(("a",), (1,), 1))])
+    await cleaner.clean()
+    timed.now_s += RETENTION_S + MARGIN_S
+    await repository.save_progress("m", [("s2", Progress(("a",), (1,), 1))])
+    await cleaner.clean()
+    assert len(await repository.progress("m")) == 2
+    timed.now_s += RETENTION_S + MARGIN_S
+    await cleaner.clean()
+    assert await repository.progress("m") == {}
--- /dev/null
+++ b/tests/batches/test_repository.py
@@ -0,0 +1,123 @@
+"""What the store keeps of a batch: once, in order, and only by its owner."""
+
+import pytest
+
+from bankrudder.batches._repository import UnknownBatchError
+from bankrudder.batches._values import (
+    Batch,
+    Owner,
+    Progress,
+    ResultState,
+    Sample,
+    SampleResult,
+)
+
+ME = Owner("host-1", "life-1", "m")
+OTHER = Owner("host-2", "life-2", "m")
+
+
+def batch(samples=3, body=b"body", batch_id="b1"):
+    return Batch(
+        batch_id,
+        "rollout",
+        "site.test",
+        "m",
+        1,
+        1,
+        tuple(
+            Sample(f"s{n}", f"/rollout/{n}", (("X-Model", "m"),), body, "g")
+            for n in range(samples)
+        ),
+    )
+
+
+def result(number, text="text"):
+    return SampleResult(f"s{number}", ResultState.SUCCEEDED, text, (1,), "proof")
+
+
+async def test_a_batch_is_read_as_it_was_accepted(repository):
+    accepted = await repository.accept(batch(), ME)
+    assert accepted.fence > 0
+    assert await repository.load("b1") == batch()
+    assert (await repository.head("b1")).sample_count == 3
+
+
+async def test_a_large_batch_is_kept_as_an_object(repository, rows):
+    large = batch(samples=20, body=bytes(50_000))
+    await repository.accept(large, ME)
+    assert len(rows.objects) == 1
+    assert await repository.load("b1") == large
+
+
+async def test_the_second_acceptance_changes_nothing(repository):
+    await repository.accept(batch(), ME)
+    again = await repository.accept(batch(), OTHER)
+    assert (again.fence, again.is_same) == (0, True)
+    different = await repository.accept(batch(samples=4), OTHER)
+    assert (different.fence, different.is_same) == (0, False)
+    assert b"host-1" in (await repository.owner("b1")).value
+
+
+async def test_an_acceptance_whose_reply_was_lost_is_kept_once(repository, gate):
+    gate.lose_replies = 1
+    accepted = await repository.accept(batch(), ME)
+    assert accepted.is_same
+    assert await repository.load("b1") == batch()
+
+
+async def test_results_stay_at_their_positions(repository):
+    fence = (await repository.accept(batch(), ME)).fence
+    assert await repository.add_results("b1", fence, 0, [result(2), result(0)])
+    assert await repository.add_results("b1", fence, 2, [result(1)])
+    assert await repository.results("b1", 0) == (result(2), result(0), result(1))
+    assert await repository.results("b1", 2) == (result(1),)
+
+
+async def test_a_result_larger_than_a_row_comes_back_whole(repository):
+    fence = (await repository.accept(batch(), ME)).fence
+    large = result(0, "x" * 200_000)
+    await repository.add_results("b1", fence, 0, [large, result(1)])
+    assert await repository.results("b1", 0) == (large, result(1))
+
+
+async def test_a_deposed_owner_lists_nothing(repository):
+    fence = (await repository.accept(batch(), ME)).fence
+    taken = await repository.set_owner("b1", fence, OTHER)
+    assert taken > fence
+    assert not await repository.add_results("b1", fence, 0, [result(0)])
+    assert await repository.results("b1", 0) == ()
+    assert await repository.set_owner("b1", fence, ME) is None
+
+
+async def test_a_late_listing_of_a_deposed_owner_is_refused(repository, gate):
+    fence = (await repository.accept(batch(), ME)).fence
+    gate.delay_commits = 1
+    assert await repository.add_results("b1", fence, 0, [result(0)])
+    await repository.set_owner("b1", fence, OTHER)
+    assert gate.carry_out_delayed() == 0
+
+
+async def test_an_ended_batch_takes_no_results_and_stays_readable(repository):
+    fence = (await repository.accept(batch(), ME)).fence
+    await repository.add_results("b1", fence, 0, [result(0)])
+    assert await repository.end("b1")
+    assert await repository.end("b1")
+    assert not await repository.add_results("b1", fence, 1, [result(1)])
+    assert await repository.results("b1", 0) == (result(0),)
+    # It is not accepted anew.
+    assert (await repository.accept(batch(), ME)).fence == 0
+
+
+async def test_an_unknown_batch_has_no_end(repository):
+    assert not await repository.end("none")
+    with pytest.raises(UnknownBatchError):
+        await repository.load("none")
+
+
+async def test_progress_is_found_by_model_and_sample(repository):
+    progress = Progress(("a", "b"), (1, 2), 2)
+    await repository.save_progress("m", [("s1", progress)])
+    assert await repository.progress("m") == {"s1": progress}
+    assert await repository.progress("other") == {}
+    await repository.drop_progress("m", ["s1"])
+    assert await repository.progress("m") == {}
--- /dev/null
+++ b/tests/node/test_observing.py
@@ -0,0 +1,81 @@
+"""What operators see of a host: metrics, log lines, and errors of settings."""
+
+import asyncio
+import json
+import os
+import sys
+
+import aiohttp
+import pytest
+
+from outside.site import PROGRAM
+
+
+async def metrics(host):
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(f"http://{host.metrics_address}/metrics") as response,
+    ):
+        return await response.text()
+
+
+async def test_requests_and_decisions_are_counted(site):
+    headers = {"X-Request-Id": "q1", "X-Request-Deadline": "1500"}
+    await site.call(site.hosts[0], "POST", "/score/1", body=b"x", headers=headers)
+    text = await metrics(site.hosts[0])
+    assert 'outcome="answered"' in text
+    assert "bankrudder_request_seconds_bucket" in text
+    assert "bankrudder_store_call_seconds_count" in text
+    assert 'event="relay: answered"' in text
+    assert "bankrudder_configuration_revision" in text
+
+
+async def test_a_request_can_be_followed_by_its_id(site):
+    for scorer in site.scorers:
+        scorer.fail_next = ["reset"]
+    headers = {"X-Request-Id": "q7", "X-Request-Deadline": "1500"}
+    await site.call(site.hosts[0], "POST", "/score/1", body=b"x", headers=headers)
+    lines = [line for line in site.hosts[0].log_lines() if line.get("request") == "q7"]
+    assert [line["event"] for line in lines][-1] == "relay: answered"
+    failed = [line for line in lines if line["event"] == "relay: attempt failed"]
+    assert failed[0]["outcome"] == "lost: no_answer"
+    assert failed[0]["endpoint"].startswith("scorer-")
+
+
+async def test_the_life_of_a_host_is_logged(site):
+    assert await site.hosts[0].stop() == 0
+    events = [line["event"] for line in site.hosts[0].log_lines()]
+    for event in ("node: started", "node: configuration in force", "node: stopped"):
+        assert event in events
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ({"callers_address": "nowhere"}, "callers_address"),
+        ({"lease_ms": 0}, "lease_ms"),
+        ({"host": ""}, "host"),
+        ({"grace_s": "long"}, "settings"),
+    ],
+)
+async def test_wrong_settings_are_named_and_nothing_starts(tmp_path, changes, field):
+    settings = {
+        "host": "h",
+        "data_centre": "north",
+        "callers_address": "127.0.0.1:1",
+        "readiness_address": "127.0.0.1:2",
+        "store": {"address": "127.0.0.1:3"},
+        **changes,
+    }
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(settings))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(PROGRAM),
+        env={**os.environ, "BANKRUDDER_SETTINGS": str(path)},
+        stdout=asyncio.subprocess.PIPE,
+    )
+    output, _ = await process.communicate()
+    assert process.returncode == 2
+    [line] = output.decode().splitlines()
+    assert json.loads(line)["field"] == field
--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -36,6 +36,7 @@
         self.address = own_address()
 
         self._readiness = own_address()
+        self.metrics_address = own_address()
 
     @property
     def log_path(self):
@@ -54,6 +55,7 @@
             "data_centre": self._data_centre,
             "callers_address": self.address,
             "readiness_address": self._readiness,
+            "metrics_address": self.metrics_address,
             "store": {"address": self.gate.address},
             "lease_ms": 1000,
             "grace_s": 8,
