Take no host for dead while heartbeats cannot be written

Change: while a host's own heartbeats fail, and for a silence after, it takes nobody for dead. The batch that came first goes first. A line for each sample that is done. Test: tests/presence, the stand-in refuses writes to one table; fails before.

--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -77,7 +77,7 @@
         self._give_up_at = clock.monotonic() + retention_left_s
         self._results: asyncio.Queue[SampleResult] = asyncio.Queue()
         done = {result.id for result in listed}
-        ranks = _ranks(batch, progress)
+        ranks = _ranks(batch, progress, float(fence))
         self._generators = [
             SampleGenerator(
                 batch,
@@ -141,9 +141,11 @@
 
     async def _finish(self, generator: SampleGenerator) -> None:
         sample = generator.sample
+        began = self._clock.monotonic()
         try:
-            async with asyncio.timeout(self._give_up_at - self._clock.monotonic()):
+            async with asyncio.timeout(self._give_up_at - began):
                 await generator.run()
+                whole_at = self._clock.monotonic()
                 score = await self._scored(sample)
         except (SampleFailedError, ScoreFailedError, TimeoutError) as error:
             _log.warning(
@@ -157,6 +159,17 @@
             _log.exception("batches: sample failed", sample=sample.id)
             raise
         else:
+            _log.info(
+                "batches: sample done",
+                batch=self._batch.id,
+                sample=sample.id,
+                group=sample.group,
+                events=generator.progress.next_number,
+                runs=generator.run_count,
+                waited_s=round(generator.waited_s, 3),
+                whole_after_s=round(whole_at - began, 3),
+                scored_after_s=round(self._clock.monotonic() - began, 3),
+            )
             result = SampleResult(
                 sample.id,
                 ResultState.SUCCEEDED,
@@ -215,16 +228,21 @@
 
 
 def _ranks(
-    batch: Batch, progress: Mapping[SampleId, Progress]
+    batch: Batch, progress: Mapping[SampleId, Progress], order: float
 ) -> dict[SampleId, tuple[float, ...]]:
     """Return the order of the samples: the longest first, carried groups before.
 
-    The step ends with its last groups, and a long sample that starts late ends last.
+    The batch that came first is due first. A step ends with its last groups, and a
+    long sample that starts late ends last.
     """
     carried: set[GroupId] = {
         sample.group for sample in batch.samples if sample.id in progress
     }
     return {
-        sample.id: (0.0 if sample.group in carried else 1.0, -float(sample.length_hint))
+        sample.id: (
+            order,
+            0.0 if sample.group in carried else 1.0,
+            -float(sample.length_hint),
+        )
         for sample in batch.samples
     }
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -92,6 +92,8 @@
         self._next_number = -1
         self._is_whole = False
         self._failures = 0
+        self._run_count = 0
+        self._waited_s = 0.0
         self._avoid: list[EndpointId] = []
         if progress is not None and self._fits(progress):
             self._texts = list(progress.texts)
@@ -114,6 +116,16 @@
         """The versions that generated it, in the order of their first events."""
         return tuple(self._versions)
 
+    @property
+    def run_count(self) -> int:
+        """Number of runs on engines so far."""
+        return self._run_count
+
+    @property
+    def waited_s(self) -> float:
+        """Seconds that it waited for slots so far."""
+        return self._waited_s
+
     @property
     def progress(self) -> Progress:
         """What has been generated so far."""
@@ -130,6 +142,7 @@
             If it cannot be, or failed as often as the route allows.
         """
         while not self._is_whole:
+            asked_at = self._clock.monotonic()
             target = await self._dispatcher.acquire(
                 self._rank,
                 self._service,
@@ -138,6 +151,8 @@
                 self._sample.group,
                 self._avoid,
             )
+            self._waited_s += self._clock.monotonic() - asked_at
+            self._run_count += 1
             try:
                 await self._run_on(target)
             finally:
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -80,7 +80,8 @@
         self._room = room
         self._count = 0
         self._is_leaving = False
-        self._last_commit_at: float | None = None
+        self._writes_fail = False
+        self._writes_since = 0.0
         self._seen: dict[HostId, tuple[Heartbeat, float]] = {}
         self._follower = TableFollower(
             store,
@@ -156,8 +157,7 @@
         key = RowKey(HOSTS_TABLE, "", self._host)
         put = Put(key, msgspec.json.encode(beat))
         outcome = await self._store.commit(Transaction(puts=(put,)))
-        if isinstance(outcome, Committed):
-            self._last_commit_at = self._clock.monotonic()
+        self._note_write(isinstance(outcome, Committed))
 
     async def _beat(self) -> None:
         while True:
@@ -167,12 +167,19 @@
     def _is_fresh(self, host: HostId) -> bool:
         if host == self._host:
             return True
-        # While the store cannot be read nobody's heartbeat arrives.
+        if self._writes_fail:
+            # The rows of the heartbeats take no writes: nobody's can arrive.
+            return True
         read_at = self._follower.last_read_at or 0.0
         regained_at = self._follower.regained_at or 0.0
-        since = max(self._seen[host][1], regained_at)
+        since = max(self._seen[host][1], regained_at, self._writes_since)
         return read_at - since < self.silence_s
 
+    def _note_write(self, was_committed: bool) -> None:
+        if self._writes_fail and was_committed:
+            self._writes_since = self._clock.monotonic()
+        self._writes_fail = not was_committed
+
     def _on_row(self, row: Row) -> None:
         host = HostId(row.key.key)
         beat = msgspec.json.decode(row.value, type=Heartbeat)
--- a/tests/outside/store.py
+++ b/tests/outside/store.py
@@ -75,8 +75,9 @@
 class StoreGate:
     """One listener of the store, with faults of its own.
 
-    ``lose_replies`` and ``delay_commits`` count the next commits that are carried
-    out without a reply, at once or only by `carry_out_delayed`.
+    ``refuses_table`` is a table that takes no writes. ``lose_replies`` and
+    ``delay_commits`` count the next commits that are carried out without a reply,
+    at once or only by `carry_out_delayed`.
     """
 
     def __init__(self, rows):
@@ -84,6 +85,7 @@
         self.mode = GateMode.OPEN
         self.lose_replies = 0
         self.delay_commits = 0
+        self.refuses_table = ""
         self.calls = []
         self.address = ""
         self._delayed = []
@@ -142,6 +144,8 @@
             for each in document["set_keys"]
         ]
         removals = [_key(each) for each in document["remove"]]
+        if any(key[0] == self.refuses_table for key, _ in puts):
+            return web.Response(status=503)
         if self.delay_commits:
             self.delay_commits -= 1
             self._delayed.append((expectations, puts, removals))
--- /dev/null
+++ b/tests/presence/test_hosts.py
@@ -0,0 +1,86 @@
+"""Hosts are taken for dead by their silence, and only if they could be heard."""
+
+import asyncio
+
+import pytest
+
+from bankrudder.platform._store import PlatformStore
+from bankrudder.presence import Presence
+from bankrudder.world import SystemClock
+from outside.site import until
+from outside.store import GateMode, StoreGate, StoreRows
+
+
+class Host:
+    """A host's presence and its own gate to the store."""
+
+    def __init__(self, name, gate):
+        self.gate = gate
+        self.store = PlatformStore.from_config(gate.address)
+        self.presence = Presence(self.store, name, f"life-of-{name}", SystemClock())
+        self.task = asyncio.ensure_future(self.presence.run())
+
+    async def stop(self):
+        self.task.cancel()
+        await self.store.close()
+        await self.gate.stop()
+
+
+@pytest.fixture
+async def hosts():
+    rows = StoreRows()
+    hosts = [Host(name, await StoreGate(rows).start()) for name in ("a", "b", "c")]
+    yield hosts
+    for host in hosts:
+        await host.stop()
+
+
+async def all_known(hosts):
+    for host in hosts:
+        await until(lambda host=host: host.presence.live_hosts() == ["a", "b", "c"])
+
+
+async def test_a_silent_host_is_taken_for_dead(hosts):
+    await all_known(hosts)
+    hosts[0].task.cancel()
+    await until(lambda: hosts[1].presence.live_hosts() == ["b", "c"], 5.0)
+    assert not hosts[1].presence.is_alive("a", "life-of-a")
+    assert hosts[1].presence.is_alive("c", "life-of-c")
+
+
+async def test_an_earlier_run_of_a_host_is_dead_at_once(hosts):
+    await all_known(hosts)
+    assert not hosts[1].presence.is_alive("a", "an-earlier-life")
+
+
+async def test_a_host_that_leaves_is_alive_but_no_candidate(hosts):
+    await all_known(hosts)
+    hosts[0].presence.leave()
+    await until(lambda: hosts[1].presence.live_hosts() == ["b", "c"])
+    assert hosts[1].presence.is_alive("a", "life-of-a")
+
+
+async def test_nobody_is_taken_for_dead_while_heartbeats_cannot_be_written(hosts):
+    await all_known(hosts)
+    for host in hosts:
+        host.gate.refuses_table = "hosts"
+    for _ in range(30):
+        await asyncio.sleep(0.1)
+        assert hosts[1].presence.is_alive("a", "life-of-a")
+    for host in hosts:
+        host.gate.refuses_table = ""
+    for _ in range(15):
+        await asyncio.sleep(0.1)
+        assert hosts[1].presence.is_alive("a", "life-of-a")
+
+
+async def test_an_outage_for_all_makes_nobody_dead(hosts):
+    await all_known(hosts)
+    for host in hosts:
+        host.gate.mode = GateMode.BUSY
+    await asyncio.sleep(2.5)
+    for host in hosts:
+        host.gate.mode = GateMode.OPEN
+    for _ in range(20):
+        await asyncio.sleep(0.05)
+        assert hosts[1].presence.is_alive("a", "life-of-a")
