Save long samples each second; a soak with faults from outside

Cause: a host that lost its owner began all of a batch anew; with heartbeats of half a second a loss was noticed after two; a stop in an outage of the store left its batches to that silence. Change: samples with half a second of new events are saved each second; silence is three heartbeats; a stop tries to hand over until its time is up; a long run moves to an engine that is 15% quicker. Tests: a killed owner's progress is taken up; nothing is left behind. Faults now strike the host that owns the batch: after the change of owners some struck another.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real daemons, stand-ins of the platform, faults from outside."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,233 @@
+"""Runs the soak: ``python -m soak --seed 7 --seconds 20``.
+
+Prints progress while it runs and a report at the end; exits with 1 if a promise was
+broken. A seed names the schedule of faults; what happens between processes is not
+repeated exactly.
+"""
+
+import argparse
+import asyncio
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).parents[1]
+sys.path[:0] = [str(ROOT), str(ROOT / "src"), str(ROOT / "tests")]
+
+from outside.site import ENGINES, Site, until  # noqa: E402
+from soak.clients import Caller, Trainer  # noqa: E402
+from soak.faults import HEAL_S, KINDS, draw  # noqa: E402
+from soak.history import History, violations  # noqa: E402
+from soak.proxy import Proxy  # noqa: E402
+
+EVENTS = 12
+SAMPLES = 8
+EVENT_GAP_S = 0.03
+SERVED_SHARE = 0.9
+"""Share of the requests made after the faults have healed that must be served."""
+
+PLOT_COLUMNS = 60
+
+
+class SoakRun:
+    """One run: a site behind proxies, clients, a schedule, and what was seen."""
+
+    def __init__(self, seed, seconds, hosts, engines, strikes, folder):
+        self.seed = seed
+        self.history = History()
+        self.site = Site(folder, hosts, engines, EVENTS)
+        self.engine_proxies = []
+        self.revision = 1
+        self._rng = random.Random(seed)
+        self._seconds = seconds
+        self._strikes = draw(self._rng, seconds, strikes)
+        self._struck = []
+        self._began = 0.0
+        self._restarting = set()
+
+    def pick_host(self, strike):
+        """Return the host that a strike is on."""
+        return self.site.hosts[strike.target % len(self.site.hosts)]
+
+    async def restart(self, host):
+        """Start a host again unless another strike has done so."""
+        if host in self._restarting or host.is_running:
+            return
+        self._restarting.add(host)
+        try:
+            await host.start()
+        finally:
+            self._restarting.discard(host)
+
+    async def run(self):
+        """Play the run; return the broken promises."""
+        await self._start()
+        trainers, callers = self._clients()
+        self._began = time.monotonic()
+        end = self._began + self._seconds + HEAL_S
+        clients = [
+            asyncio.ensure_future(client.run(end)) for client in trainers + callers
+        ]
+        strikes = [
+            asyncio.ensure_future(self._strike(strike)) for strike in self._strikes
+        ]
+        try:
+            await asyncio.gather(*strikes)
+            healed = time.monotonic()
+            await self._heal()
+            await asyncio.sleep(max(end - time.monotonic(), HEAL_S))
+            await asyncio.gather(*clients)
+            for trainer in trainers:
+                await trainer.check_kept()
+            self._collect()
+            found = violations(self.history, EVENTS)
+            return found + self._not_recovered(callers, trainers, healed)
+        finally:
+            self.report(trainers, callers)
+            for task in clients + strikes:
+                task.cancel()
+
+    async def _start(self):
+        await self.site.start(behind=Proxy)
+        for engine in self.site.engines:
+            engine.event_gap_s = EVENT_GAP_S
+            engine.tells_version = True
+            proxy = await Proxy(engine.address).start()
+            self.engine_proxies.append(proxy)
+            document = {**engine.document(ENGINES), "address": proxy.address}
+            self.site.rows.put("servers", engine.id, document)
+        await asyncio.sleep(0.5)
+
+    def _clients(self):
+        def rng():
+            return random.Random(self._rng.random())
+
+        trainers = [
+            Trainer(self.site, self.history, rng(), "first", SAMPLES, True),
+            Trainer(self.site, self.history, rng(), "second", SAMPLES, False),
+        ]
+        callers = [
+            Caller(self.site, self.history, rng(), f"caller{number}")
+            for number in range(3)
+        ]
+        return trainers, callers
+
+    async def _strike(self, strike):
+        await asyncio.sleep(self._began + strike.at_s - time.monotonic())
+        self._struck.append((strike.at_s, strike.kind))
+        print(f"{strike.at_s:7.2f} s  {strike.kind}", flush=True)
+        await KINDS[strike.kind](self, strike)
+
+    async def _heal(self):
+        for host in self.site.hosts:
+            await self.restart(host)
+        await self.site.wait_ready()
+
+    def _collect(self):
+        for endpoint in self.site.engines + self.site.scorers:
+            self.history.arrivals += endpoint.arrival_times
+            for request_id, count in endpoint.ran.items():
+                runs = self.history.runs.get(request_id, 0)
+                self.history.runs[request_id] = runs + count
+        for engine in self.site.engines:
+            self.history.orders += [
+                (at, engine.id, holder, fence)
+                for at, holder, fence in engine.order_times
+            ]
+
+    def _not_recovered(self, callers, trainers, healed):
+        since = healed + HEAL_S / 2
+        served = sum(at > since for each in callers for at in each.served)
+        failed = sum(at > since for each in callers for at in each.failed)
+        if served < SERVED_SHARE * (served + failed) or not served:
+            yield_text = f"{served} of {served + failed} requests after healing"
+            return [f"not recovered: served {yield_text}"]
+        if not any(trainer.steps_done for trainer in trainers):
+            return ["no step was whole in the whole run"]
+        return []
+
+    def report(self, trainers, callers):
+        """Print figures and a plot of served requests with the faults marked."""
+        served = sorted(at for each in callers for at in each.served)
+        failed = sum(len(each.failed) for each in callers)
+        print(
+            f"seed {self.seed}: {len(served)} requests served, {failed} not; steps "
+            f"whole {sum(each.steps_done for each in trainers)}, "
+            f"cut {sum(each.steps_cut for each in trainers)}; "
+            f"{len(self._struck)} faults; orders {len(self.history.orders)}"
+        )
+        if served:
+            self._plot(served)
+
+    def _plot(self, served):
+        span = max(served[-1] - self._began, 1.0)
+        counts = [0] * PLOT_COLUMNS
+        marks = [" "] * PLOT_COLUMNS
+        for at in served:
+            counts[min(int((at - self._began) / span * PLOT_COLUMNS), 59)] += 1
+        for at_s, _ in self._struck:
+            marks[min(int(at_s / span * PLOT_COLUMNS), PLOT_COLUMNS - 1)] = "x"
+        most = max(counts)
+        blocks = " .:-=+*#"
+        line = "".join(blocks[round(7 * count / most)] for count in counts)
+        print(f"served  |{line}|\nfaults  |{''.join(marks)}|  {span:.0f} s")
+
+
+def _keep_logs(run, folder):
+    folder.mkdir(parents=True, exist_ok=True)
+    for host in run.site.hosts:
+        target = folder / f"seed-{run.seed}-{host.name}.log"
+        target.write_bytes(host.log_path.read_bytes())
+
+
+async def _play(arguments, seed):
+    with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+        run = SoakRun(
+            seed,
+            arguments.seconds,
+            arguments.hosts,
+            arguments.engines,
+            arguments.strikes,
+            Path(folder),
+        )
+        try:
+            found = await run.run()
+            if found and arguments.keep_logs:
+                _keep_logs(run, Path(arguments.keep_logs))
+        finally:
+            await run.site.stop()
+            for proxy in run.engine_proxies:
+                await proxy.stop()
+    for sentence in found:
+        print(f"BROKEN with seed {seed}: {sentence}")
+    return found
+
+
+def main():
+    """Run the command line."""
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument("--seed", type=int, default=None, help="the first seed")
+    parser.add_argument("--runs", type=int, default=1, help="seeds, one after another")
+    parser.add_argument("--seconds", type=float, default=15.0, help="time of faults")
+    parser.add_argument("--hosts", type=int, default=4)
+    parser.add_argument("--engines", type=int, default=3)
+    parser.add_argument("--strikes", type=int, default=10, help="faults or series")
+    parser.add_argument("--keep-logs", default="", help="folder for logs of failures")
+    arguments = parser.parse_args()
+    first = arguments.seed
+    if first is None:
+        first = random.SystemRandom().randrange(10**6)
+    broken = []
+    for seed in range(first, first + arguments.runs):
+        if asyncio.run(_play(arguments, seed)):
+            broken.append(seed)
+    print(f"{arguments.runs} runs from seed {first}: broken {broken or 'none'}")
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
+
+__all__ = ["SoakRun", "main", "until"]
--- /dev/null
+++ b/soak/clients.py
@@ -0,0 +1,183 @@
+"""Trainers and callers of the soak."""
+
+import asyncio
+import itertools
+import json
+import time
+
+import aiohttp
+
+from outside.site import HOST_NAME, MODEL, batch
+from soak.history import BatchSeen, CallSeen
+
+READ_PAUSE_S = 0.1
+STEP_LIMIT_S = 12.0
+"""Time after which a trainer ends a step that is not whole."""
+
+CALL_PAUSE_S = 0.05
+
+GONE = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+class Trainer:
+    """Submits steps, reads them, ends them, names versions."""
+
+    def __init__(self, site, history, rng, name, samples, names_versions):
+        self._site = site
+        self._history = history
+        self._rng = rng
+        self._name = name
+        self._samples = samples
+        self._names_versions = names_versions
+        self.steps_done = 0
+        self.steps_cut = 0
+
+    async def run(self, until):
+        """Train until a time of the monotonic clock."""
+        for step in itertools.count():
+            if time.monotonic() >= until:
+                return
+            await self._step(step, until)
+            if self._names_versions:
+                self._site.name_version(step + 2)
+            await asyncio.sleep(0.2)
+
+    async def _step(self, step, until):
+        min_version = max(step, 1) if self._names_versions else 1
+        document = batch(f"{self._name}{step}", self._samples, min_version)
+        seen = BatchSeen(
+            f"{self._name}{step}",
+            min_version,
+            [item["id"] for item in document["items"]],
+        )
+        self._history.batches[seen.batch_id] = seen
+        if not await self._submit(seen, document, until):
+            return
+        began = time.monotonic()
+        while len(seen.positions) < self._samples:
+            if time.monotonic() > began + STEP_LIMIT_S:
+                self.steps_cut += 1
+                break
+            await self._read(seen)
+            await asyncio.sleep(READ_PAUSE_S)
+        else:
+            self.steps_done += 1
+        await self._end(seen)
+
+    async def _submit(self, seen, document, until):
+        body = json.dumps(document).encode()
+        while time.monotonic() < until:
+            status, _ = await self._ask(
+                "POST", "/rollout/all", body, {"X-Request-Id": seen.batch_id}
+            )
+            if status == 202:
+                seen.was_accepted = True
+                return True
+            if status != 503:
+                seen.was_refused_always = False
+            await asyncio.sleep(0.1)
+        return False
+
+    async def _read(self, seen):
+        # Now and then from an earlier position, which must not have changed.
+        after = len(seen.positions)
+        if after and self._rng.random() < 0.2:
+            after = self._rng.randrange(after)
+        path = f"/bankrudder/lots/{seen.batch_id}?after={after}"
+        status, body = await self._ask("GET", path, b"", {"X-Max-Wait": "300"})
+        if status == 200:
+            page = json.loads(body)
+            if page["total_count"] != self._samples:
+                seen.lost.append(f"total {page['total_count']}")
+            seen.note_page(after, page)
+        elif status == 404:
+            seen.lost.append("not found after it was accepted")
+
+    async def _end(self, seen):
+        for _ in range(200):
+            status, _ = await self._ask(
+                "DELETE", f"/bankrudder/lots/{seen.batch_id}", b"", {}
+            )
+            if status == 200:
+                seen.ended_at = time.monotonic()
+                return
+            await asyncio.sleep(0.1)
+
+    async def check_kept(self):
+        """Read every batch of this trainer once more, whole."""
+        for seen in self._history.batches.values():
+            if not seen.batch_id.startswith(self._name) or not seen.was_accepted:
+                continue
+            path = f"/bankrudder/lots/{seen.batch_id}?after=0"
+            status, body = await self._ask("GET", path, b"", {})
+            if status != 200:
+                seen.lost.append(f"status {status} at the end")
+                continue
+            page = json.loads(body)
+            known = len(seen.positions)
+            seen.note_page(0, page)
+            if page["next"] < known:
+                seen.lost.append(f"{page['next']} of {known} results at the end")
+
+    async def _ask(self, method, path, body, headers):
+        host = self._rng.choice(self._site.hosts)
+        try:
+            status, _, answer = await self._site.call(
+                host, method, path, body=body, headers=headers
+            )
+        except GONE:
+            return 0, b""
+        return status, answer
+
+
+class Caller:
+    """Makes requests on a connection that it keeps while it can."""
+
+    def __init__(self, site, history, rng, name):
+        self._site = site
+        self._history = history
+        self._rng = rng
+        self._name = name
+        self.served = []
+        self.failed = []
+
+    async def run(self, until):
+        """Call until a time of the monotonic clock."""
+        for number in itertools.count():
+            if time.monotonic() >= until:
+                return
+            host = self._rng.choice(self._site.hosts)
+            async with aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(total=3.0)
+            ) as session:
+                for turn in range(self._rng.randint(1, 20)):
+                    request_id = f"{self._name}-{number}-{turn}"
+                    is_served = await self._call(session, host, request_id)
+                    await asyncio.sleep(CALL_PAUSE_S)
+                    if not is_served:
+                        break
+
+    async def _call(self, session, host, request_id):
+        path = self._rng.choice(["/once/x", "/score/x"])
+        headers = {
+            "Host": HOST_NAME,
+            "X-Request-Id": request_id,
+            "X-Request-Deadline": "1500",
+        }
+        status, body = 0, b""
+        try:
+            async with session.post(
+                f"http://{host.address}{path}",
+                data=request_id.encode(),
+                headers=headers,
+            ) as response:
+                status, body = response.status, await response.read()
+        except GONE:
+            status, body = 0, b""
+        self._history.calls.append(CallSeen(request_id, path, status, body))
+        moments = self.served if status == 200 else self.failed
+        moments.append(time.monotonic())
+        return status == 200
+
+
+__all__ = ["MODEL", "Caller", "Trainer"]
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,190 @@
+"""The faults of the soak, struck from outside the daemons."""
+
+import asyncio
+from dataclasses import dataclass
+
+from outside.site import FREEZE, HANG_UP, THAW, configuration
+from outside.store import GateMode
+from soak.proxy import LinkMode
+
+HEAL_S = 6.0
+"""Time after the last fault in which everything has to work again."""
+
+
+@dataclass
+class Strike:
+    """One fault: when, which, on whom, for how long."""
+
+    at_s: float
+    kind: str
+    target: int
+    seconds: float
+
+
+def draw(rng, length_s, count):
+    """Draw a schedule; strikes come in series and overlap."""
+    strikes = []
+    for _ in range(count):
+        at_s = rng.uniform(1.0, length_s)
+        series = rng.choice([1, 1, 2, 3])
+        for number in range(series):
+            strikes.append(
+                Strike(
+                    min(at_s + number * rng.uniform(0.05, 1.0), length_s),
+                    rng.choice(sorted(KINDS)),
+                    rng.randrange(1000),
+                    rng.uniform(0.3, 4.0),
+                )
+            )
+    return sorted(strikes, key=lambda strike: strike.at_s)
+
+
+async def _kill(run, strike):
+    host = run.pick_host(strike)
+    await host.kill()
+    await asyncio.sleep(strike.seconds / 4)
+    await run.restart(host)
+
+
+async def _kill_all(run, strike):
+    hosts = list(run.site.hosts)
+    for host in hosts:
+        await host.kill()
+    await asyncio.sleep(strike.seconds / 4)
+    for host in hosts:
+        await run.restart(host)
+
+
+async def _stop(run, strike):
+    host = run.pick_host(strike)
+    if host.is_running:
+        host.terminate()
+        await host.wait_gone(9.0)
+    await run.restart(host)
+
+
+async def _freeze(run, strike):
+    host = run.pick_host(strike)
+    host.try_signal(FREEZE)
+    await asyncio.sleep(strike.seconds)
+    host.try_signal(THAW)
+
+
+async def _hang_up(run, strike):
+    run.pick_host(strike).try_signal(HANG_UP)
+
+
+async def _store_gate(run, strike, mode):
+    gate = run.pick_host(strike).gate
+    gate.mode = mode
+    await asyncio.sleep(strike.seconds)
+    gate.mode = GateMode.OPEN
+
+
+async def _store_all(run, strike, mode):
+    for host in run.site.hosts:
+        host.gate.mode = mode
+    await asyncio.sleep(strike.seconds)
+    for host in run.site.hosts:
+        host.gate.mode = GateMode.OPEN
+
+
+async def _store_link(run, strike, mode):
+    proxy = run.pick_host(strike).store_proxy
+    proxy.mode = mode
+    await asyncio.sleep(strike.seconds)
+    proxy.mode = LinkMode.OPEN
+    if mode is not LinkMode.DELAYED:
+        # What was swallowed leaves these connections of no use to anybody.
+        proxy.reset_all()
+
+
+async def _store_reset(run, strike):
+    run.pick_host(strike).store_proxy.reset_all()
+
+
+async def _store_lost(run, strike):
+    run.pick_host(strike).gate.lose_replies += 3
+
+
+async def _store_late(run, strike):
+    gate = run.pick_host(strike).gate
+    gate.delay_commits += 2
+    await asyncio.sleep(strike.seconds)
+    gate.carry_out_delayed()
+
+
+async def _history_lost(run, strike):
+    run.site.rows.forget_history()
+
+
+async def _engine_link(run, strike, mode):
+    proxy = run.engine_proxies[strike.target % len(run.engine_proxies)]
+    proxy.mode = mode
+    await asyncio.sleep(strike.seconds)
+    proxy.mode = LinkMode.OPEN
+    proxy.reset_all()
+
+
+async def _engine_cuts(run, strike):
+    run.site.engines[strike.target % len(run.site.engines)].cut_after += [1, 2, 3]
+
+
+async def _endpoint_fails(run, strike, how):
+    endpoints = run.site.engines + run.site.scorers
+    endpoints[strike.target % len(endpoints)].fail_next += [how] * 3
+
+
+async def _order_lost(run, strike):
+    run.site.engines[strike.target % len(run.site.engines)].lose_order_replies += 1
+
+
+async def _order_late(run, strike):
+    engine = run.site.engines[strike.target % len(run.site.engines)]
+    engine.delay_orders += 1
+    await asyncio.sleep(strike.seconds)
+    await engine.carry_out_delayed()
+
+
+async def _configure(run, strike):
+    run.revision += 1
+    run.site.rows.put("op", "config", configuration(run.revision))
+
+
+def _with(strike_kind, *arguments):
+    async def struck(run, strike):
+        await strike_kind(run, strike, *arguments)
+
+    return struck
+
+
+KINDS = {
+    "kill": _kill,
+    "kill_all": _kill_all,
+    "stop": _stop,
+    "freeze": _freeze,
+    "hang_up": _hang_up,
+    "store_busy_for_one": _with(_store_gate, GateMode.BUSY),
+    "store_reset_for_one": _with(_store_gate, GateMode.RESET),
+    "store_busy_for_all": _with(_store_all, GateMode.BUSY),
+    "store_silent_for_all": _with(_store_all, GateMode.SILENT),
+    "store_link_silent": _with(_store_link, LinkMode.SILENT),
+    "store_link_one_way": _with(_store_link, LinkMode.NO_REPLIES),
+    "store_link_slow": _with(_store_link, LinkMode.DELAYED),
+    "store_connections_reset": _store_reset,
+    "store_replies_lost": _store_lost,
+    "store_commits_late": _store_late,
+    "store_history_lost": _history_lost,
+    "engine_link_silent": _with(_engine_link, LinkMode.SILENT),
+    "engine_link_one_way": _with(_engine_link, LinkMode.NO_REPLIES),
+    "engine_link_slow": _with(_engine_link, LinkMode.DELAYED),
+    "engine_cuts_streams": _engine_cuts,
+    "endpoint_errors": _with(_endpoint_fails, "500"),
+    "endpoint_full": _with(_endpoint_fails, "full"),
+    "endpoint_resets": _with(_endpoint_fails, "reset"),
+    "endpoint_truncates": _with(_endpoint_fails, "truncated"),
+    "endpoint_answers_another": _with(_endpoint_fails, "foreign"),
+    "order_reply_lost": _order_lost,
+    "order_late": _order_late,
+    "configuration_changed": _configure,
+}
--- a/src/bankrudder/batches/_repository.py
+++ b/src/bankrudder/batches/_repository.py
@@ -267,21 +267,32 @@
 
     async def save_progress(
         self, model: ModelName, progress: Iterable[tuple[SampleId, Progress]]
-    ) -> None:
-        """Keep what was generated of samples; what does not fit is left out."""
+    ) -> bool:
+        """Keep what was generated of samples; what does not fit is left out.
+
+        Returns
+        -------
+        bool
+            Whether all that fits is kept.
+        """
+        is_kept = True
         puts: list[Put] = []
         size = 0
         for sample_id, each in progress:
             value = msgspec.msgpack.encode(each)
             if len(value) > self._row_bytes:
                 continue
-            if size + len(value) > MAX_TRANSACTION_BYTES or len(puts) >= 90:
-                await self._put_rows(puts)
+            if (
+                size + len(value) > MAX_TRANSACTION_BYTES
+                or len(puts) >= MAX_TRANSACTION_ROWS
+            ):
+                is_kept &= await self._put_rows(puts)
                 puts, size = [], 0
             puts.append(Put(RowKey(PROGRESS_TABLE, model, sample_id), value))
             size += len(value)
         if puts:
-            await self._put_rows(puts)
+            is_kept &= await self._put_rows(puts)
+        return is_kept
 
     async def progress(self, model: ModelName) -> dict[SampleId, Progress]:
         """Return all progress that is kept for a model."""
@@ -312,10 +323,12 @@
                 some = tuple(keys[start : start + MAX_TRANSACTION_ROWS])
                 await self._store.commit(Transaction(removals=some))
 
-    async def _put_rows(self, puts: Sequence[Put]) -> None:
+    async def _put_rows(self, puts: Sequence[Put]) -> bool:
         outcome = await self._store.commit(Transaction(puts=tuple(puts)))
         if not isinstance(outcome, Committed):
             _log.warning("batches: progress not saved", rows=len(puts))
+            return False
+        return True
 
     async def _put_object(self, batch_id: BatchId, digest: str, body: bytes) -> None:
         outcome = await self._store.put_object(_object_name(batch_id, digest), body)
--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -27,6 +27,14 @@
 from bankrudder.store import NotSettledError, RowVersion, StoreUnavailableError
 from bankrudder.world import Clock
 
+SAVE_PAUSE_S = 1.0
+"""Pause between two savings of progress: a new owner repeats at most this much of
+each sample, besides the time in which the loss of the owner is noticed."""
+
+MIN_NEW_EVENTS = 12
+"""Events since the last saving for which a sample is saved again, about half a second
+of generation: most samples end sooner and are never saved."""
+
 MAX_RESULTS_AT_ONCE = 40
 """Results that are listed in one transaction at most, so that it stays small."""
 
@@ -95,6 +103,7 @@
             if sample.id not in done
         ]
         self._listed_now: set[SampleId] = set()
+        self._saved_events = {key: each.next_number for key, each in progress.items()}
 
     @property
     def batch(self) -> Batch:
@@ -106,6 +115,10 @@
         """Version of the row that makes this host the owner."""
         return self._fence
 
+    def saved_and_listed(self) -> list[SampleId]:
+        """Return the samples whose saved progress is of no more use."""
+        return [key for key in self._saved_events if key in self._listed_now]
+
     def unfinished(self) -> list[tuple[SampleId, Progress]]:
         """Return what was generated of samples of groups that are not listed whole."""
         open_groups = {
@@ -126,12 +139,13 @@
             asyncio.ensure_future(self._finish(generator))
             for generator in self._generators
         ]
+        saver = asyncio.ensure_future(self._save_progress())
         try:
             is_owner = await self._list_results(len(samplers))
         finally:
-            for task in samplers:
+            for task in (*samplers, saver):
                 task.cancel()
-            await asyncio.gather(*samplers, return_exceptions=True)
+            await asyncio.gather(*samplers, saver, return_exceptions=True)
         _log.info(
             "batches: work done" if is_owner else "batches: owner changed",
             batch=self._batch.id,
@@ -139,6 +153,26 @@
             seconds=round(self._clock.monotonic() - began, 3),
         )
 
+    async def _save_progress(self) -> None:
+        """Keep what long samples have so far, for an owner that takes over."""
+        while True:
+            await asyncio.sleep(SAVE_PAUSE_S)
+            due = [
+                (each.sample.id, each.progress)
+                for each in self._generators
+                if self._is_due(each)
+            ]
+            if due and await self._repository.save_progress(self._batch.model, due):
+                for sample_id, progress in due:
+                    self._saved_events[sample_id] = progress.next_number
+
+    def _is_due(self, generator: SampleGenerator) -> bool:
+        sample_id = generator.sample.id
+        if sample_id in self._listed_now:
+            return False
+        saved = self._saved_events.get(sample_id, 0)
+        return generator.progress.next_number - saved >= MIN_NEW_EVENTS
+
     async def _finish(self, generator: SampleGenerator) -> None:
         sample = generator.sample
         began = self._clock.monotonic()
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -35,6 +35,11 @@
 """A run moves to a free engine that is this many times as quick: the prompt is read
 again within some milliseconds, so a move pays after a few events."""
 
+LONG_SLOWNESS_FACTOR = 1.15
+LONG_EVENTS = 30
+"""A run that is already longer than most moves for less: it is likely to go on for
+long, and its group waits for it."""
+
 EVENTS_BETWEEN_LOOKS = 4
 """Events after which a run looks for a quicker engine again."""
 
@@ -251,7 +256,9 @@
             self._service,
             self._batch.model,
             self._batch.min_version,
-            SLOWNESS_FACTOR,
+            LONG_SLOWNESS_FACTOR
+            if len(self._texts) >= LONG_EVENTS
+            else SLOWNESS_FACTOR,
         )
 
     def _take_failure(self, target: TrackedEndpoint, status: int) -> None:
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -149,19 +149,27 @@
             group.create_task(self._dispatcher.run())
             group.create_task(self._look_for_ownerless())
 
-    async def release_all(self) -> None:
-        """Hand all batches over to other hosts, with what was generated."""
+    async def release_all(self) -> bool:
+        """Hand all batches over to other hosts, with what was generated.
+
+        Returns
+        -------
+        bool
+            Whether none is left; if not, work on the rest goes on here.
+        """
         self._is_leaving = True
         for batch_id in list(self._runs):
             await self._release(batch_id)
+        return not self._runs
 
     async def _release(self, batch_id: BatchId) -> None:
         run = self._batches.get(batch_id)
         fence = self._fences.get(batch_id)
-        await self._stop(batch_id)
         if run is None or fence is None:
+            await self._stop(batch_id)
+            return
+        if not await self._repository.save_progress(run.batch.model, run.unfinished()):
             return
-        await self._repository.save_progress(run.batch.model, run.unfinished())
         known = self._owners.get(batch_id)
         before = known[0] if known else Owner("", "", run.batch.model)
         nobody = msgspec.structs.replace(before, host="", lifetime="")
@@ -173,6 +181,7 @@
             )
             return
         _log.info("batches: handed over", batch=batch_id)
+        await self._stop(batch_id)
 
     def _begin(
         self, batch_id: BatchId, fence: RowVersion, batch: Batch | None = None
@@ -226,8 +235,9 @@
             resumed=len(progress),
         )
         await run.run()
-        if progress:
-            await self._repository.drop_progress(batch.model, progress)
+        useless = run.saved_and_listed()
+        if useless:
+            await self._repository.drop_progress(batch.model, useless)
 
     async def _found(self, batch_id: BatchId, batch: Batch | None) -> _Found | None:
         """Return a batch and what was done of it; None if its samples are not kept."""
@@ -342,9 +352,16 @@
             _log.info("batches: ended", batch=batch_id)
             self._runs[batch_id].cancel()
         if run is not None:
-            self._spawn(
-                self._repository.save_progress(run.batch.model, run.unfinished())
-            )
+            self._spawn(self._keep_progress(run))
+
+    async def _keep_progress(self, run: BatchRun) -> None:
+        """Keep what a batch leaves behind, and nothing else of it."""
+        unfinished = run.unfinished()
+        await self._repository.save_progress(run.batch.model, unfinished)
+        left = {sample_id for sample_id, _ in unfinished}
+        useless = [key for key in run.saved_and_listed() if key not in left]
+        if useless:
+            await self._repository.drop_progress(run.batch.model, useless)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -40,6 +40,9 @@
 STOP_MARGIN_S = 1.0
 """Time that is kept at the end of the grace time for closing connections."""
 
+RELEASE_PAUSE_S = 0.2
+"""Pause before another try to hand batches over while the store does not take it."""
+
 POLL_S = 0.05
 
 _log = structlog.get_logger("node")
@@ -267,9 +270,13 @@
             lambda: self._batches.running_count == 0,
             began + NOTICE_S,
         )
-        await self._batches.release_all()
+        end = began + grace_s - STOP_MARGIN_S
+        while not await self._batches.release_all():
+            if self._clock.monotonic() >= end:
+                break
+            await asyncio.sleep(RELEASE_PAUSE_S)
         await self._wait(
-            began + grace_s - STOP_MARGIN_S,
+            end,
             lambda: self._callers.in_progress == 0,
             began + NOTICE_S,
         )
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -34,8 +34,9 @@
 """Most heartbeats a second of all hosts together: under half of what one part of
 the store takes."""
 
-MISSED_HEARTBEATS = 4
-"""Heartbeats that may be missing before a host is taken for dead."""
+MISSED_HEARTBEATS = 3
+"""Heartbeats that may be missing before a host is taken for dead. A batch whose owner
+is lost waits this long, a fifth of the time in which its results are due."""
 
 FOLLOW_PAUSE_S = 0.25
 """Pause between reads of the heartbeats: half of their interval."""
--- a/tests/node/test_batches.py
+++ b/tests/node/test_batches.py
@@ -1,6 +1,7 @@
 """Batches survive what may happen to hosts, engines and the store."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -11,11 +12,12 @@
 """Time between two events that leaves room for a fault in the middle of a batch."""
 
 
-def owner_index(site):
-    """Return which host last wrote an owner's row."""
-    rows = [row for key, row in site.rows.rows.items() if key[0] == "owners"]
-    text = max(rows)[1].decode()
-    return next(n for n, host in enumerate(site.hosts) if host.name in text)
+def split(site):
+    """Return the host that owns the batch, and all others."""
+    [row] = [row for key, row in site.rows.rows.items() if key[0] == "owners"]
+    name = json.loads(row[1])["host"]
+    owner = next(host for host in site.hosts if host.name == name)
+    return owner, [host for host in site.hosts if host is not owner]
 
 
 def slow(site, events=20):
@@ -102,8 +104,9 @@
     slow(site)
     await site.submit(site.hosts[0], "b1")
     await until(lambda: any(engine.arrivals for engine in site.engines))
-    await site.hosts[0].kill()
-    results = await site.read_all("b1", 8, site.hosts[1:])
+    owner, others = split(site)
+    await owner.kill()
+    results = await site.read_all("b1", 8, others)
     check_results(results, "b1", 8, events=20)
 
 
@@ -111,9 +114,10 @@
     slow(site)
     await site.submit(site.hosts[0], "b1")
     await until(lambda: any(engine.arrivals for engine in site.engines))
-    site.hosts[0].signal(FREEZE)
-    results = await site.read_all("b1", 8, site.hosts[1:])
-    site.hosts[0].signal(THAW)
+    owner, others = split(site)
+    owner.signal(FREEZE)
+    results = await site.read_all("b1", 8, others)
+    owner.signal(THAW)
     await asyncio.sleep(1.0)
     assert await site.read_all("b1", 8) == results
     check_results(results, "b1", 8, events=20)
@@ -124,9 +128,10 @@
     slow(site)
     await site.submit(site.hosts[0], "b1")
     await until(lambda: any(engine.arrivals for engine in site.engines))
-    site.hosts[0].gate.mode = mode
-    results = await site.read_all("b1", 8, site.hosts[1:])
-    site.hosts[0].gate.mode = GateMode.OPEN
+    owner, others = split(site)
+    owner.gate.mode = mode
+    results = await site.read_all("b1", 8, others)
+    owner.gate.mode = GateMode.OPEN
     check_results(results, "b1", 8, events=20)
     assert await site.read_all("b1", 8, limit_s=5) == results
 
@@ -145,8 +150,9 @@
     slow(site, events=150)
     await site.submit(site.hosts[0], "b1", samples=2)
     await until(lambda: any(engine.arrivals for engine in site.engines))
-    assert await site.hosts[0].stop() == 0
-    results = await site.read_all("b1", 2, site.hosts[1:])
+    owner, others = split(site)
+    assert await owner.stop() == 0
+    results = await site.read_all("b1", 2, others)
     check_results(results, "b1", 2, events=150)
     # The events before the stop were not generated again.
     runs = sum(sum(each.ran.values()) for each in site.engines)
@@ -202,3 +208,26 @@
     resumed = [each for engine in site.engines for each in engine.resumed]
     assert len(resumed) == 2
     assert all(number > 5 for number in resumed)
+
+
+async def test_a_new_owner_goes_on_with_what_a_killed_one_had_saved(site):
+    slow(site, events=80)
+    await site.submit(site.hosts[0], "b1", samples=2)
+    await until(
+        lambda: any(key[0] == "progress" for key in site.rows.rows), limit_s=5.0
+    )
+    owner, others = split(site)
+    await owner.kill()
+    results = await site.read_all("b1", 2, others)
+    check_results(results, "b1", 2, events=80)
+    resumed = [each for engine in site.engines for each in engine.resumed]
+    assert len(resumed) == 2
+    assert all(number >= 10 for number in resumed)
+
+
+async def test_nothing_is_left_behind_by_a_batch_that_ended_whole(site):
+    slow(site, events=40)
+    await site.submit(site.hosts[0], "b1", samples=2)
+    check_results(await site.read_all("b1", 2), "b1", 2, events=40)
+    await site.call(site.hosts[1], "DELETE", "/bankrudder/lots/b1")
+    await until(lambda: not any(key[0] == "progress" for key in site.rows.rows))
--- a/tests/outside/endpoints.py
+++ b/tests/outside/endpoints.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from collections import Counter
 
 from aiohttp import web
@@ -18,6 +19,7 @@
         self.id = endpoint_id
         self.address = ""
         self.arrivals = []
+        self.arrival_times = []
         self.ran = Counter()
         self.broken_off = Counter()
         self.fail_next = []
@@ -49,6 +51,7 @@
         if request.path.startswith("/bankrudder/"):
             return await self._control(request, body)
         request_id = request.headers.get("X-Request-Id", "")
+        self.arrival_times.append((time.monotonic(), request_id))
         self.arrivals.append((request_id, request.method, request.path_qs, body))
         fault = self.fail_next.pop(0) if self.fail_next else ""
         if fault == "full":
@@ -104,6 +107,8 @@
         self.cut_after = []
         self.resumed = []
         self.orders = []
+        self.order_times = []
+        self.tells_version = False
         self.orders_taken = 0
         self.load_s = 0.05
         self.lose_order_replies = 0
@@ -138,6 +143,7 @@
             )
         order = json.loads(body)
         self.orders.append(order)
+        self.order_times.append((time.monotonic(), order["holder"], order["fence"]))
         if self.delay_orders:
             self.delay_orders -= 1
             self._delayed.append(order)
@@ -189,7 +195,10 @@
             if self.version != version:
                 version = self.version
                 prefix = f"x-weight-versions: {version}\n"
-            event = f"{prefix}id: {number}\ndata: {request_id}-{number}\n\n"
+            data = f"{request_id}-{number}"
+            if self.tells_version:
+                data += f"-v{version}"
+            event = f"{prefix}id: {number}\ndata: {data}\n\n"
             await response.write(event.encode())
         return response
 
--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -30,6 +30,7 @@
     def __init__(self, name, data_centre, gate, folder):
         self.name = name
         self.gate = gate
+        self.store_proxy = None
         self._data_centre = data_centre
         self._folder = folder
         self._process = None
@@ -48,6 +49,11 @@
         lines = self.log_path.read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
+    @property
+    def _store_address(self):
+        proxy = self.store_proxy
+        return proxy.address if proxy is not None else self.gate.address
+
     async def start(self):
         """Start the daemon without waiting until it is ready."""
         settings = {
@@ -56,7 +62,7 @@
             "callers_address": self.address,
             "readiness_address": self._readiness,
             "metrics_address": self.metrics_address,
-            "store": {"address": self.gate.address},
+            "store": {"address": self._store_address},
             "lease_ms": 1000,
             "grace_s": 8,
         }
@@ -84,6 +90,27 @@
         except aiohttp.ClientError:
             return False
 
+    @property
+    def is_running(self):
+        """Whether the daemon was started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    def terminate(self):
+        """Ask the daemon to stop as planned."""
+        self._process.terminate()
+
+    async def wait_gone(self, limit_s):
+        """Wait for the daemon's end, and end it by force after a time."""
+        try:
+            await asyncio.wait_for(self._process.wait(), limit_s)
+        except TimeoutError:
+            await self.kill()
+
+    def try_signal(self, number):
+        """Send a signal if the daemon runs."""
+        if self.is_running:
+            self._process.send_signal(number)
+
     def signal(self, number):
         """Send a signal to the daemon."""
         self._process.send_signal(number)
@@ -112,8 +139,12 @@
         self._sizes = (hosts, engines, events)
         self._session = None
 
-    async def start(self):
-        """Start all, and wait until every host is ready."""
+    async def start(self, behind=None):
+        """Start all, and wait until every host is ready.
+
+        ``behind`` makes a proxy for an address, through which each host reaches the
+        store.
+        """
         hosts, engines, events = self._sizes
         for number in range(engines):
             engine = await EngineStandIn(f"engine-{number}", MODEL, events).start()
@@ -127,6 +158,8 @@
         for number in range(hosts):
             gate = await StoreGate(self.rows).start()
             host = HostProcess(f"host-{number}", "north", gate, self._folder)
+            if behind is not None:
+                host.store_proxy = await behind(gate.address).start()
             await host.start()
             self.hosts.append(host)
         self._session = aiohttp.ClientSession(
@@ -140,6 +173,8 @@
         """End all that was started."""
         for host in self.hosts:
             await host.kill()
+            if host.store_proxy is not None:
+                await host.store_proxy.stop()
             await host.gate.stop()
         for endpoint in self.engines + self.scorers:
             await endpoint.stop()
