Explain three kinds of failed request from their ids

A request that all endpoints refused pauses for 40 ms before the next try: it used up its refusals within 10 ms.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 PROTO := bankrudder/v1/bankrudder.proto
 GENERATED := src/bankrudder/v1
 
-.PHONY: setup demo test lint format proto check-proto faults histories mechanisms bench slopes lock clean
+.PHONY: setup demo explain soak test lint format proto check-proto faults histories mechanisms bench slopes lock clean
 
 setup: $(STAMP)
 
@@ -51,6 +51,14 @@
 	diff --recursive --brief --exclude=__init__.py --exclude=__pycache__ \
 	    build/proto/bankrudder/v1 $(GENERATED)
 
+# Three kinds of failed request, explained from their ids by logs alone.
+explain: $(STAMP)
+	$(BIN)/python bench/explain.py
+
+# Faults from outside on real daemons; SOAK_ARGS is passed on.
+soak: $(STAMP)
+	$(BIN)/python -m soak $(SOAK_ARGS)
+
 faults: $(STAMP)
 	$(BIN)/python bench/faults.py
 
--- /dev/null
+++ b/bench/explain.py
@@ -0,0 +1,105 @@
+"""Three kinds of failed request, each brought about and explained from its id.
+
+Starts a small site on loopback, lets a call be refused, a call that may run once lose
+its answer, and a step come late, and shows for each what ``bankrudder find`` prints of
+the hosts' logs.
+"""
+
+import asyncio
+import contextlib
+import io
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[1]
+sys.path[:0] = [str(ROOT / "src"), str(ROOT / "tests")]
+
+from bankrudder.cli import main as command  # noqa: E402
+from outside.site import Site, check_results, until  # noqa: E402
+
+HEADERS = {"X-Request-Deadline": "1500"}
+
+
+async def refuse(site):
+    """Let all endpoints be full; return the request's id."""
+    for scorer in site.scorers:
+        scorer.fail_next = ["full"] * 20
+    status, headers, _ = await site.call(
+        site.hosts[0],
+        "POST",
+        "/once/1",
+        body=b"x",
+        headers={**HEADERS, "X-Request-Id": "refused-1"},
+    )
+    for scorer in site.scorers:
+        scorer.fail_next = []
+    print(f"the caller got {status}, Retry-After {headers.get('Retry-After')}")
+    return "refused-1"
+
+
+async def lose(site):
+    """Let the answer to a call that may run once be lost; return its id."""
+    for scorer in site.scorers:
+        scorer.fail_next = ["reset"]
+    status, _, _ = await site.call(
+        site.hosts[0],
+        "POST",
+        "/once/2",
+        body=b"x",
+        headers={**HEADERS, "X-Request-Id": "lost-1"},
+    )
+    for scorer in site.scorers:
+        scorer.fail_next = []
+    print(f"the caller got {status}")
+    return "lost-1"
+
+
+async def delay(site):
+    """Kill the host that works on a step; return the step's id."""
+    for engine in site.engines:
+        engine.events, engine.event_gap_s = 30, 0.05
+    await site.submit(site.hosts[0], "late-1", samples=4)
+    await until(lambda: any(engine.arrivals for engine in site.engines))
+    [row] = [row for key, row in site.rows.rows.items() if key[0] == "owners"]
+    owner = next(host for host in site.hosts if host.name in row[1].decode())
+    await owner.kill()
+    began = time.monotonic()
+    left = [host for host in site.hosts if host is not owner]
+    results = await site.read_all("late-1", 4, left)
+    check_results(results, "late-1", 4, events=30)
+    print(f"the last sample came {time.monotonic() - began:.1f} s after the kill")
+    return "late-1"
+
+
+async def explain():
+    """Bring the failures about, one after the other; return the ids without lines."""
+    missing = []
+    with tempfile.TemporaryDirectory(prefix="explain-") as folder:
+        site = await Site(Path(folder)).start()
+        try:
+            for bring_about in (refuse, lose, delay):
+                print(f"\n== {bring_about.__doc__.partition(';')[0]}")
+                wanted = await bring_about(site)
+                await asyncio.sleep(0.2)
+                logs = [str(host.log_path) for host in site.hosts]
+                print(f"$ bankrudder find {wanted} logs/*.log")
+                text = await asyncio.to_thread(_found, wanted, logs)
+                print(text, end="")
+                if not text:
+                    missing.append(wanted)
+        finally:
+            await site.stop()
+    return missing
+
+
+def _found(wanted, logs):
+    text = io.StringIO()
+    with contextlib.redirect_stdout(text):
+        command(["find", wanted, *logs])
+    return text.getvalue()
+
+
+if __name__ == "__main__":
+    sys.exit(1 if asyncio.run(explain()) else 0)
--- a/src/bankrudder/cli/_parser.py
+++ b/src/bankrudder/cli/_parser.py
@@ -3,7 +3,7 @@
 import argparse
 from collections.abc import Callable
 
-from bankrudder.cli import _calls, _commands
+from bankrudder.cli import _calls, _commands, _logs
 from bankrudder.cli._commands import Command
 from bankrudder.cli._exit import EXIT_CODES_HELP
 from bankrudder.config import address_error
@@ -20,6 +20,7 @@
   bankrudder apply now.json --base-revision 7 --wait 10 \\
       --entry 10.10.1.11:7000 --token-file op.token
   bankrudder status --all --entry 10.10.1.11:7000 --token-file op.token
+  bankrudder find 9c41d07be2a35f68 logs/*.log
   bankrudder drain 10.10.2.11:7000 --token-file op.token
   echo '{"lease": 7}' | bankrudder call quote-desk --method quote \\
       --entry 10.10.1.11:7000 --token-file desk.token --data-class lease
@@ -57,12 +58,23 @@
     _add_reading(add)
     _add_operation(add)
     _add_trials(add)
+    _add_logs(add)
     return parser
 
 
 Add = Callable[..., argparse.ArgumentParser]
 
 
+def _add_logs(add: Add) -> None:
+    find = add(
+        "find", _logs.find, "follow an id through the logs of hosts", entry=False
+    )
+    find.add_argument("id", metavar="ID", help="of a request, a batch or a sample")
+    find.add_argument(
+        "files", metavar="LOG", nargs="+", help="logs of hosts; - for stdin"
+    )
+
+
 def _add_configuring(add: Add) -> None:
     check = add("check", _commands.check_file, "check a file, offline", entry=False)
     check.add_argument("file", metavar="FILE", help="a configuration; - for stdin")
--- a/src/bankrudder/logs/_setup.py
+++ b/src/bankrudder/logs/_setup.py
@@ -52,6 +52,7 @@
     clock: Clock | None = None,
     stream: TextIO | NonBlockingSink | None = None,
     limit: LineLimit | None = None,
+    host: str = "",
 ) -> None:
     """Send the lines of this package and of its libraries to one stream.
 
@@ -70,12 +71,15 @@
         Standard error by default.
     limit : LineLimit, optional
         Bound on the lines of this package; none by default.
+    host : str
+        Name of the host, written with each line if it is not empty.
     """
     stream = stream or sys.stderr
     number = logging.getLevelNamesMapping()[level.name]
     shared: list[Processor] = [
         structlog.processors.add_log_level,
         _time_stamper(clock or SystemClock()),
+        _host_namer(host),
         _withhold,
         _format_exception,
     ]
@@ -125,6 +129,15 @@
     return stamp
 
 
+def _host_namer(host: str) -> Processor:
+    def name(_: WrappedLogger, __: str, event: EventDict) -> EventDict:
+        if host:
+            event["logged_by"] = host
+        return event
+
+    return name
+
+
 def _withhold(_: WrappedLogger, __: str, event: EventDict) -> EventDict:
     for name, value in event.items():
         if name in WITHHELD_FIELDS or isinstance(value, (bytes, bytearray, memoryview)):
--- a/src/bankrudder/node/_main.py
+++ b/src/bankrudder/node/_main.py
@@ -48,6 +48,13 @@
     configure_logging(LogFormat.JSON, LogLevel.INFO, stream=sink, limit=lines)
     try:
         settings = load_settings(Path(arguments.settings))
+        configure_logging(
+            LogFormat.JSON,
+            LogLevel.INFO,
+            stream=sink,
+            limit=lines,
+            host=settings.host,
+        )
     except InvalidError as error:
         failure = error.failure
         _log.error("node: wrong settings", field=failure.field, reason=failure.detail)
--- a/src/bankrudder/relay/_forwarder.py
+++ b/src/bankrudder/relay/_forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 
 import structlog
 
@@ -44,6 +45,10 @@
 MAX_REFUSALS = 6
 """Endpoints that may refuse one request before it is given up."""
 
+FULL_PAUSE_S = 0.04
+"""Pause once all endpoints were full: about a usual answer, after which one of them
+has a slot. Without it a request is refused within some milliseconds."""
+
 RETRY_AFTER_S = 0.25
 """When to come back after a refusal: a few times the usual answer, in which a
 full endpoint finishes what it runs."""
@@ -150,6 +155,8 @@
                         return _relayed(outcome, failed)
                 case Refused():
                     refusals += 1
+                    if self._all_tried(service, tried):
+                        await asyncio.sleep(min(FULL_PAUSE_S, max(left_s, 0.0)))
                 case Lost():
                     runs += 1
             _log.info(
@@ -161,6 +168,10 @@
                 refusals=refusals,
             )
 
+    def _all_tried(self, service: ServiceName, tried: Sequence[EndpointId]) -> bool:
+        endpoints = self._directory.of_service(service)
+        return all(each.endpoint.id in tried for each in endpoints)
+
     def _start(
         self,
         request: IncomingRequest,
--- /dev/null
+++ b/tests/soak/test_history.py
@@ -0,0 +1,120 @@
+"""Each checker of the soak finds a bad history, and none a good one."""
+
+import pytest
+from soak.history import BatchSeen, CallSeen, History, violations
+
+EVENTS = 2
+
+
+def result(sample="b1-s0", version=1, **changes):
+    whole = {
+        "id": sample,
+        "state": "succeeded",
+        "text": f"{sample}-0-v{version}\n{sample}-1-v{version}",
+        "versions": [version],
+        "score": f"scorer.{sample.replace('-s', '-r')}",
+    }
+    return {**whole, **changes}
+
+
+def history(*results, min_version=1, **changes):
+    batch = BatchSeen("b1", min_version, ["b1-s0", "b1-s1"], was_accepted=True)
+    batch.note_page(0, {"results": list(results)})
+    seen = History(batches={"b1": batch})
+    for name, value in changes.items():
+        setattr(seen, name, value)
+    return seen
+
+
+def test_a_good_history_breaks_nothing():
+    good = history(
+        result(),
+        result("b1-s1"),
+        calls=[
+            CallSeen("q1", "/once/x", 200, b"answer to q1"),
+            CallSeen("q2", "/once/x", 503, b""),
+        ],
+        runs={"q1": 1},
+        orders=[(1.0, "e1", "a", 5), (9.0, "e1", "b", 7)],
+        arrivals=[(1.0, "b1-s0")],
+        revisions=[("h", 1, 3), ("h", 1, 4), ("h", 2, 3)],
+    )
+    good.batches["b1"].ended_at = 2.0
+    assert violations(good, EVENTS) == []
+
+
+def changed_position():
+    seen = history(result())
+    seen.batches["b1"].note_page(0, {"results": [result("b1-s1")]})
+    return seen
+
+
+def late_arrival():
+    seen = history(result(), arrivals=[(9.0, "b1-s0")])
+    seen.batches["b1"].ended_at = 2.0
+    return seen
+
+
+def lost():
+    seen = history(result())
+    seen.batches["b1"].lost.append("not found after it was accepted")
+    return seen
+
+
+BAD = {
+    "a position changes": (changed_position(), "position 0 changed"),
+    "a batch is lost": (lost(), "not found"),
+    "a sample stands twice": (history(result(), result()), "two positions"),
+    "a sample of another batch": (history(result("b2-s0")), "another batch"),
+    "an event is missing": (
+        history(result(text="b1-s0-0-v1")),
+        "not whole",
+    ),
+    "an event stands twice": (
+        history(result(text="b1-s0-0-v1\nb1-s0-0-v1\nb1-s0-1-v1")),
+        "not whole",
+    ),
+    "a version is not told": (
+        history(result(text="b1-s0-0-v1\nb1-s0-1-v2")),
+        "was made by",
+    ),
+    "weights are too old": (history(result(), min_version=2), "allowed is 2"),
+    "a score of another call": (history(result(score="scorer.b1-r9")), "score"),
+    "a call runs twice": (
+        history(calls=[CallSeen("q1", "/once/x", 502, b"")], runs={"q1": 2}),
+        "ran 2 times",
+    ),
+    "a refused call ran": (
+        history(calls=[CallSeen("q1", "/once/x", 503, b"")], runs={"q1": 1}),
+        "was refused and ran",
+    ),
+    "an answer to another call": (
+        history(calls=[CallSeen("q1", "/once/x", 200, b"answer to q2")]),
+        "another answer",
+    ),
+    "an older token": (
+        history(orders=[(1.0, "e1", "a", 5), (9.0, "e1", "b", 4)]),
+        "token 4 after 5",
+    ),
+    "two holders with one token": (
+        history(orders=[(1.0, "e1", "a", 5), (9.0, "e1", "b", 5)]),
+        "one token",
+    ),
+    "two holders at once": (
+        history(orders=[(1.0, "e1", "a", 5), (1.1, "e1", "b", 6)]),
+        "0.10 s after",
+    ),
+    "a sample is sent after the end": (late_arrival(), "after its end"),
+    "a revision goes back": (
+        history(revisions=[("h", 1, 4), ("h", 1, 3)]),
+        "went back",
+    ),
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_a_bad_history_is_found(name):
+    seen, part = BAD[name]
+    found = violations(seen, EVENTS)
+    assert len(found) == 1
+    assert part in found[0]
