--- a/tests/node/test_explain.py
+++ b/tests/node/test_explain.py
@@ -8,8 +8,8 @@
 
 ROOT = Path(__file__).parents[2]
 PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
-EVENT = re.compile(r"`((?:relay|batches|node|store|presence|leases|fleet|orders|gateway)"
-                   r": [a-z ]+)`")  # fmt: skip
+PARTS = "relay|batches|node|store|presence|leases|fleet|orders|gateway"
+EVENT = re.compile(f"`((?:{PARTS}): [a-z ]+)`")
 METRIC = re.compile(r"`(bankrudder_[a-z_]+)`")
 
 
