--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -201,6 +201,7 @@
                 events=generator.progress.next_number,
                 runs=generator.run_count,
                 waited_s=round(generator.waited_s, 3),
+                longest_gap_s=round(generator.longest_gap_s, 3),
                 whole_after_s=round(whole_at - began, 3),
                 scored_after_s=round(self._clock.monotonic() - began, 3),
             )
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -99,6 +99,7 @@
         self._failures = 0
         self._run_count = 0
         self._waited_s = 0.0
+        self._longest_gap_s = 0.0
         self._avoid: list[EndpointId] = []
         if progress is not None and self._fits(progress):
             self._texts = list(progress.texts)
@@ -131,6 +132,11 @@
         """Seconds that it waited for slots so far."""
         return self._waited_s
 
+    @property
+    def longest_gap_s(self) -> float:
+        """Longest time between two events of one run so far, in seconds."""
+        return self._longest_gap_s
+
     @property
     def progress(self) -> Progress:
         """What has been generated so far."""
@@ -199,9 +205,13 @@
         events: AsyncIterator[StreamEvent],
     ) -> None:
         began = self._clock.monotonic()
+        last = began
         count = 0
         try:
             async for event in _timed(events):
+                now = self._clock.monotonic()
+                self._longest_gap_s = max(self._longest_gap_s, now - last)
+                last = now
                 self._take_event(target, event, version)
                 version = event.version or version
                 count += 1
