Let a third of a model's engines load at once

Cause: where several models are trained, all engines of one loaded at once when its version was named, just as its next step came: half of the samples waited 2 to 3 s. Change: the bound holds for each model as well as for the service. Test: tests/orders/test_switching.py.

--- a/src/bankrudder/orders/_switching.py
+++ b/src/bankrudder/orders/_switching.py
@@ -31,6 +31,11 @@
 so many. The platform's sheets name two of five or six, and nine of 22 or 23, as the
 number from which loads slow each other down."""
 
+MODEL_LOADING_SHARE = 0.34
+"""Engines of one model that load at once, at most this share and at least one: an
+engine that loads takes no new samples for a second, and a step starts when a version
+is named."""
+
 LOOK_S = 0.05
 """How often it is looked for engines with an old version."""
 
@@ -118,7 +123,7 @@
                 if engine.endpoint.id in self._switching:
                     continue
                 model = self._outdated_model(engine, service)
-                if model is not None:
+                if model is not None and self._may_load(service, model):
                     self._start(engine, service, model)
                     loading += 1
 
@@ -145,6 +150,16 @@
             return None
         return model if (engine.version_of(model) or 0) < named else None
 
+    def _may_load(self, service: ServiceName, model: ModelName) -> bool:
+        """Whether one more engine of a model may load now."""
+        engines = [
+            engine
+            for engine, served in self._assigned[service].items()
+            if served == model
+        ]
+        loading = sum(engine in self._switching for engine in engines)
+        return loading < max(1, math.floor(MODEL_LOADING_SHARE * len(engines)))
+
     def _start(
         self, engine: TrackedEndpoint, service: ServiceName, model: ModelName
     ) -> None:
--- /dev/null
+++ b/tests/orders/test_switching.py
@@ -0,0 +1,93 @@
+"""How many engines load at once, and which."""
+
+import asyncio
+
+import pytest
+
+from bankrudder.fleet import (
+    Endpoint,
+    EndpointDirectory,
+    EngineState,
+    ModelState,
+    OrderOutcome,
+)
+from bankrudder.orders import VersionSwitcher
+from bankrudder.world import SystemClock
+
+LOAD_S = 0.2
+
+
+class HeldLease:
+    """A lease that this host holds."""
+
+    is_valid = True
+    fence = 7
+
+
+class Engines:
+    """Engines that take orders; keeps how many loaded at once, by model."""
+
+    def __init__(self):
+        self.versions = {}
+        self.taken = {}
+        self.loading = {}
+        self.most = {}
+
+    async def state(self, endpoint):
+        return EngineState(
+            self.taken.get(endpoint.id, 0), False, dict(self.versions[endpoint.id])
+        )
+
+    async def order(self, endpoint, order):
+        assert order.expected_orders == self.taken.get(endpoint.id, 0)
+        self.taken[endpoint.id] = order.expected_orders + 1
+        now = self.loading.setdefault(order.model, set())
+        now.add(endpoint.id)
+        self.most[order.model] = max(self.most.get(order.model, 0), len(now))
+        asyncio.get_running_loop().call_later(LOAD_S, self._loaded, endpoint.id, order)
+        return OrderOutcome.ACCEPTED
+
+    def _loaded(self, engine, order):
+        self.versions[engine][order.model] = order.version
+        self.loading[order.model].discard(engine)
+
+
+@pytest.fixture
+def switch():
+    async def switch(count, named):
+        clock = SystemClock()
+        directory = EndpointDirectory("north", clock)
+        engines = Engines()
+        for number in range(count):
+            states = tuple(ModelState(model, 1) for model in named)
+            engine = Endpoint(f"e{number}", "s", "a:1", "north", 8, models=states)
+            directory.put(engine)
+            engines.versions[engine.id] = dict.fromkeys(named, 1)
+        switcher = VersionSwitcher(
+            HeldLease(), "h", directory, engines, named, lambda model: 1.0,
+            lambda: None, clock,
+        )  # fmt: skip
+        task = asyncio.ensure_future(switcher.run())
+        await asyncio.sleep(10 * LOAD_S)
+        task.cancel()
+        return engines
+
+    return switch
+
+
+async def test_a_third_of_a_models_engines_load_at_once(switch):
+    engines = await switch(9, {"m": 2})
+    assert engines.most == {"m": 3}
+    assert all(each == {"m": 2} for each in engines.versions.values())
+
+
+async def test_two_models_share_the_engines_and_each_loads_its_own(switch):
+    engines = await switch(12, {"a": 2, "b": 2})
+    assert engines.most == {"a": 2, "b": 2}
+    loaded = [sorted(each.values()) for each in engines.versions.values()]
+    assert loaded == [[1, 2]] * 12
+
+
+async def test_a_single_engine_is_loaded_too(switch):
+    engines = await switch(1, {"m": 2})
+    assert engines.versions == {"e0": {"m": 2}}
