--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -38,7 +38,7 @@
     StoreUnavailableError,
     TableFollower,
 )
-from bankrudder.world import Clock, HostId
+from bankrudder.world import Clock, HostId, ModelVersion
 
 LOOK_S = 0.15
 """How often batches without an owner are looked for."""
@@ -67,7 +67,13 @@
 
 
 class BatchService:
-    """Accepts batches, works on its own ones, takes over those of lost hosts."""
+    """Accepts batches, works on its own ones, takes over those of lost hosts.
+
+    Parameters
+    ----------
+    loaded : TableFollower, optional
+        Tells which versions engines have loaded; it runs while there is work here.
+    """
 
     def __init__(
         self,
@@ -79,7 +85,10 @@
         scorer: Scorer,
         routes: Callable[[], RoutingTable | None],
         clock: Clock,
+        loaded: TableFollower | None = None,
     ):
+        self._loaded = loaded
+        self._following: asyncio.Task[None] | None = None
         self._repository = repository
         self._presence = presence
         self._directory = directory
@@ -142,6 +151,15 @@
         """Return the mean size of a model's latest batches in tokens, 0 if unknown."""
         return self._mean_work.get(model, 0.0)
 
+    def needed_version(self, model: ModelName) -> ModelVersion:
+        """Return the newest of the oldest versions that open batches allow."""
+        needed = (
+            owner.min_version
+            for owner, _ in self._owners.values()
+            if owner.model == model
+        )
+        return max(needed, default=ModelVersion(0))
+
     async def run(self) -> None:
         """Follow the owners and take over what is without one, until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -193,6 +211,8 @@
         self._fences[batch_id] = fence
         task = asyncio.ensure_future(self._work(batch_id, fence, batch))
         self._runs[batch_id] = task
+        self._follow_loads()
+        self._presence.set_busy(True)
         task.add_done_callback(lambda done: self._forget(batch_id, done))
 
     def _forget(self, batch_id: BatchId, task: "asyncio.Task[None]") -> None:
@@ -309,7 +329,8 @@
         live = [
             host
             for host in self._presence.live_hosts()
-            if host != self._presence.host or not self._is_leaving
+            if self._presence.takes_new_work(host)
+            and (host != self._presence.host or not self._is_leaving)
         ]
         host = self._last_owner.get(batch.model)
         if host not in live:
@@ -323,6 +344,7 @@
             lifetime=lifetime if lifetime is not None else "",
             model=batch.model,
             work=_expected_tokens(batch),
+            min_version=batch.min_version,
         )
 
     def _roomiest(self, hosts: Sequence[HostId], model: ModelName) -> HostId | None:
@@ -371,6 +393,8 @@
     async def _look_for_ownerless(self) -> None:
         while True:
             await asyncio.sleep(LOOK_S)
+            self._follow_loads()
+            self._presence.set_busy(bool(self._runs))
             if self._is_leaving or self._follower.lost_since is not None:
                 continue
             now = self._clock.monotonic()
@@ -382,6 +406,16 @@
                 if now - since >= self._rank(batch_id) * RANK_DELAY_S:
                     await self._take_over(batch_id, owner, version)
 
+    def _follow_loads(self) -> None:
+        """Follow the loaded versions while there is work, as each change is a read."""
+        if self._loaded is None:
+            return
+        if self._runs and self._following is None:
+            self._following = asyncio.ensure_future(self._loaded.run())
+        elif not self._runs and self._following is not None:
+            self._following.cancel()
+            self._following = None
+
     def _has_owner(self, owner: Owner) -> bool:
         if not owner.host:
             return False
--- a/src/bankrudder/batches/_values.py
+++ b/src/bankrudder/batches/_values.py
@@ -89,6 +89,8 @@
         has not told its time yet.
     work : int
         Tokens that the batch is expected to generate.
+    min_version : ModelVersion
+        Oldest weights that may generate any of its text.
     """
 
     host: str
@@ -96,6 +98,7 @@
     model: ModelName
     accepted_at: float = 0.0
     work: int = 0
+    min_version: ModelVersion = ModelVersion(0)
 
 
 class ResultState(Enum):
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -22,11 +22,11 @@
 from bankrudder.node._settings import NodeSettings
 from bankrudder.node._world_view import Documents, WorldView
 from bankrudder.observe import ObserveServer, Sample
-from bankrudder.orders import VersionSwitcher
+from bankrudder.orders import LOADED_TABLE, LoadAnnouncer, VersionSwitcher
 from bankrudder.presence import Lifetime, Presence
 from bankrudder.relay import Forwarder, StreamForwarder
 from bankrudder.routing import RoutingTable
-from bankrudder.store import MeasuredStore, Store
+from bankrudder.store import MeasuredStore, Store, TableFollower
 from bankrudder.world import Clock
 
 NOTICE_S = 2.6
@@ -127,6 +127,7 @@
         forwarder = Forwarder(directory, adapter.endpoints, clock)
         repository = BatchRepository(store, clock, settings.store.row_bytes)
         scorer = Scorer(forwarder, directory, self._routes, clock)
+        announcer = LoadAnnouncer(store, directory)
         self._batches = BatchService(
             store,
             repository,
@@ -136,6 +137,13 @@
             scorer,
             self._routes,
             clock,
+            TableFollower(
+                store,
+                LOADED_TABLE,
+                clock,
+                on_row=announcer.take,
+                on_removed=lambda _: None,
+            ),
         )
         self._lease = Lease(
             store,
@@ -153,6 +161,8 @@
             adapter.endpoints,
             self._view.named_versions,
             self._batches.work_of,
+            self._batches.needed_version,
+            announcer,
             self._routes,
             clock,
         )
--- a/src/bankrudder/orders/_switching.py
+++ b/src/bankrudder/orders/_switching.py
@@ -21,6 +21,7 @@
     VersionOrder,
 )
 from bankrudder.leases import Lease
+from bankrudder.orders._announcing import LoadAnnouncer, LoadedVersion
 from bankrudder.orders._assignment import assign_engines
 from bankrudder.routing import ModelName, RoutingTable, ServiceName
 from bankrudder.world import Clock, HostId, ModelVersion
@@ -60,6 +61,8 @@
         Newest version that was named for each model; read anew each time.
     work : callable
         Size of a model's latest batches, in tokens, 0 if none is known.
+    needed : callable
+        Oldest version of a model that every open batch may be generated with.
     """
 
     def __init__(
@@ -70,9 +73,13 @@
         client: EndpointClient,
         named: Mapping[ModelName, ModelVersion],
         work: Callable[[ModelName], float],
+        needed: Callable[[ModelName], ModelVersion],
+        announcer: LoadAnnouncer,
         routes: Callable[[], RoutingTable | None],
         clock: Clock,
     ):
+        self._needed = needed
+        self._announcer = announcer
         self._lease = lease
         self._host = host
         self._directory = directory
@@ -123,7 +130,9 @@
                 if engine.endpoint.id in self._switching:
                     continue
                 model = self._outdated_model(engine, service)
-                if model is not None and self._may_load(service, model):
+                if model is not None and (
+                    self._is_of_no_use(engine, model) or self._may_load(service, model)
+                ):
                     self._start(engine, service, model)
                     loading += 1
 
@@ -150,6 +159,10 @@
             return None
         return model if (engine.version_of(model) or 0) < named else None
 
+    def _is_of_no_use(self, engine: TrackedEndpoint, model: ModelName) -> bool:
+        """Whether an open batch cannot be generated with an engine's version."""
+        return (engine.version_of(model) or 0) < self._needed(model)
+
     def _may_load(self, service: ServiceName, model: ModelName) -> bool:
         """Whether one more engine of a model may load now."""
         engines = [
@@ -210,6 +223,7 @@
                 await self._wait_loaded(engine, model, version)
             case OrderOutcome.ALREADY_SO:
                 engine.note_version(model, version)
+                await self._announce(engine, model, version)
             case _:
                 # The count is read anew: it tells whether the order was accepted.
                 self._orders_taken.pop(endpoint.id, None)
@@ -223,16 +237,23 @@
             await asyncio.sleep(STATE_PAUSE_S)
             if not engine.takes_work:
                 return
-            if (engine.version_of(model) or 0) >= version:
-                return
             state = await self._client.state(engine.endpoint)
             if state is not None:
                 self._note_versions(engine, state.versions)
+            if (engine.version_of(model) or 0) >= version:
+                await self._announce(engine, model, version)
+                return
         _log.warning(
             "orders: no effect seen", endpoint=engine.endpoint.id, version=version
         )
         self._orders_taken.pop(engine.endpoint.id, None)
 
+    async def _announce(
+        self, engine: TrackedEndpoint, model: ModelName, version: ModelVersion
+    ) -> None:
+        loaded = LoadedVersion(model, version)
+        await self._announcer.announce(engine.endpoint.id, loaded)
+
     def _note_versions(
         self, engine: TrackedEndpoint, versions: Mapping[ModelName, ModelVersion]
     ) -> None:
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from contextlib import suppress
 from typing import NewType
 
 import msgspec
@@ -28,11 +29,17 @@
 HOSTS_TABLE = "hosts"
 
 HEARTBEAT_S = 0.5
-"""Seconds between two heartbeats of a host in a small fleet."""
+"""Seconds between two heartbeats of a host that others wait for."""
 
-HEARTBEATS_PER_S = 60.0
-"""Most heartbeats a second of all hosts together: under half of what one part of
-the store takes."""
+IDLE_HEARTBEATS_PER_S = 30.0
+BUSY_HEARTBEATS_PER_S = 60.0
+"""Most heartbeats a second of all hosts without work, and of all with work: together
+well under what one part of the store takes. In a large fleet they come less often."""
+
+FRESH_INTERVALS = 2.0
+FRESH_SLACK_S = 0.4
+"""A host whose last heartbeat is older than so many intervals, and the time in which
+one is read, gets no new work: it may be about to be found dead."""
 
 MISSED_HEARTBEATS = 3
 """Heartbeats that may be missing before a host is taken for dead. A batch whose owner
@@ -55,12 +62,15 @@
         Whether the host is about to stop as planned.
     room : float
         What the host can carry, in cores of usual speed.
+    interval_s : float
+        Seconds until the next heartbeat.
     """
 
     lifetime: Lifetime
     count: int
     is_leaving: bool = False
     room: float = 1.0
+    interval_s: float = HEARTBEAT_S
 
 
 class Presence:
@@ -81,6 +91,8 @@
         self._room = room
         self._count = 0
         self._is_leaving = False
+        self._is_busy = False
+        self._changed = asyncio.Event()
         self._writes_fail = False
         self._writes_since = 0.0
         self._seen: dict[HostId, tuple[Heartbeat, float]] = {}
@@ -105,13 +117,18 @@
 
     @property
     def interval_s(self) -> float:
-        """Seconds between two heartbeats of a host."""
-        return max(HEARTBEAT_S, len(self._seen) / HEARTBEATS_PER_S)
-
-    @property
-    def silence_s(self) -> float:
-        """Seconds without a heartbeat after which a host is taken for dead."""
-        return MISSED_HEARTBEATS * self.interval_s
+        """Seconds between two heartbeats of this host."""
+        idle_s = max(HEARTBEAT_S, len(self._seen) / IDLE_HEARTBEATS_PER_S)
+        if not self._is_busy:
+            return idle_s
+        busy = sum(beat.interval_s < idle_s for beat, _ in self._seen.values())
+        return max(HEARTBEAT_S, busy / BUSY_HEARTBEATS_PER_S)
+
+    def set_busy(self, is_busy: bool) -> None:
+        """Beat more often while others wait for what this host does."""
+        if is_busy and not self._is_busy:
+            self._changed.set()
+        self._is_busy = is_busy
 
     def live_hosts(self) -> list[HostId]:
         """Return the hosts that are taken for alive and stay, sorted."""
@@ -121,6 +138,16 @@
             if not beat.is_leaving and self._is_fresh(host)
         )
 
+    def takes_new_work(self, host: HostId) -> bool:
+        """Whether a host stays, and was heard of as lately as it should have been."""
+        seen = self._seen.get(host)
+        if seen is None or seen[0].is_leaving or not self._is_fresh(host):
+            return False
+        if host == self._host:
+            return True
+        age_s = self._clock.monotonic() - seen[1]
+        return age_s < FRESH_INTERVALS * seen[0].interval_s + FRESH_SLACK_S
+
     def is_alive(self, host: HostId, lifetime: Lifetime) -> bool:
         """Whether a run of a host is taken for alive, also one that is leaving."""
         if host == self._host:
@@ -154,7 +181,13 @@
     async def announce(self) -> None:
         """Send one heartbeat now."""
         self._count += 1
-        beat = Heartbeat(self._lifetime, self._count, self._is_leaving, self._room)
+        beat = Heartbeat(
+            self._lifetime,
+            self._count,
+            self._is_leaving,
+            self._room,
+            self.interval_s,
+        )
         key = RowKey(HOSTS_TABLE, "", self._host)
         put = Put(key, msgspec.json.encode(beat))
         outcome = await self._store.commit(Transaction(puts=(put,)))
@@ -162,8 +195,11 @@
 
     async def _beat(self) -> None:
         while True:
+            self._changed.clear()
             await self.announce()
-            await asyncio.sleep(self.interval_s)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self.interval_s):
+                    await self._changed.wait()
 
     def _is_fresh(self, host: HostId) -> bool:
         if host == self._host:
@@ -174,7 +210,8 @@
         read_at = self._follower.last_read_at or 0.0
         regained_at = self._follower.regained_at or 0.0
         since = max(self._seen[host][1], regained_at, self._writes_since)
-        return read_at - since < self.silence_s
+        silence_s = MISSED_HEARTBEATS * self._seen[host][0].interval_s
+        return read_at - since < silence_s
 
     def _note_write(self, was_committed: bool) -> None:
         if self._writes_fail and was_committed:
--- a/tests/orders/test_switching.py
+++ b/tests/orders/test_switching.py
@@ -47,6 +47,9 @@
         asyncio.get_running_loop().call_later(LOAD_S, self._loaded, endpoint.id, order)
         return OrderOutcome.ACCEPTED
 
+    async def announce(self, engine, loaded):
+        assert self.versions[engine][loaded.model] == loaded.version
+
     def _loaded(self, engine, order):
         self.versions[engine][order.model] = order.version
         self.loading[order.model].discard(engine)
@@ -54,7 +57,7 @@
 
 @pytest.fixture
 def switch():
-    async def switch(count, named):
+    async def switch(count, named, needed=0):
         clock = SystemClock()
         directory = EndpointDirectory("north", clock)
         engines = Engines()
@@ -65,7 +68,7 @@
             engines.versions[engine.id] = dict.fromkeys(named, 1)
         switcher = VersionSwitcher(
             HeldLease(), "h", directory, engines, named, lambda model: 1.0,
-            lambda: None, clock,
+            lambda model: needed, engines, lambda: None, clock,
         )  # fmt: skip
         task = asyncio.ensure_future(switcher.run())
         await asyncio.sleep(10 * LOAD_S)
@@ -91,3 +94,8 @@
 async def test_a_single_engine_is_loaded_too(switch):
     engines = await switch(1, {"m": 2})
     assert engines.versions == {"e0": {"m": 2}}
+
+
+async def test_engines_that_no_batch_can_use_load_as_far_as_the_service_allows(switch):
+    assert (await switch(5, {"m": 2})).most == {"m": 1}
+    assert (await switch(5, {"m": 2}, needed=2)).most == {"m": 2}
--- a/tests/presence/test_hosts.py
+++ b/tests/presence/test_hosts.py
@@ -84,3 +84,17 @@
     for _ in range(20):
         await asyncio.sleep(0.05)
         assert hosts[1].presence.is_alive("a", "life-of-a")
+
+
+async def test_a_busy_host_is_missed_sooner_than_an_idle_one(hosts, monkeypatch):
+    # As in a fleet so large that idle hosts beat every three seconds.
+    monkeypatch.setattr("bankrudder.presence._hosts.IDLE_HEARTBEATS_PER_S", 1.0)
+    hosts[0].presence.set_busy(True)
+    await all_known(hosts)
+    await asyncio.sleep(1.0)
+    assert hosts[0].presence.interval_s == 0.5
+    assert hosts[1].presence.interval_s == 3.0
+    for host in hosts[:2]:
+        host.task.cancel()
+    await until(lambda: not hosts[2].presence.takes_new_work("a"), 2.0)
+    await until(lambda: hosts[2].presence.live_hosts() == ["b", "c"], 3.0)
