--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	touch $(STAMP)
 
 demo: $(STAMP)
+	$(BIN)/python bench/platform_demo.py
 	$(BIN)/python bench/demo.py --site $(SITE)
 
 # PYTEST_ARGS narrows a run; CI passes the known failures through it.
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -42,7 +42,7 @@
         self.revision = 1
         self._rng = random.Random(seed)
         self._seconds = seconds
-        self._strikes = draw(self._rng, seconds, strikes)
+        self._strikes = strikes
         self._struck = []
         self._began = 0.0
         self._restarting = set()
@@ -89,6 +89,12 @@
             for task in clients + strikes:
                 task.cancel()
 
+    async def stop(self):
+        """End all that was started."""
+        await self.site.stop()
+        for proxy in self.engine_proxies:
+            await proxy.stop()
+
     async def _start(self):
         await self.site.start(behind=Proxy)
         for engine in self.site.engines:
@@ -189,7 +195,7 @@
             arguments.seconds,
             arguments.hosts,
             arguments.engines,
-            arguments.strikes,
+            draw(random.Random(seed), arguments.seconds, arguments.strikes),
             Path(folder),
         )
         try:
@@ -197,9 +203,7 @@
             if found and arguments.keep_logs:
                 _keep_logs(run, Path(arguments.keep_logs))
         finally:
-            await run.site.stop()
-            for proxy in run.engine_proxies:
-                await proxy.stop()
+            await run.stop()
     for sentence in found:
         print(f"BROKEN with seed {seed}: {sentence}")
     return found
