--- a/src/bankrudder/leases/_lease.py
+++ b/src/bankrudder/leases/_lease.py
@@ -106,9 +106,12 @@
         """Whether this host may act now; check right before each act."""
         return bool(self._fence) and self._clock.monotonic() < self._valid_until
 
+    def set_duration(self, seconds: float) -> None:
+        """Change the length of the lease from the next renewal on."""
+        self._duration_s = seconds
+
     async def run(self) -> None:
         """Renew the lease, or watch it and take it over, until cancelled."""
-        pause_s = self._duration_s / RENEWALS
         while True:
             try:
                 if self._fence:
@@ -119,7 +122,7 @@
                 _log.warning("leases: store not reached", lease=self._name)
             if self._fence and self._clock.monotonic() >= self._valid_until:
                 self._drop("lapsed")
-            await asyncio.sleep(pause_s)
+            await asyncio.sleep(self._duration_s / RENEWALS)
 
     async def release(self) -> None:
         """Give the lease up before a planned stop."""
--- a/src/bankrudder/node/_main.py
+++ b/src/bankrudder/node/_main.py
@@ -46,8 +46,9 @@
     lines = LineLimit(clock)
     sink = NonBlockingSink(sys.stdout.fileno())
     configure_logging(LogFormat.JSON, LogLevel.INFO, stream=sink, limit=lines)
+    path = Path(arguments.settings)
     try:
-        settings = load_settings(Path(arguments.settings))
+        settings = load_settings(path)
         configure_logging(
             LogFormat.JSON,
             LogLevel.INFO,
@@ -60,14 +61,29 @@
         _log.error("node: wrong settings", field=failure.field, reason=failure.detail)
         sys.exit(EXIT_WRONG_SETTINGS)
     try:
-        uvloop.run(_run(settings, make_adapter, clock, lines))
+        uvloop.run(_run(settings, path, make_adapter, clock, lines))
     except OSError as error:
         _log.error("node: not started", reason=str(error))
         sys.exit(EXIT_NOT_STARTED)
 
 
+def _reload(node: Node, path: Path) -> None:
+    try:
+        settings = load_settings(path)
+    except InvalidError as error:
+        failure = error.failure
+        _log.error(
+            "node: wrong settings, the ones in force stay",
+            field=failure.field,
+            reason=failure.detail,
+        )
+        return
+    node.reload(settings)
+
+
 async def _run(
     settings: NodeSettings,
+    path: Path,
     make_adapter: Callable[[NodeSettings], Adapter],
     clock: Clock,
     lines: LineLimit,
@@ -76,9 +92,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: _log.info("node: settings changed, nothing to reload")
-    )
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
     await node.run()
 
 
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol, Self
 
+import msgspec
 import structlog
 import uuid_utils
 
@@ -205,6 +206,22 @@
         """Make a node that `run` starts."""
         return cls(settings, adapter, clock, lines)
 
+    def reload(self, settings: NodeSettings) -> None:
+        """Take the settings that may change while the node runs.
+
+        These are the grace time and the length of leases; listeners, names and the
+        store stay as they were until the next start.
+        """
+        _log.info(
+            "node: settings reloaded",
+            grace_s=settings.grace_s,
+            lease_ms=settings.lease_ms,
+        )
+        self._settings = msgspec.structs.replace(
+            self._settings, grace_s=settings.grace_s, lease_ms=settings.lease_ms
+        )
+        self._lease.set_duration(settings.lease_ms / 1000)
+
     def stop(self) -> None:
         """Begin a planned stop."""
         self._stop_asked.set()
--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -56,6 +56,23 @@
 
     async def start(self):
         """Start the daemon without waiting until it is ready."""
+        self.write_settings()
+        with self.log_path.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(PROGRAM),
+                env={**os.environ, "BANKRUDDER_SETTINGS": str(self.settings_path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def settings_path(self):
+        """Where the daemon's settings are."""
+        return self._folder / f"{self.name}.json"
+
+    def write_settings(self, **changes):
+        """Write the daemon's settings."""
         settings = {
             "host": self.name,
             "data_centre": self._data_centre,
@@ -65,17 +82,9 @@
             "store": {"address": self._store_address},
             "lease_ms": 1000,
             "grace_s": 8,
+            **changes,
         }
-        path = self._folder / f"{self.name}.json"
-        path.write_text(json.dumps(settings))
-        with self.log_path.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(PROGRAM),
-                env={**os.environ, "BANKRUDDER_SETTINGS": str(path)},
-                stdout=log,
-                stderr=log,
-            )
+        self.settings_path.write_text(json.dumps(settings))
 
     async def is_ready(self):
         """Whether it says that it takes new connections."""
