--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -328,9 +328,8 @@
         """
         live = [
             host
-            for host in self._presence.live_hosts()
-            if self._presence.takes_new_work(host)
-            and (host != self._presence.host or not self._is_leaving)
+            for host in self._presence.batch_hosts()
+            if host != self._presence.host or not self._is_leaving
         ]
         host = self._last_owner.get(batch.model)
         if host not in live:
--- a/src/bankrudder/leases/_lease.py
+++ b/src/bankrudder/leases/_lease.py
@@ -70,6 +70,8 @@
         The hosts that are taken for alive, the same everywhere most of the time.
     duration_s : float
         Length of the lease in seconds; the platform's figure.
+    on_change : callable, optional
+        Told whether this host holds the lease whenever that changes.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         hosts: Callable[[], Sequence[HostId]],
         clock: Clock,
         duration_s: float,
+        on_change: Callable[[bool], None] = lambda _: None,
     ):
         self._store = store
         self._name = name
@@ -90,6 +93,7 @@
         self._hosts = hosts
         self._clock = clock
         self._duration_s = duration_s
+        self._on_change = on_change
         self._fence = ABSENT
         self._version = ABSENT
         self._count = 0
@@ -164,6 +168,7 @@
                 self._version = taken
                 self._count = 0
                 self._extend(began)
+                self._on_change(True)
                 _log.info("leases: taken", lease=self._name, fence=taken)
             case _:
                 self._seen = None
@@ -204,3 +209,4 @@
         _log.warning("leases: lost", lease=self._name, fence=self._fence, reason=reason)
         self._fence = ABSENT
         self._seen = None
+        self._on_change(False)
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -151,9 +151,10 @@
             "orders",
             settings.host,
             self._lifetime,
-            self._presence.live_hosts,
+            self._presence.duty_hosts,
             clock,
             settings.lease_ms / 1000,
+            self._presence.set_holds_lease,
         )
         self._switcher = VersionSwitcher(
             self._lease,
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -64,6 +64,10 @@
         What the host can carry, in cores of usual speed.
     interval_s : float
         Seconds until the next heartbeat.
+    is_busy : bool
+        Whether others wait for its work on batches.
+    holds_lease : bool
+        Whether it carries out a duty under a lease.
     """
 
     lifetime: Lifetime
@@ -71,6 +75,8 @@
     is_leaving: bool = False
     room: float = 1.0
     interval_s: float = HEARTBEAT_S
+    is_busy: bool = False
+    holds_lease: bool = False
 
 
 class Presence:
@@ -92,6 +98,7 @@
         self._count = 0
         self._is_leaving = False
         self._is_busy = False
+        self._holds_lease = False
         self._changed = asyncio.Event()
         self._writes_fail = False
         self._writes_since = 0.0
@@ -138,6 +145,25 @@
             if not beat.is_leaving and self._is_fresh(host)
         )
 
+    def set_holds_lease(self, holds_lease: bool) -> None:
+        """Tell the others whether this host carries out a duty under a lease."""
+        self._holds_lease = holds_lease
+
+    def duty_hosts(self) -> list[HostId]:
+        """Return the live hosts that should carry out duties under leases.
+
+        Hosts without batches go first, so that the loss of one host does not stop
+        both a step and the orders.
+        """
+        live = self.live_hosts()
+        return [host for host in live if not self._seen[host][0].is_busy] or live
+
+    def batch_hosts(self) -> list[HostId]:
+        """Return the hosts that should get new batches: those without duties first."""
+        hosts = [host for host in self.live_hosts() if self.takes_new_work(host)]
+        free = [host for host in hosts if not self._seen[host][0].holds_lease]
+        return free or hosts
+
     def takes_new_work(self, host: HostId) -> bool:
         """Whether a host stays, and was heard of as lately as it should have been."""
         seen = self._seen.get(host)
@@ -187,6 +213,8 @@
             self._is_leaving,
             self._room,
             self.interval_s,
+            self._is_busy,
+            self._holds_lease,
         )
         key = RowKey(HOSTS_TABLE, "", self._host)
         put = Put(key, msgspec.json.encode(beat))
--- a/tests/presence/test_hosts.py
+++ b/tests/presence/test_hosts.py
@@ -98,3 +98,18 @@
         host.task.cancel()
     await until(lambda: not hosts[2].presence.takes_new_work("a"), 2.0)
     await until(lambda: hosts[2].presence.live_hosts() == ["b", "c"], 3.0)
+
+
+async def test_duties_and_batches_go_to_different_hosts(hosts):
+    await all_known(hosts)
+    hosts[0].presence.set_busy(True)
+    hosts[1].presence.set_holds_lease(True)
+    presence = hosts[2].presence
+    await until(lambda: presence.duty_hosts() == ["b", "c"])
+    await until(lambda: presence.batch_hosts() == ["a", "c"])
+    for host in hosts:
+        host.presence.set_busy(True)
+        host.presence.set_holds_lease(True)
+    # Where all have some, all may have more.
+    await until(lambda: presence.duty_hosts() == ["a", "b", "c"])
+    await until(lambda: presence.batch_hosts() == ["a", "b", "c"])
