Split the modules of batches and of the endpoint client by job

Who owns what, reading for an owner, and progress have modules of their own; answers of endpoints are read beside their client.

--- a/src/bankrudder/batches/__init__.py
+++ b/src/bankrudder/batches/__init__.py
@@ -1,6 +1,7 @@
 """Batches of samples: acceptance, work on them, results."""
 
 from bankrudder.batches._cleaning import Cleaner
+from bankrudder.batches._progress import ProgressStore
 from bankrudder.batches._reading import BatchReader
 from bankrudder.batches._repository import BatchRepository
 from bankrudder.batches._scoring import Scorer
@@ -25,6 +26,7 @@
     "BatchService",
     "Cleaner",
     "GroupId",
+    "ProgressStore",
     "ResultPage",
     "ResultState",
     "RewardCall",
--- a/src/bankrudder/batches/_cleaning.py
+++ b/src/bankrudder/batches/_cleaning.py
@@ -9,10 +9,11 @@
 import msgspec
 import structlog
 
+from bankrudder.batches._progress import PROGRESS_TABLE
 from bankrudder.batches._repository import (
     BATCHES_TABLE,
+    MAX_TRANSACTION_ROWS,
     OWNERS_TABLE,
-    PROGRESS_TABLE,
     BatchRepository,
     row_trouble,
 )
@@ -124,8 +125,8 @@
             if not await self._is_due(name, now_s):
                 return
             keys = [row.key for row in page.rows]
-            for start in range(0, len(keys), 90):
-                part = tuple(keys[start : start + 90])
+            for start in range(0, len(keys), MAX_TRANSACTION_ROWS):
+                part = tuple(keys[start : start + MAX_TRANSACTION_ROWS])
                 await self._store.commit(Transaction(removals=part))
             _log.info("batches: old progress removed", model=model, samples=len(keys))
         if page.rows:
--- /dev/null
+++ b/src/bankrudder/batches/_loading.py
@@ -0,0 +1,97 @@
+"""Reading of what an owner needs to work on a batch."""
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+
+import msgspec
+import structlog
+
+from bankrudder.batches._progress import ProgressStore
+from bankrudder.batches._repository import (
+    BatchRepository,
+    UnknownBatchError,
+    row_trouble,
+)
+from bankrudder.batches._values import (
+    Batch,
+    BatchId,
+    Progress,
+    SampleId,
+    SampleResult,
+)
+from bankrudder.routing import Route, RoutingTable
+from bankrudder.store import StoreUnavailableError
+
+RELOAD_PAUSE_S = 0.2
+"""Pause after a batch could not be read from the store."""
+
+ROUTE_PAUSE_S = 1.0
+"""Pause while the batch's route is not configured."""
+
+_log = structlog.get_logger("batches")
+
+
+class LoadedBatch(msgspec.Struct, frozen=True):
+    """A batch, the results that are listed, and progress of the other samples."""
+
+    batch: Batch
+    listed: Sequence[SampleResult]
+    progress: Mapping[SampleId, Progress]
+
+
+class BatchLoader:
+    """Reads batches, as often as it takes."""
+
+    def __init__(
+        self,
+        repository: BatchRepository,
+        progress: ProgressStore,
+        routes: Callable[[], RoutingTable | None],
+    ):
+        self._repository = repository
+        self._progress = progress
+        self._routes = routes
+
+    async def load(self, batch_id: BatchId, batch: Batch | None) -> LoadedBatch | None:
+        """Return what is kept of a batch; None if its samples are not kept.
+
+        A batch that is given was accepted just now: nothing is listed yet.
+        """
+        while True:
+            try:
+                if batch is not None:
+                    return LoadedBatch(batch, (), await self._progress_of(batch))
+                loaded = await self._repository.load(batch_id)
+                listed = await self._repository.all_results(batch_id)
+                progress = await self._progress_of(loaded)
+                return LoadedBatch(loaded, listed, progress)
+            except UnknownBatchError:
+                _log.error("batches: samples not found", batch=batch_id)
+                return None
+            except StoreUnavailableError as error:
+                _log.warning(
+                    "batches: not read yet", batch=batch_id, reason=row_trouble(error)
+                )
+                await asyncio.sleep(RELOAD_PAUSE_S)
+
+    async def route_of(self, batch: Batch) -> Route:
+        """Return the route of a batch, once it is configured."""
+        while True:
+            table = self._routes()
+            for route in table.configuration.routes if table else ():
+                if route.name == batch.route:
+                    return route
+            _log.warning("batches: route not configured", batch=batch.id)
+            await asyncio.sleep(ROUTE_PAUSE_S)
+
+    async def _progress_of(self, batch: Batch) -> dict[SampleId, Progress]:
+        """Return what was generated of the samples before; none if it is not told."""
+        try:
+            progress = await self._progress.of_model(batch.model)
+        except StoreUnavailableError as error:
+            _log.warning(
+                "batches: progress not read", batch=batch.id, reason=row_trouble(error)
+            )
+            return {}
+        wanted = {sample.id for sample in batch.samples}
+        return {key: each for key, each in progress.items() if key in wanted}
--- /dev/null
+++ b/src/bankrudder/batches/_progress.py
@@ -0,0 +1,84 @@
+"""What was generated of samples that did not end.
+
+It lies in ``progress``, in one part for each model, so that a new owner of a batch, or
+a later batch with the same sample, finds it. Writes need no condition: text that is
+lost or too old is generated again.
+"""
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+import structlog
+
+from bankrudder.batches._repository import (
+    MAX_TRANSACTION_BYTES,
+    MAX_TRANSACTION_ROWS,
+    ROW_MARGIN_BYTES,
+    read_all,
+)
+from bankrudder.batches._values import Progress, SampleId
+from bankrudder.routing import ModelName
+from bankrudder.store import Committed, Put, RowKey, Store, Transaction
+
+PROGRESS_TABLE = "progress"
+
+_log = structlog.get_logger("batches")
+
+
+class ProgressStore:
+    """Reads and writes progress."""
+
+    def __init__(self, store: Store, row_bytes: int):
+        self._store = store
+        self._row_bytes = row_bytes - ROW_MARGIN_BYTES
+
+    async def save(
+        self, model: ModelName, progress: Iterable[tuple[SampleId, Progress]]
+    ) -> bool:
+        """Keep what was generated of samples; what does not fit is left out.
+
+        Returns
+        -------
+        bool
+            Whether all that fits is kept.
+        """
+        is_kept = True
+        puts: list[Put] = []
+        size = 0
+        for sample_id, each in progress:
+            value = msgspec.msgpack.encode(each)
+            if len(value) > self._row_bytes:
+                continue
+            if (
+                size + len(value) > MAX_TRANSACTION_BYTES
+                or len(puts) >= MAX_TRANSACTION_ROWS
+            ):
+                is_kept &= await self._put_rows(puts)
+                puts, size = [], 0
+            puts.append(Put(RowKey(PROGRESS_TABLE, model, sample_id), value))
+            size += len(value)
+        if puts:
+            is_kept &= await self._put_rows(puts)
+        return is_kept
+
+    async def of_model(self, model: ModelName) -> dict[SampleId, Progress]:
+        """Return all progress that is kept for a model."""
+        rows = await read_all(self._store, PROGRESS_TABLE, model)
+        return {
+            SampleId(row.key.key): msgspec.msgpack.decode(row.value, type=Progress)
+            for row in rows
+        }
+
+    async def drop(self, model: ModelName, samples: Iterable[SampleId]) -> None:
+        """Remove progress that is no longer needed; failing to is harmless."""
+        keys = [RowKey(PROGRESS_TABLE, model, sample) for sample in samples]
+        for start in range(0, len(keys), MAX_TRANSACTION_ROWS):
+            some = tuple(keys[start : start + MAX_TRANSACTION_ROWS])
+            await self._store.commit(Transaction(removals=some))
+
+    async def _put_rows(self, puts: Sequence[Put]) -> bool:
+        outcome = await self._store.commit(Transaction(puts=tuple(puts)))
+        if not isinstance(outcome, Committed):
+            _log.warning("batches: progress not saved", rows=len(puts))
+            return False
+        return True
--- a/src/bankrudder/batches/_repository.py
+++ b/src/bankrudder/batches/_repository.py
@@ -7,8 +7,6 @@
 - ``batches``: ``head``, and the samples in rows ``samples/N`` or in an object.
 - ``results``: one row for each result, named by its position.
 
-What was generated of samples that did not end lies in ``progress``, in one part for
-each model, so that a later batch with the same sample finds it.
 """
 
 import hashlib
@@ -22,11 +20,8 @@
     BatchHead,
     BatchId,
     Owner,
-    Progress,
-    SampleId,
     SampleResult,
 )
-from bankrudder.routing import ModelName
 from bankrudder.store import (
     ABSENT,
     Committed,
@@ -49,7 +44,6 @@
 OWNERS_TABLE = "owners"
 BATCHES_TABLE = "batches"
 RESULTS_TABLE = "results"
-PROGRESS_TABLE = "progress"
 
 MAX_INLINE_BYTES = 500_000
 """Samples that are larger go to an object: a transaction holds at most 1 MB, and
@@ -151,7 +145,7 @@
 
     async def load(self, batch_id: BatchId) -> Batch:
         """Return a whole batch; raises `UnknownBatchError`."""
-        rows = await self._read_all(BATCHES_TABLE, batch_id)
+        rows = await read_all(self._store, BATCHES_TABLE, batch_id)
         by_key = {row.key.key: row.value for row in rows}
         if _HEAD_KEY not in by_key:
             raise UnknownBatchError(batch_id)
@@ -237,7 +231,7 @@
 
     async def all_results(self, batch_id: BatchId) -> tuple[SampleResult, ...]:
         """Return all results that are listed."""
-        return _joined_results(await self._read_all(RESULTS_TABLE, batch_id))
+        return _joined_results(await read_all(self._store, RESULTS_TABLE, batch_id))
 
     async def end(self, batch_id: BatchId) -> bool:
         """End a batch; return whether there is one.
@@ -265,71 +259,18 @@
                 case Conflict():
                     continue  # a new owner, or an end whose reply was lost
 
-    async def save_progress(
-        self, model: ModelName, progress: Iterable[tuple[SampleId, Progress]]
-    ) -> bool:
-        """Keep what was generated of samples; what does not fit is left out.
-
-        Returns
-        -------
-        bool
-            Whether all that fits is kept.
-        """
-        is_kept = True
-        puts: list[Put] = []
-        size = 0
-        for sample_id, each in progress:
-            value = msgspec.msgpack.encode(each)
-            if len(value) > self._row_bytes:
-                continue
-            if (
-                size + len(value) > MAX_TRANSACTION_BYTES
-                or len(puts) >= MAX_TRANSACTION_ROWS
-            ):
-                is_kept &= await self._put_rows(puts)
-                puts, size = [], 0
-            puts.append(Put(RowKey(PROGRESS_TABLE, model, sample_id), value))
-            size += len(value)
-        if puts:
-            is_kept &= await self._put_rows(puts)
-        return is_kept
-
-    async def progress(self, model: ModelName) -> dict[SampleId, Progress]:
-        """Return all progress that is kept for a model."""
-        rows = await self._read_all(PROGRESS_TABLE, model)
-        return {
-            SampleId(row.key.key): msgspec.msgpack.decode(row.value, type=Progress)
-            for row in rows
-        }
-
-    async def drop_progress(
-        self, model: ModelName, samples: Iterable[SampleId]
-    ) -> None:
-        """Remove progress that is no longer needed; failing to is harmless."""
-        keys = [RowKey(PROGRESS_TABLE, model, sample) for sample in samples]
-        for start in range(0, len(keys), MAX_TRANSACTION_ROWS):
-            some = tuple(keys[start : start + MAX_TRANSACTION_ROWS])
-            await self._store.commit(Transaction(removals=some))
-
     async def forget(self, batch_id: BatchId) -> None:
         """Remove all that is kept of a batch that was ended long ago."""
         head = await self.head(batch_id)
         if head is not None and not head.chunks:
             await self._store.drop_object(_object_name(batch_id, head.digest))
         for table in (RESULTS_TABLE, BATCHES_TABLE):
-            rows = await self._read_all(table, batch_id)
+            rows = await read_all(self._store, table, batch_id)
             keys = [row.key for row in rows]
             for start in range(0, len(keys), MAX_TRANSACTION_ROWS):
                 some = tuple(keys[start : start + MAX_TRANSACTION_ROWS])
                 await self._store.commit(Transaction(removals=some))
 
-    async def _put_rows(self, puts: Sequence[Put]) -> bool:
-        outcome = await self._store.commit(Transaction(puts=tuple(puts)))
-        if not isinstance(outcome, Committed):
-            _log.warning("batches: progress not saved", rows=len(puts))
-            return False
-        return True
-
     async def _put_object(self, batch_id: BatchId, digest: str, body: bytes) -> None:
         outcome = await self._store.put_object(_object_name(batch_id, digest), body)
         match outcome:
@@ -338,16 +279,6 @@
             case _:
                 raise StoreUnavailableError(outcome.trouble)
 
-    async def _read_all(self, table: str, part: str) -> list[Row]:
-        rows: list[Row] = []
-        start = ""
-        while True:
-            page = await self._store.read(table, part, start)
-            rows += page.rows
-            if not page.has_more or not page.rows:
-                return rows
-            start = page.rows[-1].key.key + "\0"
-
     def _result_puts(
         self, batch_id: BatchId, position: int, result: SampleResult
     ) -> Iterable[Put]:
@@ -364,6 +295,18 @@
         return [body[start : start + size] for start in range(0, len(body), size)]
 
 
+async def read_all(store: Store, table: str, part: str) -> list[Row]:
+    """Return all rows of one part."""
+    rows: list[Row] = []
+    start = ""
+    while True:
+        page = await store.read(table, part, start)
+        rows += page.rows
+        if not page.has_more or not page.rows:
+            return rows
+        start = page.rows[-1].key.key + "\0"
+
+
 def owner_key(batch_id: BatchId) -> RowKey:
     """Return the key of the row that names a batch's owner."""
     return RowKey(OWNERS_TABLE, batch_id, _OWNER_KEY)
--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -6,6 +6,7 @@
 import structlog
 
 from bankrudder.batches._dispatcher import Dispatcher
+from bankrudder.batches._progress import ProgressStore
 from bankrudder.batches._repository import (
     MAX_TRANSACTION_BYTES,
     BatchRepository,
@@ -67,6 +68,7 @@
         retention_left_s: float,
         *,
         repository: BatchRepository,
+        progress_store: ProgressStore,
         dispatcher: Dispatcher,
         scorer: Scorer,
         client: EndpointClient,
@@ -78,6 +80,7 @@
         self._fence = fence
         self._next_position = len(listed)
         self._repository = repository
+        self._progress = progress_store
         self._dispatcher = dispatcher
         self._scorer = scorer
         self._client = client
@@ -162,7 +165,7 @@
                 for each in self._generators
                 if self._is_due(each)
             ]
-            if due and await self._repository.save_progress(self._batch.model, due):
+            if due and await self._progress.save(self._batch.model, due):
                 for sample_id, progress in due:
                     self._saved_events[sample_id] = progress.next_number
 
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -1,18 +1,19 @@
 """All batches as this host sees them: acceptance, ownership, ends."""
 
 import asyncio
-import hashlib
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import msgspec
 import structlog
 
 from bankrudder.batches._dispatcher import Dispatcher
+from bankrudder.batches._loading import BatchLoader
+from bankrudder.batches._ownership import OwnerBook
+from bankrudder.batches._progress import ProgressStore
 from bankrudder.batches._repository import (
     OWNERS_TABLE,
     BatchRepository,
-    UnknownBatchError,
     row_trouble,
 )
 from bankrudder.batches._run import BatchRun
@@ -21,13 +22,10 @@
     Batch,
     BatchId,
     Owner,
-    Progress,
-    SampleId,
-    SampleResult,
 )
 from bankrudder.fleet import EndpointClient, EndpointDirectory
-from bankrudder.presence import Lifetime, Presence
-from bankrudder.routing import ModelName, Route, RoutingTable
+from bankrudder.presence import Presence
+from bankrudder.routing import Route, RoutingTable
 from bankrudder.store import (
     ABSENT,
     NotSettledError,
@@ -38,31 +36,14 @@
     StoreUnavailableError,
     TableFollower,
 )
-from bankrudder.world import Clock, HostId, ModelVersion
+from bankrudder.world import Clock
 
 LOOK_S = 0.15
 """How often batches without an owner are looked for."""
 
-RANK_DELAY_S = 0.4
-"""Hosts take over one after the other, this far apart, so that seldom two try."""
-
-MAX_RANK = 3
-"""Hosts beyond it wait no longer than this rank."""
-
 DEFAULT_RETENTION_S = 60.0
 """Time for which samples are tried if the route does not say it."""
 
-WORK_WEIGHT = 0.3
-"""Weight of the newest batch in the mean size of a model's batches."""
-
-USUAL_TOKENS = 1000
-"""Tokens that a sample is expected to generate if it says nothing."""
-
-RELOAD_PAUSE_S = 0.2
-"""Pause after a batch could not be read from the store."""
-
-_Found = tuple[Batch, Sequence[SampleResult], dict[SampleId, Progress]]
-
 _log = structlog.get_logger("batches")
 
 
@@ -79,6 +60,7 @@
         self,
         store: Store,
         repository: BatchRepository,
+        progress: ProgressStore,
         presence: Presence,
         directory: EndpointDirectory,
         client: EndpointClient,
@@ -90,20 +72,18 @@
         self._loaded = loaded
         self._following: asyncio.Task[None] | None = None
         self._repository = repository
+        self._progress = progress
+        self._loader = BatchLoader(repository, progress, routes)
         self._presence = presence
         self._directory = directory
         self._client = client
         self._scorer = scorer
-        self._routes = routes
         self._clock = clock
         self._dispatcher = Dispatcher(directory, clock)
-        self._owners: dict[BatchId, tuple[Owner, RowVersion]] = {}
-        self._ownerless_since: dict[BatchId, float] = {}
+        self._owners = OwnerBook(presence, clock)
         self._runs: dict[BatchId, asyncio.Task[None]] = {}
         self._batches: dict[BatchId, BatchRun] = {}
         self._fences: dict[BatchId, RowVersion] = {}
-        self._last_owner: dict[ModelName, HostId] = {}
-        self._mean_work: dict[ModelName, float] = {}
         self._is_leaving = False
         self._background: set[asyncio.Task[None]] = set()
         self._follower = TableFollower(
@@ -114,6 +94,11 @@
             on_removed=self._on_ended,
         )
 
+    @property
+    def owners(self) -> OwnerBook:
+        """Who works on which batch."""
+        return self._owners
+
     @property
     def running_count(self) -> int:
         """Number of batches that this host works on."""
@@ -134,7 +119,7 @@
         NotSettledError
             If that is not known.
         """
-        owner = self._pick_owner(batch)
+        owner = self._owners.pick(batch, may_be_me=not self._is_leaving)
         outcome = await self._repository.accept(batch, owner)
         _log.info(
             "batches: accepted" if outcome.fence else "batches: accepted before",
@@ -143,23 +128,10 @@
             min_version=batch.min_version,
             is_same=outcome.is_same,
         )
-        if outcome.fence and owner.lifetime == self._presence.lifetime:
+        if outcome.fence and self._owners.is_mine(owner):
             self._begin(batch.id, outcome.fence, batch)
         return outcome.is_same
 
-    def work_of(self, model: ModelName) -> float:
-        """Return the mean size of a model's latest batches in tokens, 0 if unknown."""
-        return self._mean_work.get(model, 0.0)
-
-    def needed_version(self, model: ModelName) -> ModelVersion:
-        """Return the newest of the oldest versions that open batches allow."""
-        needed = (
-            owner.min_version
-            for owner, _ in self._owners.values()
-            if owner.model == model
-        )
-        return max(needed, default=ModelVersion(0))
-
     async def run(self) -> None:
         """Follow the owners and take over what is without one, until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -186,10 +158,9 @@
         if run is None or fence is None:
             await self._stop(batch_id)
             return
-        if not await self._repository.save_progress(run.batch.model, run.unfinished()):
+        if not await self._progress.save(run.batch.model, run.unfinished()):
             return
-        known = self._owners.get(batch_id)
-        before = known[0] if known else Owner("", "", run.batch.model)
+        before = self._owners.get(batch_id) or Owner("", "", run.batch.model)
         nobody = msgspec.structs.replace(before, host="", lifetime="")
         try:
             await self._repository.set_owner(batch_id, fence, nobody)
@@ -227,11 +198,11 @@
     async def _work(
         self, batch_id: BatchId, fence: RowVersion, batch: Batch | None
     ) -> None:
-        found = await self._found(batch_id, batch)
+        found = await self._loader.load(batch_id, batch)
         if found is None:
             return
-        batch, listed, progress = found
-        route = await self._route_of(batch)
+        batch, listed, progress = found.batch, found.listed, found.progress
+        route = await self._loader.route_of(batch)
         run = BatchRun(
             batch,
             route,
@@ -241,6 +212,7 @@
             progress,
             route.retention_s or DEFAULT_RETENTION_S,
             repository=self._repository,
+            progress_store=self._progress,
             dispatcher=self._dispatcher,
             scorer=self._scorer,
             client=self._client,
@@ -257,46 +229,7 @@
         await run.run()
         useless = run.saved_and_listed()
         if useless:
-            await self._repository.drop_progress(batch.model, useless)
-
-    async def _found(self, batch_id: BatchId, batch: Batch | None) -> _Found | None:
-        """Return a batch and what was done of it; None if its samples are not kept."""
-        while True:
-            try:
-                if batch is not None:
-                    return batch, (), await self._progress(batch)
-                loaded = await self._repository.load(batch_id)
-                listed = await self._repository.all_results(batch_id)
-                return loaded, listed, await self._progress(loaded)
-            except UnknownBatchError:
-                _log.error("batches: samples not found", batch=batch_id)
-                return None
-            except StoreUnavailableError as error:
-                _log.warning(
-                    "batches: not read yet", batch=batch_id, reason=row_trouble(error)
-                )
-                await asyncio.sleep(RELOAD_PAUSE_S)
-
-    async def _progress(self, batch: Batch) -> dict[SampleId, Progress]:
-        """Return what was generated of the samples before; none if it is not told."""
-        try:
-            progress = await self._repository.progress(batch.model)
-        except StoreUnavailableError as error:
-            _log.warning(
-                "batches: progress not read", batch=batch.id, reason=row_trouble(error)
-            )
-            return {}
-        wanted = {sample.id for sample in batch.samples}
-        return {key: each for key, each in progress.items() if key in wanted}
-
-    async def _route_of(self, batch: Batch) -> Route:
-        while True:
-            table = self._routes()
-            for route in table.configuration.routes if table else ():
-                if route.name == batch.route:
-                    return route
-            _log.warning("batches: route not configured", batch=batch.id)
-            await asyncio.sleep(1.0)
+            await self._progress.drop(batch.model, useless)
 
     async def _stop(self, batch_id: BatchId) -> None:
         task = self._runs.get(batch_id)
@@ -307,13 +240,9 @@
     def _on_owner(self, row: Row) -> None:
         batch_id = BatchId(row.key.part)
         owner = msgspec.json.decode(row.value, type=Owner)
-        if batch_id not in self._owners:
-            self._note_work(owner)
-        self._owners[batch_id] = (owner, row.version)
-        if owner.host:
-            self._last_owner[owner.model] = HostId(owner.host)
+        self._owners.put(batch_id, owner, row.version)
         fence = self._fences.get(batch_id, ABSENT)
-        is_mine = owner.lifetime == self._presence.lifetime
+        is_mine = self._owners.is_mine(owner)
         if not is_mine and batch_id in self._runs and row.version > fence:
             _log.warning("batches: lost to another owner", batch=batch_id)
             self._runs[batch_id].cancel()
@@ -321,52 +250,9 @@
             # The reply to the acceptance or the takeover was lost.
             self._begin(batch_id, row.version)
 
-    def _pick_owner(self, batch: Batch) -> Owner:
-        """Return who shall work on a batch: the owner of the model's last one.
-
-        That host has connections to the engines and knows how quick they are.
-        """
-        live = [
-            host
-            for host in self._presence.batch_hosts()
-            if host != self._presence.host or not self._is_leaving
-        ]
-        host = self._last_owner.get(batch.model)
-        if host not in live:
-            host = self._roomiest(live, batch.model)
-        lifetime = self._presence.lifetime_of(host) if host is not None else None
-        if host == self._presence.host:
-            lifetime = self._presence.lifetime
-        is_known = host is not None and lifetime is not None
-        return Owner(
-            host=host if host is not None and is_known else "",
-            lifetime=lifetime if lifetime is not None else "",
-            model=batch.model,
-            work=_expected_tokens(batch),
-            min_version=batch.min_version,
-        )
-
-    def _roomiest(self, hosts: Sequence[HostId], model: ModelName) -> HostId | None:
-        """Return a host with much room, another one for each model if there are."""
-        taken = set(self._last_owner.values())
-        return max(
-            hosts,
-            key=lambda host: (
-                self._presence.room_of(host),
-                host not in taken,
-                hashlib.md5(f"{model}/{host}".encode()).digest(),
-            ),
-            default=None,
-        )
-
-    def _note_work(self, owner: Owner) -> None:
-        mean = self._mean_work.get(owner.model, owner.work)
-        self._mean_work[owner.model] = mean + WORK_WEIGHT * (owner.work - mean)
-
     def _on_ended(self, key: RowKey) -> None:
         batch_id = BatchId(key.part)
-        self._owners.pop(batch_id, None)
-        self._ownerless_since.pop(batch_id, None)
+        self._owners.remove(batch_id)
         self._fences.pop(batch_id, None)
         run = self._batches.get(batch_id)
         if batch_id in self._runs:
@@ -378,11 +264,11 @@
     async def _keep_progress(self, run: BatchRun) -> None:
         """Keep what a batch leaves behind, and nothing else of it."""
         unfinished = run.unfinished()
-        await self._repository.save_progress(run.batch.model, unfinished)
+        await self._progress.save(run.batch.model, unfinished)
         left = {sample_id for sample_id, _ in unfinished}
         useless = [key for key in run.saved_and_listed() if key not in left]
         if useless:
-            await self._repository.drop_progress(run.batch.model, useless)
+            await self._progress.drop(run.batch.model, useless)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -396,46 +282,32 @@
             self._presence.set_busy(bool(self._runs))
             if self._is_leaving or self._follower.lost_since is not None:
                 continue
-            now = self._clock.monotonic()
-            for batch_id, (owner, version) in list(self._owners.items()):
-                if self._has_owner(owner):
-                    self._ownerless_since.pop(batch_id, None)
-                    continue
-                since = self._ownerless_since.setdefault(batch_id, now)
-                if now - since >= self._rank(batch_id) * RANK_DELAY_S:
-                    await self._take_over(batch_id, owner, version)
+            for batch_id, owner, version in self._owners.due_for_me():
+                await self._take_over(batch_id, owner, version)
 
     def _follow_loads(self) -> None:
         """Follow the loaded versions while there is work, as each change is a read."""
         if self._loaded is None:
             return
         if self._runs and self._following is None:
-            self._following = asyncio.ensure_future(self._loaded.run())
+            self._following = asyncio.ensure_future(self._follow_until_done())
         elif not self._runs and self._following is not None:
             self._following.cancel()
             self._following = None
 
-    def _has_owner(self, owner: Owner) -> bool:
-        if not owner.host:
-            return False
-        return self._presence.is_alive(HostId(owner.host), Lifetime(owner.lifetime))
-
-    def _rank(self, batch_id: BatchId) -> int:
-        """Return this host's place among those that would take a batch over."""
-        hosts = sorted(
-            self._presence.live_hosts(),
-            key=lambda host: hashlib.md5(f"{batch_id}/{host}".encode()).digest(),
-        )
-        if self._presence.host not in hosts:
-            return MAX_RANK
-        return min(hosts.index(self._presence.host), MAX_RANK)
+    async def _follow_until_done(self) -> None:
+        assert self._loaded is not None
+        while True:
+            try:
+                await self._loaded.run()
+            except Exception:
+                _log.exception("batches: loaded versions not followed, trying again")
+            await asyncio.sleep(LOOK_S)
 
     async def _take_over(
         self, batch_id: BatchId, before: Owner, version: RowVersion
     ) -> None:
-        owner = msgspec.structs.replace(
-            before, host=self._presence.host, lifetime=self._presence.lifetime
-        )
+        owner = self._owners.mine(before)
         try:
             fence = await self._repository.set_owner(batch_id, version, owner)
         except (StoreUnavailableError, NotSettledError) as error:
@@ -452,9 +324,5 @@
             owner_before=before.host,
             lifetime_before=before.lifetime,
         )
-        self._owners[batch_id] = (owner, fence)
+        self._owners.put(batch_id, owner, fence)
         self._begin(batch_id, fence)
-
-
-def _expected_tokens(batch: Batch) -> int:
-    return sum(sample.length_hint or USUAL_TOKENS for sample in batch.samples)
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -13,6 +13,7 @@
     BatchRepository,
     BatchService,
     Cleaner,
+    ProgressStore,
     Scorer,
 )
 from bankrudder.fleet import EndpointClient, EndpointDirectory
@@ -132,6 +133,7 @@
         self._batches = BatchService(
             store,
             repository,
+            ProgressStore(store, settings.store.row_bytes),
             self._presence,
             directory,
             adapter.endpoints,
@@ -162,8 +164,8 @@
             directory,
             adapter.endpoints,
             self._view.named_versions,
-            self._batches.work_of,
-            self._batches.needed_version,
+            self._batches.owners.work_of,
+            self._batches.owners.needed_version,
             announcer,
             self._routes,
             clock,
--- /dev/null
+++ b/src/bankrudder/platform/_answers.py
@@ -0,0 +1,162 @@
+"""Headers to endpoints, and reading of their answers."""
+
+import asyncio
+from collections.abc import Iterable
+
+import aiohttp
+from multidict import CIMultiDict
+
+from bankrudder.fleet import (
+    Answered,
+    Endpoint,
+    Headers,
+    LossReason,
+    Lost,
+    OpenedStream,
+    OutgoingRequest,
+    RefusalReason,
+    Refused,
+    ReportedLoad,
+    SendOutcome,
+    StreamOutcome,
+)
+from bankrudder.platform import _names as names
+from bankrudder.platform._events import read_events
+from bankrudder.world import ModelVersion
+
+NOT_FORWARDED = frozenset(
+    name.lower()
+    for name in (
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Connection",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "TE",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+        "Content-Length",
+        "Host",
+        "Expect",
+        names.TIME_LEFT_MS,
+        names.EXPECTED_ENDPOINT,
+        names.LAST_EVENT,
+    )
+)
+"""Headers that concern one connection only, or that are set anew for each send."""
+
+
+def request_headers(endpoint: Endpoint, request: OutgoingRequest) -> CIMultiDict[str]:
+    """Return the headers that an endpoint receives."""
+    headers = CIMultiDict(
+        (name, value)
+        for name, value in request.headers
+        if name.lower() not in NOT_FORWARDED
+    )
+    headers["Host"] = request.host
+    headers[names.REQUEST_ID] = request.request_id
+    headers[names.TIME_LEFT_MS] = str(max(int(request.timeout_s * 1000), 1))
+    headers[names.EXPECTED_ENDPOINT] = endpoint.id
+    if request.resume_after >= 0:
+        headers[names.LAST_EVENT] = str(request.resume_after)
+    return headers
+
+
+def is_answer_to(response: aiohttp.ClientResponse, request: OutgoingRequest) -> bool:
+    """Whether a response belongs to a request, by the identifier it echoes."""
+    # A refusal may come before the endpoint read the identifier.
+    echoed = response.headers.get(names.REQUEST_ID)
+    if echoed is None:
+        return response.status >= 400 and names.ANSWER_PROOF not in response.headers
+    return echoed == request.request_id
+
+
+async def whole_answer(response: aiohttp.ClientResponse) -> SendOutcome:
+    """Read a whole answer, or say why there is none."""
+    load = _load(response)
+    if _is_refusal(response):
+        await response.read()
+        return Refused(_refusal_reason(response.status), load)
+    if "Content-Encoding" in response.headers:
+        response.close()
+        return Lost(LossReason.BROKEN_OFF)
+    closed = _closing_of_unframed(response)
+    body = await response.read()
+    if closed is not None and not await _was_closed_cleanly(closed):
+        return Lost(LossReason.BROKEN_OFF)
+    proof = response.headers.get(names.ANSWER_PROOF, "")
+    return Answered(response.status, _answer_headers(response), body, load, proof)
+
+
+async def stream_outcome(
+    response: aiohttp.ClientResponse, request: OutgoingRequest
+) -> StreamOutcome:
+    """Return the stream of a response, or its whole answer if it is none."""
+    if not is_answer_to(response, request):
+        return Lost(LossReason.FOREIGN_ANSWER)
+    if response.status != 200:
+        return await whole_answer(response)
+    version = response.headers.get(names.WEIGHT_VERSION, "")
+    return OpenedStream(
+        response.status,
+        _answer_headers(response),
+        ModelVersion(int(version)) if version.isdigit() else None,
+        read_events(response),
+    )
+
+
+def _closing_of_unframed(
+    response: aiohttp.ClientResponse,
+) -> "asyncio.Future[None] | None":
+    """Return the end of the connection if only that ends the body."""
+    headers = response.headers
+    if "Content-Length" in headers or "Transfer-Encoding" in headers:
+        return None
+    connection = response.connection
+    if connection is None or connection.protocol is None:
+        return None
+    return connection.protocol.closed
+
+
+async def _was_closed_cleanly(closed: "asyncio.Future[None]") -> bool:
+    try:
+        await closed
+    except (aiohttp.ClientError, OSError):
+        return False
+    return True
+
+
+def _is_refusal(response: aiohttp.ClientResponse) -> bool:
+    return response.status == 421 or names.NOT_RUN in response.headers
+
+
+def _refusal_reason(status: int) -> RefusalReason:
+    match status:
+        case 421:
+            return RefusalReason.OTHER_ENDPOINT
+        case 429 | 503:
+            return RefusalReason.FULL
+        case _:
+            return RefusalReason.REJECTED
+
+
+def _load(response: aiohttp.ClientResponse) -> ReportedLoad | None:
+    parts = response.headers.get(names.ENDPOINT_LOAD, "").split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return ReportedLoad(running, waiting, slots)
+
+
+def _answer_headers(response: aiohttp.ClientResponse) -> Headers:
+    return tuple(_kept(response.headers.items()))
+
+
+def _kept(headers: Iterable[tuple[str, str]]) -> Iterable[tuple[str, str]]:
+    return (
+        (name, value)
+        for name, value in headers
+        if name.lower() not in NOT_FORWARDED
+        and name.lower() != names.ENDPOINT_LOAD.lower()
+    )
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -1,36 +1,35 @@
 """Requests and orders to endpoints over HTTP."""
 
-import asyncio
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
 
 import aiohttp
 import msgspec
 import structlog
-from multidict import CIMultiDict
 from yarl import URL
 
 from bankrudder.fleet import (
-    Answered,
     Endpoint,
     EngineState,
-    Headers,
     LossReason,
     Lost,
-    OpenedStream,
     OrderOutcome,
     OutgoingRequest,
     RefusalReason,
     Refused,
-    ReportedLoad,
     SendOutcome,
     StreamOutcome,
     SwitchMode,
     VersionOrder,
 )
 from bankrudder.platform import _names as names
-from bankrudder.platform._events import read_events
+from bankrudder.platform._answers import (
+    is_answer_to,
+    request_headers,
+    stream_outcome,
+    whole_answer,
+)
 from bankrudder.routing import ModelName, ServiceName
 from bankrudder.world import ModelVersion
 
@@ -55,28 +54,6 @@
 NOT_KEPT = 0.0
 """Idle time of connections that are closed after each request."""
 
-NOT_FORWARDED = frozenset(
-    name.lower()
-    for name in (
-        "Connection",
-        "Keep-Alive",
-        "Proxy-Connection",
-        "Proxy-Authenticate",
-        "Proxy-Authorization",
-        "TE",
-        "Trailer",
-        "Transfer-Encoding",
-        "Upgrade",
-        "Content-Length",
-        "Host",
-        "Expect",
-        names.TIME_LEFT_MS,
-        names.EXPECTED_ENDPOINT,
-        names.LAST_EVENT,
-    )
-)
-"""Headers that concern one connection only, or that are set anew for each send."""
-
 _MODES = {SwitchMode.FINISH_FIRST: "wait", SwitchMode.CONTINUE: "keep"}
 
 _ORDER_OUTCOMES = {
@@ -121,10 +98,10 @@
         try:
             async with self._request(endpoint, request) as response:
                 self._learn_idle_time(endpoint, response)
-                if not _is_answer_to(response, request):
+                if not is_answer_to(response, request):
                     response.close()
                     return Lost(LossReason.FOREIGN_ANSWER)
-                return await _whole_answer(response)
+                return await whole_answer(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Refused(RefusalReason.UNREACHABLE)
         except TimeoutError:
@@ -144,7 +121,7 @@
         try:
             response = await self._request(endpoint, request)
             self._learn_idle_time(endpoint, response)
-            outcome = await _stream_outcome(response, request)
+            outcome = await stream_outcome(response, request)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             outcome = Refused(RefusalReason.UNREACHABLE)
         except TimeoutError:
@@ -212,7 +189,7 @@
         ).request(
             request.method,
             _url(endpoint, request.target),
-            headers=_headers(endpoint, request),
+            headers=request_headers(endpoint, request),
             data=request.body or None,
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             allow_redirects=False,
@@ -263,114 +240,3 @@
 
 def _url(endpoint: Endpoint, target: str) -> URL:
     return URL(f"http://{endpoint.address}{target}", encoded=True)
-
-
-def _headers(endpoint: Endpoint, request: OutgoingRequest) -> CIMultiDict[str]:
-    headers = CIMultiDict(
-        (name, value)
-        for name, value in request.headers
-        if name.lower() not in NOT_FORWARDED
-    )
-    headers["Host"] = request.host
-    headers[names.REQUEST_ID] = request.request_id
-    headers[names.TIME_LEFT_MS] = str(max(int(request.timeout_s * 1000), 1))
-    headers[names.EXPECTED_ENDPOINT] = endpoint.id
-    if request.resume_after >= 0:
-        headers[names.LAST_EVENT] = str(request.resume_after)
-    return headers
-
-
-def _is_answer_to(response: aiohttp.ClientResponse, request: OutgoingRequest) -> bool:
-    # A refusal may come before the endpoint read the identifier.
-    echoed = response.headers.get(names.REQUEST_ID)
-    if echoed is None:
-        return response.status >= 400 and names.ANSWER_PROOF not in response.headers
-    return echoed == request.request_id
-
-
-async def _whole_answer(response: aiohttp.ClientResponse) -> SendOutcome:
-    load = _load(response)
-    if _is_refusal(response):
-        await response.read()
-        return Refused(_refusal_reason(response.status), load)
-    if "Content-Encoding" in response.headers:
-        response.close()
-        return Lost(LossReason.BROKEN_OFF)
-    closed = _closing_of_unframed(response)
-    body = await response.read()
-    if closed is not None and not await _was_closed_cleanly(closed):
-        return Lost(LossReason.BROKEN_OFF)
-    proof = response.headers.get(names.ANSWER_PROOF, "")
-    return Answered(response.status, _answer_headers(response), body, load, proof)
-
-
-async def _stream_outcome(
-    response: aiohttp.ClientResponse, request: OutgoingRequest
-) -> StreamOutcome:
-    if not _is_answer_to(response, request):
-        return Lost(LossReason.FOREIGN_ANSWER)
-    if response.status != 200:
-        return await _whole_answer(response)
-    version = response.headers.get(names.WEIGHT_VERSION, "")
-    return OpenedStream(
-        response.status,
-        _answer_headers(response),
-        ModelVersion(int(version)) if version.isdigit() else None,
-        read_events(response),
-    )
-
-
-def _closing_of_unframed(
-    response: aiohttp.ClientResponse,
-) -> "asyncio.Future[None] | None":
-    """Return the end of the connection if only that ends the body."""
-    headers = response.headers
-    if "Content-Length" in headers or "Transfer-Encoding" in headers:
-        return None
-    connection = response.connection
-    if connection is None or connection.protocol is None:
-        return None
-    return connection.protocol.closed
-
-
-async def _was_closed_cleanly(closed: "asyncio.Future[None]") -> bool:
-    try:
-        await closed
-    except (aiohttp.ClientError, OSError):
-        return False
-    return True
-
-
-def _is_refusal(response: aiohttp.ClientResponse) -> bool:
-    return response.status == 421 or names.NOT_RUN in response.headers
-
-
-def _refusal_reason(status: int) -> RefusalReason:
-    match status:
-        case 421:
-            return RefusalReason.OTHER_ENDPOINT
-        case 429 | 503:
-            return RefusalReason.FULL
-        case _:
-            return RefusalReason.REJECTED
-
-
-def _load(response: aiohttp.ClientResponse) -> ReportedLoad | None:
-    parts = response.headers.get(names.ENDPOINT_LOAD, "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ReportedLoad(running, waiting, slots)
-
-
-def _answer_headers(response: aiohttp.ClientResponse) -> Headers:
-    return tuple(_kept(response.headers.items()))
-
-
-def _kept(headers: Iterable[tuple[str, str]]) -> Iterable[tuple[str, str]]:
-    return (
-        (name, value)
-        for name, value in headers
-        if name.lower() not in NOT_FORWARDED
-        and name.lower() != names.ENDPOINT_LOAD.lower()
-    )
--- a/tests/batches/conftest.py
+++ b/tests/batches/conftest.py
@@ -1,6 +1,6 @@
 import pytest
 
-from bankrudder.batches import BatchRepository
+from bankrudder.batches import BatchRepository, ProgressStore
 from bankrudder.platform._store import PlatformStore
 from bankrudder.world import SystemClock
 from outside.store import StoreGate, StoreRows
@@ -28,3 +28,8 @@
 @pytest.fixture
 def repository(store):
     return BatchRepository(store, SystemClock(), row_bytes=65536)
+
+
+@pytest.fixture
+def progress_store(store):
+    return ProgressStore(store, row_bytes=65536)
--- a/tests/batches/test_cleaning.py
+++ b/tests/batches/test_cleaning.py
@@ -61,13 +61,13 @@
     assert await repository.load("b1") == batch()
 
 
-async def test_progress_that_nobody_takes_up_goes(cleaner, timed, repository):
-    await repository.save_progress("m", [("s1", Progress(("a",), (1,), 1))])
+async def test_progress_that_nobody_takes_up_goes(cleaner, timed, progress_store):
+    await progress_store.save("m", [("s1", Progress(("a",), (1,), 1))])
     await cleaner.clean()
     timed.now_s += RETENTION_S + MARGIN_S
-    await repository.save_progress("m", [("s2", Progress(("a",), (1,), 1))])
+    await progress_store.save("m", [("s2", Progress(("a",), (1,), 1))])
     await cleaner.clean()
-    assert len(await repository.progress("m")) == 2
+    assert len(await progress_store.of_model("m")) == 2
     timed.now_s += RETENTION_S + MARGIN_S
     await cleaner.clean()
-    assert await repository.progress("m") == {}
+    assert await progress_store.of_model("m") == {}
--- a/tests/batches/test_repository.py
+++ b/tests/batches/test_repository.py
@@ -114,10 +114,10 @@
         await repository.load("none")
 
 
-async def test_progress_is_found_by_model_and_sample(repository):
+async def test_progress_is_found_by_model_and_sample(progress_store):
     progress = Progress(("a", "b"), (1, 2), 2)
-    await repository.save_progress("m", [("s1", progress)])
-    assert await repository.progress("m") == {"s1": progress}
-    assert await repository.progress("other") == {}
-    await repository.drop_progress("m", ["s1"])
-    assert await repository.progress("m") == {}
+    await progress_store.save("m", [("s1", progress)])
+    assert await progress_store.of_model("m") == {"s1": progress}
+    assert await progress_store.of_model("other") == {}
+    await progress_store.drop("m", ["s1"])
+    assert await progress_store.of_model("m") == {}
