Let samples follow their route when a configuration moves or removes it

Cause: an owner kept the route and the service that it had read at the beginning. Change: each run looks its route up; without one the sample is given up. Tests: two in tests/node/test_batches.py, both fail before.

--- a/src/bankrudder/batches/_loading.py
+++ b/src/bankrudder/batches/_loading.py
@@ -19,7 +19,7 @@
     SampleId,
     SampleResult,
 )
-from bankrudder.routing import Route, RoutingTable
+from bankrudder.routing import Route, RouteKind, RoutingTable
 from bankrudder.store import StoreUnavailableError
 
 RELOAD_PAUSE_S = 0.2
@@ -84,6 +84,12 @@
             _log.warning("batches: route not configured", batch=batch.id)
             await asyncio.sleep(ROUTE_PAUSE_S)
 
+    def route_now(self, host: str, target: str) -> Route | None:
+        """Return the route that a sample goes by now, None if none is configured."""
+        table = self._routes()
+        route = table.match(host, target.partition("?")[0]) if table else None
+        return route if route and route.kind is RouteKind.ROLLOUT else None
+
     async def _progress_of(self, batch: Batch) -> dict[SampleId, Progress]:
         """Return what was generated of the samples before; none if it is not told."""
         try:
--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -1,7 +1,7 @@
 """Work on one batch by its owner: all samples, and the listing of their results."""
 
 import asyncio
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import structlog
 
@@ -24,7 +24,7 @@
     SampleResult,
 )
 from bankrudder.fleet import EndpointClient
-from bankrudder.routing import Route, ServiceName
+from bankrudder.routing import Route
 from bankrudder.store import NotSettledError, RowVersion, StoreUnavailableError
 from bankrudder.world import Clock
 
@@ -60,8 +60,7 @@
     def __init__(
         self,
         batch: Batch,
-        route: Route,
-        service: ServiceName,
+        route_now: Callable[[str, str], Route | None],
         fence: RowVersion,
         listed: Sequence[SampleResult],
         progress: Mapping[SampleId, Progress],
@@ -75,8 +74,6 @@
         clock: Clock,
     ):
         self._batch = batch
-        self._route = route
-        self._service = service
         self._fence = fence
         self._next_position = len(listed)
         self._repository = repository
@@ -93,8 +90,7 @@
             SampleGenerator(
                 batch,
                 sample,
-                route,
-                service,
+                route_now,
                 ranks[sample.id],
                 dispatcher,
                 client,
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -1,7 +1,7 @@
 """Generation of one sample: runs on engines, resumed where one broke off."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import structlog
 
@@ -20,7 +20,7 @@
     StreamEvent,
     TrackedEndpoint,
 )
-from bankrudder.routing import Route, ServiceName
+from bankrudder.routing import Route
 from bankrudder.world import Clock, ModelVersion
 
 FIRST_EVENT_TIMEOUT_S = 2.5
@@ -64,6 +64,8 @@
 
     Parameters
     ----------
+    route_now : callable
+        Takes host name and target; returns the route that is configured for them.
     progress : Progress
         What was generated before; ignored if its versions do not fit.
     give_up_at : float
@@ -74,8 +76,7 @@
         self,
         batch: Batch,
         sample: Sample,
-        route: Route,
-        service: ServiceName,
+        route_now: Callable[[str, str], Route | None],
         rank: tuple[float, ...],
         dispatcher: Dispatcher,
         client: EndpointClient,
@@ -85,8 +86,8 @@
     ):
         self._batch = batch
         self._sample = sample
-        self._route = route
-        self._service = service
+        self._route_now = route_now
+        self._route = route_now(batch.host, sample.target)
         self._rank = rank
         self._dispatcher = dispatcher
         self._client = client
@@ -154,9 +155,10 @@
         """
         while not self._is_whole:
             asked_at = self._clock.monotonic()
+            route = self._current_route()
             target = await self._dispatcher.acquire(
                 self._rank,
-                self._service,
+                route.services[0].service,
                 self._batch.model,
                 self._batch.min_version,
                 self._sample.group,
@@ -185,6 +187,17 @@
                 case Answered(status=status):
                     self._take_failure(target, status)
 
+    @property
+    def _is_single_version(self) -> bool:
+        return self._route is not None and self._route.is_single_version
+
+    def _current_route(self) -> Route:
+        """Return the route as it is now: a configuration may have moved it."""
+        self._route = self._route_now(self._batch.host, self._sample.target)
+        if self._route is None:
+            raise SampleFailedError("its route is no longer configured")
+        return self._route
+
     def _outgoing(self) -> OutgoingRequest:
         left_s = self._give_up_at - self._clock.monotonic()
         return OutgoingRequest(
@@ -251,7 +264,7 @@
         if version < self._batch.min_version:
             raise _StaleWeightsError
         is_other = bool(self._versions) and version not in self._versions
-        if is_other and self._route.is_single_version:
+        if is_other and self._is_single_version:
             self._discard()
             raise StreamBrokenError("version changed within a sample")
 
@@ -263,7 +276,7 @@
     def _should_move(self, target: TrackedEndpoint) -> bool:
         return self._dispatcher.quicker_than(
             target,
-            self._service,
+            target.endpoint.service,
             self._batch.model,
             self._batch.min_version,
             LONG_SLOWNESS_FACTOR
@@ -276,7 +289,7 @@
             raise SampleFailedError("the engine says that it can never be done")
         self._failures += 1
         self._log_break(target, f"status {status}")
-        if self._failures >= self._route.max_attempts:
+        if self._failures >= self._current_route().max_attempts:
             raise SampleFailedError(f"failed {self._failures} times")
 
     def _note_failure(self, target: TrackedEndpoint, reason: str) -> None:
@@ -294,7 +307,7 @@
         )
 
     def _fits(self, progress: Progress) -> bool:
-        if self._route.is_single_version and len(progress.versions) > 1:
+        if self._is_single_version and len(progress.versions) > 1:
             return False
         return bool(progress.versions) and (
             min(progress.versions) >= self._batch.min_version
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -205,8 +205,7 @@
         route = await self._loader.route_of(batch)
         run = BatchRun(
             batch,
-            route,
-            route.services[0].service,
+            self._loader.route_now,
             fence,
             listed,
             progress,
--- a/tests/node/test_batches.py
+++ b/tests/node/test_batches.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from outside.site import FREEZE, THAW, check_results, until
+from outside.endpoints import EngineStandIn
+from outside.site import FREEZE, MODEL, THAW, check_results, configuration, until
 from outside.store import GateMode
 
 SLOW_GAP_S = 0.05
@@ -231,3 +232,29 @@
     check_results(await site.read_all("b1", 2), "b1", 2, events=40)
     await site.call(site.hosts[1], "DELETE", "/bankrudder/lots/b1")
     await until(lambda: not any(key[0] == "progress" for key in site.rows.rows))
+
+
+async def test_samples_follow_their_route_to_another_service(site):
+    # The engines are full until the configuration has moved the route.
+    for engine in site.engines:
+        engine.fail_next = ["full"] * 40
+    moved = await EngineStandIn("engine-moved", MODEL).start()
+    site.engines.append(moved)
+    site.rows.put("servers", moved.id, moved.document("others"))
+    await site.submit(site.hosts[0], "b1", samples=4)
+    document = configuration(2)
+    document["routes"][0]["service"] = "others"
+    site.rows.put("op", "config", document)
+    check_results(await site.read_all("b1", 4), "b1", 4)
+    assert sum(moved.ran.values()) == 4
+
+
+async def test_samples_without_a_route_are_aborted(site):
+    for engine in site.engines:
+        engine.fail_next = ["full"] * 400
+    await site.submit(site.hosts[0], "b1", samples=2)
+    document = configuration(2)
+    del document["routes"][0]
+    site.rows.put("op", "config", document)
+    results = await site.read_all("b1", 2)
+    assert [each["state"] for each in results] == ["aborted", "aborted"]
