--- a/bench/explain.py
+++ b/bench/explain.py
@@ -80,7 +80,7 @@
         site = await Site(Path(folder)).start()
         try:
             for bring_about in (refuse, lose, delay):
-                print(f"\n== {bring_about.__doc__.partition(';')[0]}")
+                print(f"\n== {(bring_about.__doc__ or '').partition(';')[0]}")
                 wanted = await bring_about(site)
                 await asyncio.sleep(0.2)
                 logs = [str(host.log_path) for host in site.hosts]
--- a/soak/history.py
+++ b/soak/history.py
@@ -161,7 +161,7 @@
 
 
 def _of_revisions(history):
-    newest = {}
+    newest: dict[tuple[str, int], int] = {}
     for host, start, revision in history.revisions:
         key = (host, start)
         if revision < newest.get(key, 0):
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import suppress
 from enum import Enum
+from typing import Any
 
 CHUNK_BYTES = 65536
 
@@ -27,7 +28,7 @@
         self.address = ""
         self._target = target
         self._delay_s = delay_s
-        self._server = None
+        self._server: Any = None
         self._writers = set()
         self._tasks = set()
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -11,7 +11,7 @@
 _numbers = itertools.count()
 
 
-def own_address():
+def own_address() -> str:
     """Return an address of this process's own, never given twice."""
     port, host = divmod(next(_numbers), HOSTS)
     upper, lower = divmod(os.getpid(), HOSTS)
--- a/tests/outside/endpoints.py
+++ b/tests/outside/endpoints.py
@@ -4,6 +4,7 @@
 import json
 import time
 from collections import Counter
+from typing import Any
 
 from aiohttp import web
 
@@ -20,11 +21,11 @@
         self.address = ""
         self.arrivals = []
         self.arrival_times = []
-        self.ran = Counter()
-        self.broken_off = Counter()
+        self.ran: Counter[str] = Counter()
+        self.broken_off: Counter[str] = Counter()
         self.fail_next = []
         self.delay_s = 0.0
-        self._runner = None
+        self._runner: Any = None
 
     async def start(self):
         """Listen on a free port of the loopback interface."""
--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 
@@ -33,7 +34,7 @@
         self.store_proxy = None
         self._data_centre = data_centre
         self._folder = folder
-        self._process = None
+        self._process: Any = None
         self.address = own_address()
 
         self._readiness = own_address()
@@ -146,7 +147,7 @@
         self.scorers = []
         self._folder = folder
         self._sizes = (hosts, engines, events)
-        self._session = None
+        self._session: Any = None
 
     async def start(self, behind=None):
         """Start all, and wait until every host is ready.
@@ -230,7 +231,7 @@
     async def read_all(self, batch_id, count, hosts=None, limit_s=15.0):
         """Read at the hosts in turn until all results are there; return them."""
         hosts = hosts or self.hosts
-        results = []
+        results: list[Any] = []
         deadline = time.monotonic() + limit_s
         turn = 0
         while len(results) < count:
--- a/tests/outside/store.py
+++ b/tests/outside/store.py
@@ -9,6 +9,7 @@
 import json
 from contextlib import suppress
 from enum import Enum
+from typing import Any
 
 from aiohttp import web
 
@@ -89,7 +90,7 @@
         self.calls = []
         self.address = ""
         self._delayed = []
-        self._runner = None
+        self._runner: Any = None
 
     async def start(self):
         """Listen on a free port of the loopback interface."""
