--- a/src/bankrudder/relay/__init__.py
+++ b/src/bankrudder/relay/__init__.py
@@ -1,6 +1,6 @@
 """Requests of callers: what they are, and forwarding them to endpoints."""
 
-from bankrudder.relay._forwarder import Forwarder, note_outcome
+from bankrudder.relay._forwarder import Forwarder
 from bankrudder.relay._streaming import StreamForwarder, StreamStarted
 from bankrudder.relay._values import (
     IncomingRequest,
@@ -25,5 +25,4 @@
     "StreamForwarder",
     "StreamStarted",
     "Unanswered",
-    "note_outcome",
 ]
--- /dev/null
+++ b/src/bankrudder/relay/_attempts.py
@@ -0,0 +1,284 @@
+"""The sends of one request: which endpoint next, when, and what to make of each."""
+
+import asyncio
+
+import structlog
+
+from bankrudder.fleet import (
+    Answered,
+    EndpointClient,
+    EndpointDirectory,
+    EndpointId,
+    Lost,
+    OutgoingRequest,
+    RefusalReason,
+    Refused,
+    SendOutcome,
+    TrackedEndpoint,
+)
+from bankrudder.relay._values import (
+    IncomingRequest,
+    NotRun,
+    RejectReason,
+    Relayed,
+    Reply,
+    Unanswered,
+)
+from bankrudder.routing import Route, RouteKind, ServiceName
+from bankrudder.world import Clock
+
+HEDGE_FACTOR = 0.5
+"""Share of a route's target after which an idempotent request goes to a second
+endpoint as well: early enough for a whole answer within the target."""
+
+MIN_HEDGE_S = 0.06
+"""Shortest such time: three times the usual answer of a quick service."""
+
+ANSWER_MARGIN_S = 0.03
+"""Time kept for sending the reply, so that it arrives before the deadline."""
+
+MIN_SEND_S = 0.02
+"""A request with less time left than this is not sent any more."""
+
+MAX_REFUSALS = 6
+"""Endpoints that may refuse one request before it is given up."""
+
+FULL_PAUSE_S = 0.04
+"""Pause once all endpoints were full: about a usual answer, after which one of them
+has a slot. Without it a request is refused within some milliseconds."""
+
+RETRY_AFTER_S = 0.25
+"""When to come back after a refusal: a few times the usual answer, in which a
+full endpoint finishes what it runs."""
+
+_log = structlog.get_logger("relay")
+
+
+class Attempts:
+    """All sends of one request.
+
+    An idempotent request may be sent to a second endpoint while the first has not
+    answered, and again after a failure, to no more endpoints than its route allows. Any
+    other one is sent again only while it surely did not run.
+    """
+
+    def __init__(
+        self,
+        request: IncomingRequest,
+        route: Route,
+        service: ServiceName,
+        directory: EndpointDirectory,
+        client: EndpointClient,
+        clock: Clock,
+    ):
+        self._request = request
+        self._route = route
+        self._service = service
+        self._directory = directory
+        self._client = client
+        self._clock = clock
+        deadline = min(request.deadline, request.received_at + route.timeout_s)
+        self._deadline = deadline - ANSWER_MARGIN_S
+        self._sends: dict[asyncio.Task[SendOutcome], TrackedEndpoint] = {}
+        self._tried: list[EndpointId] = []
+        self._runs = 0
+        self._refusals = 0
+        self._failed_answers = 0
+        self._last_answer: Answered | None = None
+
+    async def reply(self) -> Reply:
+        """Send until there is an answer, or none can come any more."""
+        try:
+            while True:
+                self._send_next()
+                if not self._sends:
+                    return self._give_up()
+                done = await self._next_outcome()
+                if done is not None:
+                    reply = await self._take(*done)
+                    if reply is not None:
+                        return reply
+                elif self._left_s() <= 0:
+                    self._runs += len(self._sends)
+                    return self._give_up()
+        finally:
+            self._cancel()
+
+    def _cancel(self) -> None:
+        """Break off all sends; their endpoints see the connections close."""
+        for task in self._sends:
+            task.cancel()
+
+    def _send_next(self) -> None:
+        if not self._may_send():
+            return
+        target = self._directory.choose(self._service, self._tried)
+        if target is None:
+            return
+        self._tried.append(target.endpoint.id)
+        task = asyncio.ensure_future(self._send(target))
+        self._sends[task] = target
+
+    def _may_send(self) -> bool:
+        sent = self._runs + len(self._sends)
+        return (
+            self._left_s() >= MIN_SEND_S
+            and self._refusals < MAX_REFUSALS
+            and sent < self._route.max_attempts
+            and (sent == 0 or self._may_repeat())
+        )
+
+    async def _send(self, target: TrackedEndpoint) -> SendOutcome:
+        began = self._clock.monotonic()
+        target.in_flight += 1
+        try:
+            outcome = await self._client.send(target.endpoint, self._outgoing())
+        finally:
+            target.in_flight -= 1
+        _note_outcome(target, outcome, began, self._clock.monotonic())
+        return outcome
+
+    def _outgoing(self) -> OutgoingRequest:
+        return OutgoingRequest(
+            request_id=self._request.request_id,
+            method=self._request.method,
+            target=self._request.target,
+            host=self._request.host,
+            headers=self._request.headers,
+            body=self._request.body,
+            timeout_s=self._left_s(),
+            may_reuse_connection=self._may_repeat(),
+        )
+
+    async def _next_outcome(self) -> tuple[SendOutcome, TrackedEndpoint] | None:
+        """Wait for a send to end; None when it is time for another one, or too late."""
+        wait_s = self._left_s()
+        if self._may_send():
+            hedge_s = max(HEDGE_FACTOR * self._route.target_s, MIN_HEDGE_S)
+            wait_s = min(wait_s, hedge_s)
+        done, _ = await asyncio.wait(
+            self._sends, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not done:
+            return None
+        # An answer goes before a failure that came in the same moment.
+        task = min(done, key=lambda each: not isinstance(each.result(), Answered))
+        return task.result(), self._sends.pop(task)
+
+    async def _take(
+        self, outcome: SendOutcome, target: TrackedEndpoint
+    ) -> Relayed | None:
+        """Return the reply if the outcome is final."""
+        match outcome:
+            case Answered() if outcome.status < 500:
+                self._log_answer(outcome, target)
+                return self._relayed(outcome)
+            case Answered():
+                self._runs += 1
+                self._failed_answers += 1
+                self._last_answer = outcome
+            case Refused():
+                self._refusals += 1
+            case Lost():
+                self._runs += 1
+        _log.info(
+            "relay: attempt failed",
+            request=self._request.request_id,
+            endpoint=target.endpoint.id,
+            outcome=describe(outcome),
+            runs=self._runs,
+            refusals=self._refusals,
+        )
+        if isinstance(outcome, Answered) and not self._may_repeat():
+            return self._relayed(outcome)
+        if isinstance(outcome, Refused) and self._were_all_tried():
+            await asyncio.sleep(min(FULL_PAUSE_S, self._left_s()))
+        return None
+
+    def _were_all_tried(self) -> bool:
+        endpoints = self._directory.of_service(self._service)
+        return all(each.endpoint.id in self._tried for each in endpoints)
+
+    def _give_up(self) -> Reply:
+        if self._last_answer is not None:
+            return self._relayed(self._last_answer)
+        reply = self._unanswered() if self._runs else self._not_run()
+        _log.warning(
+            "relay: request given up",
+            request=self._request.request_id,
+            service=self._service,
+            reason=reply.reason.value,
+            runs=self._runs,
+            left_s=round(self._left_s(), 3),
+        )
+        return reply
+
+    def _unanswered(self) -> Unanswered:
+        if self._left_s() < MIN_SEND_S:
+            return Unanswered(RejectReason.OUT_OF_TIME, True)
+        return Unanswered(RejectReason.ENDPOINT_FAILED, False)
+
+    def _not_run(self) -> NotRun:
+        has_endpoints = bool(self._directory.of_service(self._service))
+        reason = RejectReason.FULL if has_endpoints else RejectReason.NO_ENDPOINT
+        return NotRun(reason, RETRY_AFTER_S)
+
+    def _relayed(self, answer: Answered) -> Relayed:
+        return Relayed(
+            answer.status,
+            answer.headers,
+            answer.body,
+            answer.proof,
+            self._failed_answers,
+        )
+
+    def _log_answer(self, answer: Answered, target: TrackedEndpoint) -> None:
+        _log.info(
+            "relay: answered",
+            request=self._request.request_id,
+            endpoint=target.endpoint.id,
+            status=answer.status,
+            attempts=len(self._tried),
+            left_s=round(self._left_s(), 3),
+        )
+
+    def _may_repeat(self) -> bool:
+        return self._route.kind is RouteKind.IDEMPOTENT
+
+    def _left_s(self) -> float:
+        return max(self._deadline - self._clock.monotonic(), 0.0)
+
+
+def _note_outcome(
+    target: TrackedEndpoint, outcome: SendOutcome, began: float, now: float
+) -> None:
+    """Let what became of a send count in the later choices of its endpoint."""
+    match outcome:
+        case Answered():
+            if outcome.load is not None:
+                target.note_load(outcome.load, now)
+            target.note_answer(now - began)
+        case Refused(reason=RefusalReason.FULL):
+            if outcome.load is not None:
+                target.note_load(outcome.load, now)
+        case Refused(reason=RefusalReason.REJECTED):
+            pass
+        case _:
+            seconds = target.note_failure(now)
+            _log.info(
+                "relay: endpoint left out",
+                endpoint=target.endpoint.id,
+                outcome=describe(outcome),
+                seconds=seconds,
+            )
+
+
+def describe(outcome: SendOutcome) -> str:
+    """Return what became of a send, for a log line."""
+    match outcome:
+        case Answered(status=status):
+            return f"status {status}"
+        case Refused(reason=reason):
+            return f"refused: {reason.value}"
+        case Lost(reason=lost):
+            return f"lost: {lost.value}"
--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -23,7 +23,7 @@
     StreamOutcome,
     TrackedEndpoint,
 )
-from bankrudder.relay._forwarder import MAX_REFUSALS, MIN_SEND_S, RETRY_AFTER_S
+from bankrudder.relay._attempts import MAX_REFUSALS, MIN_SEND_S, RETRY_AFTER_S
 from bankrudder.relay._values import (
     IncomingRequest,
     NotRun,
