--- a/src/bankrudder/node/__init__.py
+++ b/src/bankrudder/node/__init__.py
@@ -1,8 +1,9 @@
 """One host of the system on the platform."""
 
+from bankrudder.node._adapter import Adapter, CallerListening, Listener
 from bankrudder.node._gateway import Gateway
 from bankrudder.node._main import run_daemon
-from bankrudder.node._node import Adapter, CallerListening, Listener, Node
+from bankrudder.node._node import Node
 from bankrudder.node._settings import NodeSettings, StoreSettings, load_settings
 from bankrudder.node._world_view import Documents, WorldView
 
--- a/src/bankrudder/node/_main.py
+++ b/src/bankrudder/node/_main.py
@@ -19,7 +19,8 @@
     NonBlockingSink,
     configure_logging,
 )
-from bankrudder.node._node import Adapter, Node
+from bankrudder.node._adapter import Adapter
+from bankrudder.node._node import Node
 from bankrudder.node._settings import NodeSettings, load_settings
 from bankrudder.world import Clock, SystemClock
 
--- /dev/null
+++ b/src/bankrudder/node/_parts.py
@@ -0,0 +1,131 @@
+"""The parts of a node, and how they are put together."""
+
+import uuid_utils
+
+from bankrudder.batches import (
+    BatchReader,
+    BatchRepository,
+    BatchService,
+    Cleaner,
+    ProgressStore,
+    Scorer,
+)
+from bankrudder.fleet import EndpointDirectory
+from bankrudder.leases import Lease
+from bankrudder.logs import LineLimit
+from bankrudder.node._adapter import Adapter
+from bankrudder.node._gateway import Gateway
+from bankrudder.node._instruments import Instruments
+from bankrudder.node._settings import NodeSettings
+from bankrudder.node._world_view import WorldView
+from bankrudder.orders import LOADED_TABLE, LoadAnnouncer, VersionSwitcher
+from bankrudder.presence import Lifetime, Presence
+from bankrudder.relay import Forwarder, StreamForwarder
+from bankrudder.routing import RoutingTable
+from bankrudder.store import MeasuredStore, TableFollower
+from bankrudder.world import Clock
+
+ORDERS_LEASE = "orders"
+
+
+class Parts:
+    """All parts of one node; none of them runs yet."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        adapter: Adapter,
+        clock: Clock,
+        lines: LineLimit,
+    ):
+        self._settings = settings
+        self._clock = clock
+        self._endpoints = adapter.endpoints
+        self.lifetime = Lifetime(str(uuid_utils.uuid4()))
+        self.instruments = Instruments.from_config(settings.host, lines)
+        self._store = MeasuredStore(
+            adapter.store, clock, self.instruments.note_store_call
+        )
+        self.directory = EndpointDirectory(settings.data_centre, clock)
+        self.view = WorldView(self._store, adapter.documents, self.directory, clock)
+        self.presence = self._make_presence()
+        self._forwarder = Forwarder(self.directory, self._endpoints, clock)
+        self._announcer = LoadAnnouncer(self._store, self.directory)
+        self._repository = BatchRepository(self._store, clock, settings.store.row_bytes)
+        self.batches = self._make_batches()
+        self.lease = self._make_lease()
+        self.switcher = self._make_switcher()
+        self.cleaner = Cleaner(
+            self._store, self._repository, self.lease, settings.status_retention_s
+        )
+        self.gateway = self._make_gateway()
+
+    def _make_presence(self) -> Presence:
+        settings = self._settings
+        room = settings.processor_share * settings.processor_speed
+        return Presence(self._store, settings.host, self.lifetime, self._clock, room)
+
+    def _make_batches(self) -> BatchService:
+        return BatchService(
+            self._store,
+            self._repository,
+            ProgressStore(self._store, self._settings.store.row_bytes),
+            self.presence,
+            self.directory,
+            self._endpoints,
+            Scorer(self._forwarder, self.directory, self._routes, self._clock),
+            self._routes,
+            self._clock,
+            self._make_loads_follower(),
+        )
+
+    def _make_loads_follower(self) -> TableFollower:
+        return TableFollower(
+            self._store,
+            LOADED_TABLE,
+            self._clock,
+            on_row=self._announcer.take,
+            on_removed=lambda _: None,
+        )
+
+    def _make_lease(self) -> Lease:
+        return Lease(
+            self._store,
+            ORDERS_LEASE,
+            self._settings.host,
+            self.lifetime,
+            self.presence.duty_hosts,
+            self._clock,
+            self._settings.lease_ms / 1000,
+            self.presence.set_holds_lease,
+        )
+
+    def _make_switcher(self) -> VersionSwitcher:
+        return VersionSwitcher(
+            self.lease,
+            self._settings.host,
+            self.directory,
+            self._endpoints,
+            self.view.named_versions,
+            self.batches.owners.work_of,
+            self.batches.owners.needed_version,
+            self._announcer,
+            self._routes,
+            self._clock,
+        )
+
+    def _make_gateway(self) -> Gateway:
+        return Gateway(
+            self._routes,
+            lambda: self.view.is_complete,
+            self._forwarder,
+            StreamForwarder(self.directory, self._endpoints, self._clock),
+            self.batches,
+            BatchReader(self._repository, self._clock),
+            self._repository,
+            self.instruments,
+            self._clock,
+        )
+
+    def _routes(self) -> RoutingTable | None:
+        return self.view.routes
