Let the clients of the soak outlast its last fault

Cause: seed 123 ended with no request after healing: its last outage began at 12.0 s and lasted to the end of the clients, so nothing was measured. Change: clients run until some seconds after the last fault. The seed is kept.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -66,18 +66,19 @@
         await self._start()
         trainers, callers = self._clients()
         self._began = time.monotonic()
-        end = self._began + self._seconds + HEAL_S
+        over = asyncio.Event()
         clients = [
-            asyncio.ensure_future(client.run(end)) for client in trainers + callers
+            asyncio.ensure_future(client.run(over)) for client in trainers + callers
         ]
         strikes = [
             asyncio.ensure_future(self._strike(strike)) for strike in self._strikes
         ]
         try:
             await asyncio.gather(*strikes)
-            healed = time.monotonic()
             await self._heal()
-            await asyncio.sleep(max(end - time.monotonic(), HEAL_S))
+            healed = time.monotonic()
+            await asyncio.sleep(HEAL_S)
+            over.set()
             await asyncio.gather(*clients)
             for trainer in trainers:
                 await trainer.check_kept()
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -32,17 +32,17 @@
         self.steps_done = 0
         self.steps_cut = 0
 
-    async def run(self, until):
-        """Train until a time of the monotonic clock."""
+    async def run(self, over):
+        """Train until an event is set."""
         for step in itertools.count():
-            if time.monotonic() >= until:
+            if over.is_set():
                 return
-            await self._step(step, until)
+            await self._step(step, over)
             if self._names_versions:
                 self._site.name_version(step + 2)
             await asyncio.sleep(0.2)
 
-    async def _step(self, step, until):
+    async def _step(self, step, over):
         min_version = max(step, 1) if self._names_versions else 1
         document = batch(f"{self._name}{step}", self._samples, min_version)
         seen = BatchSeen(
@@ -51,7 +51,7 @@
             [item["id"] for item in document["items"]],
         )
         self._history.batches[seen.batch_id] = seen
-        if not await self._submit(seen, document, until):
+        if not await self._submit(seen, document, over):
             return
         began = time.monotonic()
         while len(seen.positions) < self._samples:
@@ -64,9 +64,9 @@
             self.steps_done += 1
         await self._end(seen)
 
-    async def _submit(self, seen, document, until):
+    async def _submit(self, seen, document, over):
         body = json.dumps(document).encode()
-        while time.monotonic() < until:
+        while not over.is_set():
             status, _ = await self._ask(
                 "POST", "/rollout/all", body, {"X-Request-Id": seen.batch_id}
             )
@@ -141,10 +141,10 @@
         self.served = []
         self.failed = []
 
-    async def run(self, until):
-        """Call until a time of the monotonic clock."""
+    async def run(self, over):
+        """Call until an event is set."""
         for number in itertools.count():
-            if time.monotonic() >= until:
+            if over.is_set():
                 return
             host = self._rng.choice(self._site.hosts)
             async with aiohttp.ClientSession(
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -11,6 +11,7 @@
 
 SEEDS = {
     1: "the first one that was played; it never failed",
+    123: "the last outage outlasted the clients of the soak; they now end after it",
 }
 """Seeds and why they are kept."""
 
