Send heartbeats although replies are lost; pass over those of ended runs

A heartbeat of an ended run, carried out late, made its later run look dead. Change: a heartbeat does not wait for the one before; rows of ended runs are passed over; a reply of the store is waited for 0.8 s.

--- a/src/bankrudder/platform/_store.py
+++ b/src/bankrudder/platform/_store.py
@@ -26,9 +26,10 @@
 )
 from bankrudder.world import Address
 
-CALL_TIMEOUT_S = 1.2
-"""Longest wait for a reply beside the time that the call itself asks for: twice
-what a transaction takes when the store is sixty times slower than usual."""
+CALL_TIMEOUT_S = 0.8
+"""Longest wait for a reply beside the time that the call itself asks for: half more
+than a transaction takes when the store is sixty times slower than usual. Results whose
+reply is lost are listed again after it."""
 
 OBJECT_TIMEOUT_S = 4.0
 """The same for objects, which take three times as long as a transaction."""
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -36,6 +36,10 @@
 """Most heartbeats a second of all hosts without work, and of all with work: together
 well under what one part of the store takes. In a large fleet they come less often."""
 
+MAX_UNANSWERED = 4
+"""Heartbeats that may be on their way at once: one whose reply is lost must not hold
+up the next, or others would miss it."""
+
 FRESH_INTERVALS = 2.0
 FRESH_SLACK_S = 0.4
 """A host whose last heartbeat is older than so many intervals, and the time in which
@@ -103,6 +107,8 @@
         self._writes_fail = False
         self._writes_since = 0.0
         self._seen: dict[HostId, tuple[Heartbeat, float]] = {}
+        self._ended: set[Lifetime] = set()
+        self._unanswered: set[asyncio.Task[None]] = set()
         self._follower = TableFollower(
             store,
             HOSTS_TABLE,
@@ -224,7 +230,10 @@
     async def _beat(self) -> None:
         while True:
             self._changed.clear()
-            await self.announce()
+            if len(self._unanswered) < MAX_UNANSWERED:
+                task = asyncio.ensure_future(self.announce())
+                self._unanswered.add(task)
+                task.add_done_callback(self._unanswered.discard)
             with suppress(TimeoutError):
                 async with asyncio.timeout(self.interval_s):
                     await self._changed.wait()
@@ -249,7 +258,11 @@
     def _on_row(self, row: Row) -> None:
         host = HostId(row.key.key)
         beat = msgspec.json.decode(row.value, type=Heartbeat)
+        if beat.lifetime in self._ended:
+            return  # written before that run ended, and carried out late
         before = self._seen.get(host)
+        if before is not None and before[0].lifetime != beat.lifetime:
+            self._ended.add(before[0].lifetime)
         if before is None or before[0].lifetime != beat.lifetime:
             _log.info("presence: host runs", host=host, lifetime=beat.lifetime)
         self._seen[host] = (beat, self._clock.monotonic())
--- a/tests/outside/store.py
+++ b/tests/outside/store.py
@@ -78,7 +78,8 @@
 
     ``refuses_table`` is a table that takes no writes. ``lose_replies`` and
     ``delay_commits`` count the next commits that are carried out without a reply,
-    at once or only by `carry_out_delayed`.
+    at once or only by `carry_out_delayed`. With ``hang_replies`` commits are carried
+    out and their connections say nothing any more.
     """
 
     def __init__(self, rows):
@@ -86,6 +87,7 @@
         self.mode = GateMode.OPEN
         self.lose_replies = 0
         self.delay_commits = 0
+        self.hang_replies = False
         self.refuses_table = ""
         self.calls = []
         self.address = ""
@@ -156,6 +158,8 @@
         if self.lose_replies:
             self.lose_replies -= 1
             request.transport.abort()
+        if self.hang_replies:
+            await asyncio.sleep(60)
         if conflicting is None:
             return web.json_response({"ver": self.rows.version, "now_ms": 1000})
         rows = [_wire(*each) for each in conflicting]
--- a/tests/presence/test_hosts.py
+++ b/tests/presence/test_hosts.py
@@ -113,3 +113,27 @@
     # Where all have some, all may have more.
     await until(lambda: presence.duty_hosts() == ["a", "b", "c"])
     await until(lambda: presence.batch_hosts() == ["a", "b", "c"])
+
+
+async def test_a_host_whose_replies_are_lost_is_still_heard(hosts):
+    await all_known(hosts)
+    hosts[0].gate.hang_replies = True
+    for _ in range(40):
+        await asyncio.sleep(0.1)
+        assert hosts[1].presence.is_alive("a", "life-of-a")
+
+
+async def test_a_late_heartbeat_of_an_ended_run_is_passed_over(hosts):
+    await all_known(hosts)
+    hosts[0].task.cancel()
+    gate = hosts[0].gate
+    row = gate.rows.rows["hosts", "", "a"][1]
+    gate.rows.commit(
+        [], [(("hosts", "", "a"), row.replace(b"life-of-a", b"a-later-life"))], []
+    )
+    await until(lambda: not hosts[1].presence.is_alive("a", "life-of-a"))
+    gate.rows.commit([], [(("hosts", "", "a"), row)], [])
+    for _ in range(8):
+        await asyncio.sleep(0.1)
+        assert hosts[1].presence.is_alive("a", "a-later-life")
+        assert not hosts[1].presence.is_alive("a", "life-of-a")
