Give up the samples of a route that is gone before their owner begins

Change: the owner takes a default retention, and each sample is given up as it looks its route up. Test: all hosts restart after the route is gone; fails before.

--- a/src/bankrudder/batches/_loading.py
+++ b/src/bankrudder/batches/_loading.py
@@ -25,8 +25,11 @@
 RELOAD_PAUSE_S = 0.2
 """Pause after a batch could not be read from the store."""
 
-ROUTE_PAUSE_S = 1.0
-"""Pause while the batch's route is not configured."""
+CONFIGURATION_PAUSE_S = 0.2
+"""Pause while no configuration is known, as after a start."""
+
+DEFAULT_RETENTION_S = 60.0
+"""Time for which samples are tried if the route does not say it."""
 
 _log = structlog.get_logger("batches")
 
@@ -74,15 +77,19 @@
                 )
                 await asyncio.sleep(RELOAD_PAUSE_S)
 
-    async def route_of(self, batch: Batch) -> Route:
-        """Return the route of a batch, once it is configured."""
-        while True:
-            table = self._routes()
-            for route in table.configuration.routes if table else ():
-                if route.name == batch.route:
-                    return route
-            _log.warning("batches: route not configured", batch=batch.id)
-            await asyncio.sleep(ROUTE_PAUSE_S)
+    async def retention_s(self, batch: Batch) -> float:
+        """Return for how long samples are tried, once a configuration is known.
+
+        A route that was removed meanwhile has no say: its samples are given up.
+        """
+        while (table := self._routes()) is None:
+            _log.warning("batches: no configuration yet", batch=batch.id)
+            await asyncio.sleep(CONFIGURATION_PAUSE_S)
+        for route in table.configuration.routes:
+            if route.name == batch.route:
+                return route.retention_s or DEFAULT_RETENTION_S
+        _log.warning("batches: route no longer configured", batch=batch.id)
+        return DEFAULT_RETENTION_S
 
     def route_now(self, host: str, target: str) -> Route | None:
         """Return the route that a sample goes by now, None if none is configured."""
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -41,9 +41,6 @@
 LOOK_S = 0.15
 """How often batches without an owner are looked for."""
 
-DEFAULT_RETENTION_S = 60.0
-"""Time for which samples are tried if the route does not say it."""
-
 _log = structlog.get_logger("batches")
 
 
@@ -202,14 +199,14 @@
         if found is None:
             return
         batch, listed, progress = found.batch, found.listed, found.progress
-        route = await self._loader.route_of(batch)
+        retention_s = await self._loader.retention_s(batch)
         run = BatchRun(
             batch,
             self._loader.route_now,
             fence,
             listed,
             progress,
-            route.retention_s or DEFAULT_RETENTION_S,
+            retention_s,
             repository=self._repository,
             progress_store=self._progress,
             dispatcher=self._dispatcher,
--- a/tests/node/test_batches.py
+++ b/tests/node/test_batches.py
@@ -258,3 +258,18 @@
     site.rows.put("op", "config", document)
     results = await site.read_all("b1", 2)
     assert [each["state"] for each in results] == ["aborted", "aborted"]
+
+
+async def test_a_new_owner_aborts_samples_of_a_route_that_is_gone(site):
+    for engine in site.engines:
+        engine.fail_next = ["full"] * 400
+    await site.submit(site.hosts[0], "b1", samples=2)
+    for host in site.hosts:
+        await host.kill()
+    document = configuration(2)
+    del document["routes"][0]
+    site.rows.put("op", "config", document)
+    for host in site.hosts:
+        await host.start()
+    results = await site.read_all("b1", 2)
+    assert [each["state"] for each in results] == ["aborted", "aborted"]
