--- a/tests/batches/conftest.py
+++ b/tests/batches/conftest.py
@@ -1,28 +1,10 @@
 import pytest
 
 from bankrudder.batches import BatchRepository, ProgressStore
-from bankrudder.platform._store import PlatformStore
 from bankrudder.world import SystemClock
-from outside.store import StoreGate, StoreRows
+from outside.fixtures import gate, rows, store
 
-
-@pytest.fixture
-def rows():
-    return StoreRows()
-
-
-@pytest.fixture
-async def gate(rows):
-    gate = await StoreGate(rows).start()
-    yield gate
-    await gate.stop()
-
-
-@pytest.fixture
-async def store(gate):
-    store = PlatformStore.from_config(gate.address)
-    yield store
-    await store.close()
+__all__ = ["gate", "rows", "store"]
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/batches/test_dispatcher.py
@@ -0,0 +1,105 @@
+"""Slots go by rank to engines that are free, fresh enough and quick."""
+
+import asyncio
+
+import pytest
+
+from bankrudder.batches._dispatcher import Dispatcher
+from bankrudder.fleet import Endpoint, EndpointDirectory, ModelState
+
+
+@pytest.fixture
+def directory(hand_clock):
+    directory = EndpointDirectory("north", hand_clock)
+    for name, version in (("a", 2), ("b", 3)):
+        models = (ModelState("m", version),)
+        directory.put(Endpoint(name, "s", "127.0.0.1:1", "north", 2, models=models))
+    return directory
+
+
+@pytest.fixture
+def dispatcher(directory, hand_clock):
+    return Dispatcher(directory, hand_clock)
+
+
+def asked(dispatcher, rank=0.0, version=1, group="g", avoid=()):
+    return asyncio.ensure_future(
+        dispatcher.acquire((rank,), "s", "m", version, group, avoid)
+    )
+
+
+async def granted(*tasks):
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    return [task.result().endpoint.id if task.done() else None for task in tasks]
+
+
+async def test_no_engine_gets_more_than_its_slots(dispatcher):
+    tasks = [asked(dispatcher) for _ in range(6)]
+    names = await granted(*tasks)
+    assert sorted(name for name in names if name) == ["a", "a", "b", "b"]
+    dispatcher.release(tasks[0].result(), "g")
+    assert sum(name is not None for name in await granted(*tasks)) == 5
+
+
+async def test_an_engine_with_old_weights_is_passed_over(dispatcher):
+    tasks = [asked(dispatcher, version=3) for _ in range(3)]
+    assert await granted(*tasks) == ["b", "b", None]
+
+
+async def test_the_lower_rank_goes_first(dispatcher):
+    first = [asked(dispatcher) for _ in range(4)]
+    await granted(*first)
+    late, early = asked(dispatcher, rank=2.0), asked(dispatcher, rank=1.0)
+    assert await granted(late, early) == [None, None]
+    dispatcher.release(first[0].result(), "g")
+    names = await granted(late, early)
+    assert names[0] is None
+    assert names[1] is not None
+
+
+async def test_samples_of_a_group_go_to_the_engine_that_read_their_prompt(dispatcher):
+    first = asked(dispatcher, group="g1")
+    [name] = await granted(first)
+    second = asked(dispatcher, group="g1")
+    assert await granted(second) == [name]
+
+
+async def test_a_slower_engine_is_taken_only_when_the_quick_one_is_full(
+    dispatcher, directory
+):
+    directory.get("a").note_event_gap(0.1)
+    directory.get("b").note_event_gap(0.03)
+    tasks = [asked(dispatcher, group=f"g{number}") for number in range(3)]
+    assert await granted(*tasks) == ["b", "b", "a"]
+
+
+async def test_a_quicker_free_engine_is_noticed(dispatcher, directory):
+    directory.get("a").note_event_gap(0.1)
+    directory.get("b").note_event_gap(0.03)
+    slow = directory.get("a")
+    assert dispatcher.quicker_than(slow, "s", "m", 1, 1.5)
+    assert not dispatcher.quicker_than(directory.get("b"), "s", "m", 1, 1.5)
+    directory.get("b").in_flight = 2
+    assert not dispatcher.quicker_than(slow, "s", "m", 1, 1.5)
+
+
+async def test_an_engine_that_refused_is_left_alone_for_a_moment(
+    dispatcher, directory, hand_clock
+):
+    for name in ("a", "b"):
+        dispatcher.pause(directory.get(name), "m")
+    task = asked(dispatcher)
+    assert await granted(task) == [None]
+    hand_clock.advance(0.2)
+    other = asked(dispatcher)
+    assert None not in await granted(task, other)
+
+
+async def test_a_cancelled_request_takes_no_slot(dispatcher, directory):
+    tasks = [asked(dispatcher) for _ in range(5)]
+    await granted(*tasks)
+    tasks[4].cancel()
+    await asyncio.gather(tasks[4], return_exceptions=True)
+    dispatcher.release(tasks[0].result(), "g")
+    assert sum(directory.get(name).in_flight for name in ("a", "b")) == 3
--- /dev/null
+++ b/tests/fleet/test_directory.py
@@ -0,0 +1,100 @@
+"""Which endpoints are known, and which one is chosen."""
+
+import random
+
+import pytest
+
+from bankrudder.fleet import Endpoint, EndpointDirectory, Readiness, ReportedLoad
+
+
+def endpoint(name, data_centre="north", readiness=Readiness.READY):
+    return Endpoint(name, "s", "127.0.0.1:1", data_centre, 4, readiness)
+
+
+@pytest.fixture
+def directory(hand_clock):
+    directory = EndpointDirectory("north", hand_clock, random.Random(1))
+    for name in ("a", "b", "c"):
+        directory.put(endpoint(name))
+    return directory
+
+
+def chosen(directory, *tried):
+    return directory.choose("s", tried).endpoint.id
+
+
+def test_the_emptier_endpoint_is_chosen(directory):
+    directory.get("a").in_flight = 4
+    directory.get("b").in_flight = 4
+    assert chosen(directory) == "c"
+
+
+def test_requests_of_other_hosts_count_while_they_are_news(directory, hand_clock):
+    for name in ("a", "b"):
+        directory.get(name).note_load(ReportedLoad(4, 8, 4), hand_clock.monotonic())
+    assert chosen(directory) == "c"
+    assert directory.get("a").others_load(hand_clock.monotonic()) == 12
+    hand_clock.advance(2.0)
+    assert directory.get("a").others_load(hand_clock.monotonic()) == 0
+
+
+def test_an_endpoint_that_failed_is_left_out_for_a_while(directory, hand_clock):
+    for name in ("a", "b"):
+        directory.get(name).note_failure(hand_clock.monotonic())
+    assert chosen(directory) == "c"
+    # Rather one that failed than none at all.
+    assert chosen(directory, "c") in ("a", "b")
+    hand_clock.advance(1.0)
+    assert not directory.get("a").is_suspended(hand_clock.monotonic())
+
+
+def test_failures_in_a_row_leave_it_out_longer_up_to_a_bound(directory, hand_clock):
+    spans = [directory.get("a").note_failure(0.0) for _ in range(6)]
+    assert spans == sorted(spans)
+    assert spans[-1] == spans[-2] == 3.0
+    directory.get("a").note_answer(0.05)
+    assert directory.get("a").note_failure(0.0) == spans[0]
+
+
+def test_the_own_data_centre_is_preferred_among_equals(directory):
+    for name in ("a", "b"):
+        directory.put(endpoint(name, "south"))
+    assert chosen(directory) == "c"
+
+
+def test_a_draining_endpoint_is_not_chosen(directory):
+    for name in ("a", "b"):
+        directory.put(endpoint(name, readiness=Readiness.DRAINING))
+    assert chosen(directory) == "c"
+    directory.put(endpoint("c", readiness=Readiness.DRAINING))
+    assert directory.choose("s") is None
+
+
+def test_an_endpoint_is_removed_at_once_or_when_it_does_not_come_back(
+    directory, hand_clock
+):
+    tracked = directory.get("a")
+    directory.remove("a", 0.0)
+    assert directory.get("a") is None
+    assert not tracked.takes_work
+    directory.remove("b", hand_clock.monotonic() + 2.0)
+    directory.remove_overdue()
+    assert directory.get("b") is not None
+    hand_clock.advance(2.1)
+    directory.remove_overdue()
+    assert directory.get("b") is None
+
+
+def test_an_entry_that_is_back_in_time_stays(directory, hand_clock):
+    directory.remove("a", hand_clock.monotonic() + 2.0)
+    directory.put(endpoint("a"))
+    hand_clock.advance(3.0)
+    directory.remove_overdue()
+    assert directory.get("a") is not None
+
+
+def test_versions_of_one_run_only_grow(directory):
+    tracked = directory.get("a")
+    tracked.note_version("m", 3)
+    tracked.note_version("m", 2)
+    assert tracked.version_of("m") == 3
--- a/tests/store/conftest.py
+++ b/tests/store/conftest.py
@@ -1,23 +1,3 @@
-import pytest
+from outside.fixtures import gate, rows, store
 
-from bankrudder.platform._store import PlatformStore
-from outside.store import StoreGate, StoreRows
-
-
-@pytest.fixture
-def rows():
-    return StoreRows()
-
-
-@pytest.fixture
-async def gate(rows):
-    gate = await StoreGate(rows).start()
-    yield gate
-    await gate.stop()
-
-
-@pytest.fixture
-async def store(gate):
-    store = PlatformStore.from_config(gate.address)
-    yield store
-    await store.close()
+__all__ = ["gate", "rows", "store"]
