--- a/bench/explain.py
+++ b/bench/explain.py
@@ -19,41 +19,32 @@
 from bankrudder.cli import main as command  # noqa: E402
 from outside.site import Site, check_results, until  # noqa: E402
 
-HEADERS = {"X-Request-Deadline": "1500"}
 
-
-async def refuse(site):
-    """Let all endpoints be full; return the request's id."""
+async def ask(site, request_id, faults):
+    """Make a request that may run once while endpoints fail; return the id."""
     for scorer in site.scorers:
-        scorer.fail_next = ["full"] * 20
+        scorer.fail_next = list(faults)
     status, headers, _ = await site.call(
         site.hosts[0],
         "POST",
         "/once/1",
         body=b"x",
-        headers={**HEADERS, "X-Request-Id": "refused-1"},
+        headers={"X-Request-Deadline": "1500", "X-Request-Id": request_id},
     )
     for scorer in site.scorers:
         scorer.fail_next = []
     print(f"the caller got {status}, Retry-After {headers.get('Retry-After')}")
-    return "refused-1"
+    return request_id
+
+
+async def refuse(site):
+    """Let all endpoints be full; return the request's id."""
+    return await ask(site, "refused-1", ["full"] * 20)
 
 
 async def lose(site):
     """Let the answer to a call that may run once be lost; return its id."""
-    for scorer in site.scorers:
-        scorer.fail_next = ["reset"]
-    status, _, _ = await site.call(
-        site.hosts[0],
-        "POST",
-        "/once/2",
-        body=b"x",
-        headers={**HEADERS, "X-Request-Id": "lost-1"},
-    )
-    for scorer in site.scorers:
-        scorer.fail_next = []
-    print(f"the caller got {status}")
-    return "lost-1"
+    return await ask(site, "lost-1", ["reset"])
 
 
 async def delay(site):
--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -3,7 +3,6 @@
 import asyncio
 import heapq
 import itertools
-from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from bankrudder.batches._values import GroupId
@@ -26,10 +25,7 @@
 
 @dataclass(order=True)
 class SlotRequest:
-    """A sample that wants a slot.
-
-    Lower ranks go first. ``avoid`` are engines that failed it.
-    """
+    """A sample that wants a slot; lower ranks go first."""
 
     rank: tuple[float, ...]
     sequence: int
@@ -37,7 +33,6 @@
     model: ModelName = field(compare=False)
     min_version: ModelVersion = field(compare=False)
     group: GroupId = field(compare=False)
-    avoid: Collection[EndpointId] = field(compare=False)
     granted: "asyncio.Future[TrackedEndpoint]" = field(compare=False)
 
 
@@ -64,7 +59,6 @@
         model: ModelName,
         min_version: ModelVersion,
         group: GroupId,
-        avoid: Collection[EndpointId] = (),
     ) -> TrackedEndpoint:
         """Wait for a slot; give it back with `release`."""
         request = SlotRequest(
@@ -74,7 +68,6 @@
             model,
             min_version,
             group,
-            avoid,
             asyncio.get_running_loop().create_future(),
         )
         heapq.heappush(self._waiting, request)
@@ -111,7 +104,7 @@
             return False
         return any(
             each.event_gap_s is not None and each.event_gap_s * factor < gap_s
-            for each in self._free(service, model, min_version, ())
+            for each in self._free(service, model, min_version)
             if each is not target
         )
 
@@ -132,8 +125,7 @@
             kind = (request.service, request.model, request.min_version)
             target = None if kind in full else self._choose(request)
             if target is None:
-                if not request.avoid:
-                    full.add(kind)
+                full.add(kind)
                 left.append(request)
                 continue
             target.in_flight += 1
@@ -143,9 +135,7 @@
             heapq.heappush(self._waiting, request)
 
     def _choose(self, request: SlotRequest) -> TrackedEndpoint | None:
-        free = self._free(
-            request.service, request.model, request.min_version, request.avoid
-        )
+        free = self._free(request.service, request.model, request.min_version)
         if not free:
             return None
         known = sorted(each.event_gap_s for each in free if each.event_gap_s)
@@ -167,14 +157,12 @@
         service: ServiceName,
         model: ModelName,
         min_version: ModelVersion,
-        avoid: Collection[EndpointId],
     ) -> list[TrackedEndpoint]:
         now = self._clock.monotonic()
         return [
             each
             for each in self._directory.of_service(service)
             if each.in_flight < each.endpoint.slots
-            and each.endpoint.id not in avoid
             and not each.is_suspended(now)
             and self._paused.get((each.endpoint.id, model), 0.0) <= now
             and (each.version_of(model) or 0) >= min_version
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -10,7 +10,6 @@
 from bankrudder.fleet import (
     Answered,
     EndpointClient,
-    EndpointId,
     Lost,
     OpenedStream,
     OutgoingRequest,
@@ -101,7 +100,6 @@
         self._run_count = 0
         self._waited_s = 0.0
         self._longest_gap_s = 0.0
-        self._avoid: list[EndpointId] = []
         if progress is not None and self._fits(progress):
             self._texts = list(progress.texts)
             self._versions = list(progress.versions)
@@ -162,7 +160,6 @@
                 self._batch.model,
                 self._batch.min_version,
                 self._sample.group,
-                self._avoid,
             )
             self._waited_s += self._clock.monotonic() - asked_at
             self._run_count += 1
@@ -239,7 +236,7 @@
             return
         except _StaleWeightsError:
             self._log_break(target, "weights too old")
-            self._avoid.append(target.endpoint.id)
+            self._dispatcher.pause(target, self._batch.model)
             return
         self._is_whole = True
         target.note_answer(self._clock.monotonic() - began)
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -160,13 +160,16 @@
         before = self._owners.get(batch_id) or Owner("", "", run.batch.model)
         nobody = msgspec.structs.replace(before, host="", lifetime="")
         try:
-            await self._repository.set_owner(batch_id, fence, nobody)
+            is_released = await self._repository.set_owner(batch_id, fence, nobody)
         except (StoreUnavailableError, NotSettledError) as error:
             _log.warning(
                 "batches: not handed over", batch=batch_id, reason=row_trouble(error)
             )
             return
-        _log.info("batches: handed over", batch=batch_id)
+        if is_released is None:
+            _log.info("batches: had another owner already", batch=batch_id)
+        else:
+            _log.info("batches: handed over", batch=batch_id)
         await self._stop(batch_id)
 
     def _begin(
--- a/src/bankrudder/node/_gateway.py
+++ b/src/bankrudder/node/_gateway.py
@@ -17,6 +17,7 @@
 from bankrudder.relay import (
     Forwarder,
     IncomingRequest,
+    Malformed,
     NotFound,
     NotRun,
     RejectReason,
@@ -104,7 +105,7 @@
     async def accept(self, batch: Batch, route: Route) -> Reply | None:
         """Keep a batch; None means that it is kept."""
         try:
-            await self._batches.accept(batch, route)
+            is_same = await self._batches.accept(batch, route)
         except StoreUnavailableError as error:
             _log.warning(
                 "gateway: batch not accepted",
@@ -115,7 +116,8 @@
         except NotSettledError:
             _log.warning("gateway: batch perhaps accepted", batch=batch.id)
             return Unanswered(RejectReason.STORE_UNAVAILABLE, False)
-        return None
+        # The name is taken: what was sent now is not kept and never will be.
+        return None if is_same else Malformed("id: another batch has this name")
 
     def _note(
         self, request: IncomingRequest, route: Route, reply: Reply | StreamStarted
--- a/src/bankrudder/orders/_switching.py
+++ b/src/bankrudder/orders/_switching.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Mapping
+from functools import partial
 
 import structlog
 
@@ -92,6 +93,7 @@
         self._switching: dict[EndpointId, asyncio.Task[None]] = {}
         self._orders_taken: dict[EndpointId, int] = {}
         self._fence = 0
+        self._announced: set[EndpointId] = set()
 
     async def run(self) -> None:
         """Give orders until cancelled."""
@@ -101,6 +103,7 @@
                 if self._lease.is_valid:
                     self._forget_other_terms()
                     self._start_switches()
+                    self._forget_gone()
         finally:
             for task in self._switching.values():
                 task.cancel()
@@ -111,6 +114,15 @@
             self._fence = self._lease.fence
             self._orders_taken.clear()
 
+    def _forget_gone(self) -> None:
+        """Remove what was announced of engines that are no longer listed."""
+        gone = {each for each in self._announced if self._directory.get(each) is None}
+        self._announced -= gone
+        for engine in gone:
+            task = asyncio.ensure_future(self._announcer.forget(engine))
+            self._switching[engine] = task
+            task.add_done_callback(partial(self._end, engine))
+
     def _start_switches(self) -> None:
         for service in self._directory.services():
             engines = sorted(
@@ -178,7 +190,7 @@
     ) -> None:
         task = asyncio.ensure_future(self._switch(engine, service, model))
         self._switching[engine.endpoint.id] = task
-        task.add_done_callback(lambda done: self._end(engine.endpoint.id, done))
+        task.add_done_callback(partial(self._end, engine.endpoint.id))
 
     def _end(self, endpoint: EndpointId, task: "asyncio.Task[None]") -> None:
         self._switching.pop(endpoint, None)
@@ -252,6 +264,7 @@
         self, engine: TrackedEndpoint, model: ModelName, version: ModelVersion
     ) -> None:
         loaded = LoadedVersion(model, version)
+        self._announced.add(engine.endpoint.id)
         await self._announcer.announce(engine.endpoint.id, loaded)
 
     def _note_versions(
--- a/src/bankrudder/platform/_store.py
+++ b/src/bankrudder/platform/_store.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import msgspec
+import structlog
 
 from bankrudder.platform import _names as names
 from bankrudder.store import (
@@ -54,6 +55,9 @@
 }
 
 
+_log = structlog.get_logger("store")
+
+
 class _WireRow(msgspec.Struct, omit_defaults=True):
     """A row as the store spells it; ``value`` is base64."""
 
@@ -75,6 +79,21 @@
     now_ms: float = 0.0
 
 
+class _Reply(msgspec.Struct):
+    """A reply in the project's types; ``store_time_s`` is of the store's own clock."""
+
+    changes: tuple[Row | RemovedRow, ...]
+    parts: tuple[str, ...]
+    has_more: bool
+    version: RowVersion
+    store_time_s: float
+
+    @property
+    def rows(self) -> tuple[Row, ...]:
+        """The rows that exist."""
+        return tuple(each for each in self.changes if isinstance(each, Row))
+
+
 class _Unanswered(Exception):
     """There is no usable reply; `may_be_done` tells whether the call was sent."""
 
@@ -106,19 +125,16 @@
         body = msgspec.json.encode(_wire_transaction(transaction))
         try:
             status, reply = await self._call("POST", names.COMMIT_PATH, body=body)
+            match status:
+                case 200:
+                    decoded = _decode(reply)
+                    return Committed(decoded.version, decoded.store_time_s)
+                case 412:
+                    return Conflict(_decode(reply).rows)
+                case _:
+                    return NotCommitted(_trouble(status))
         except _Unanswered as error:
-            if error.may_be_done:
-                return CommitUnknown(error.trouble)
-            return NotCommitted(error.trouble)
-        match status:
-            case 200:
-                decoded = _decode(reply)
-                return Committed(RowVersion(decoded.ver), decoded.now_ms / 1000)
-            case 412:
-                rows = (_row(row) for row in _decode(reply).rows if row.ver)
-                return Conflict(tuple(rows))
-            case _:
-                return NotCommitted(_trouble(status))
+            return _not_known(error)
 
     async def read(
         self, table: str, part: str, start: str = "", end: str = "", limit: int = 500
@@ -130,8 +146,7 @@
         if end:
             query["target"] = end  # the end of the range, which is left out
         reply = await self._read(names.READ_PATH, query)
-        rows = tuple(_row(row) for row in reply.rows)
-        return Page(rows, RowVersion(reply.ver), reply.has_more)
+        return Page(reply.rows, reply.version, reply.has_more)
 
     async def parts(self, table: str) -> tuple[str, ...]:
         """Return the names of all parts of a table."""
@@ -152,8 +167,7 @@
             "wait_ms": str(round(wait_s * 1000)),
         }
         reply = await self._read(names.FOLLOW_PATH, query, FOLLOW_SLACK_S + wait_s)
-        changes = tuple(_change(row) for row in reply.rows)
-        return Changes(changes, RowVersion(reply.ver))
+        return Changes(reply.changes, reply.version)
 
     async def put_object(self, name: str, body: bytes) -> CommitOutcome:
         """Write an object that does not exist yet."""
@@ -166,9 +180,7 @@
                 timeout_s=OBJECT_TIMEOUT_S,
             )
         except _Unanswered as error:
-            if error.may_be_done:
-                return CommitUnknown(error.trouble)
-            return NotCommitted(error.trouble)
+            return _not_known(error)
         match status:
             case 200 | 201 | 204:
                 return Committed(RowVersion(0))
@@ -205,20 +217,20 @@
 
     async def _read(
         self, path: str, query: dict[str, str], timeout_s: float = CALL_TIMEOUT_S
-    ) -> _WireReply:
+    ) -> _Reply:
         try:
             status, body = await self._call(
                 "GET", path, query=query, timeout_s=timeout_s
             )
+            match status:
+                case 200:
+                    return _decode(body)
+                case 410:
+                    raise HistoryLostError
+                case _:
+                    raise StoreUnavailableError(_trouble(status))
         except _Unanswered as error:
             raise StoreUnavailableError(error.trouble) from None
-        match status:
-            case 200:
-                return _decode(body)
-            case 410:
-                raise HistoryLostError
-            case _:
-                raise StoreUnavailableError(_trouble(status))
 
     async def _call(
         self,
@@ -281,23 +293,35 @@
     return {"table": key.table, "part": key.part, "key": key.key}
 
 
-def _row(row: _WireRow) -> Row:
-    key = RowKey(row.table, row.part, row.key)
-    return Row(key, RowVersion(row.ver), base64.b64decode(row.value))
-
-
 def _change(row: _WireRow) -> Row | RemovedRow:
+    key = RowKey(row.table, row.part, row.key)
+    version = RowVersion(row.ver)
     if row.tombstone:
-        key = RowKey(row.table, row.part, row.key)
-        return RemovedRow(key, RowVersion(row.ver))
-    return _row(row)
+        return RemovedRow(key, version)
+    return Row(key, version, base64.b64decode(row.value, validate=True))
 
 
-def _decode(body: bytes) -> _WireReply:
+def _decode(body: bytes) -> _Reply:
     try:
-        return msgspec.json.decode(body, type=_WireReply)
-    except msgspec.DecodeError:
+        wire = msgspec.json.decode(body, type=_WireReply)
+        # A conflict may name rows that do not exist, without a version.
+        changes = tuple(_change(row) for row in wire.rows if row.ver)
+    except (msgspec.DecodeError, ValueError):
+        _log.warning("store: reply not understood", bytes=len(body))
         raise _Unanswered(StoreTrouble.NO_REPLY, True) from None
+    return _Reply(
+        changes,
+        tuple(wire.parts),
+        wire.has_more,
+        RowVersion(wire.ver),
+        wire.now_ms / 1000,
+    )
+
+
+def _not_known(error: _Unanswered) -> NotCommitted | CommitUnknown:
+    if error.may_be_done:
+        return CommitUnknown(error.trouble)
+    return NotCommitted(error.trouble)
 
 
 def _trouble(status: int) -> StoreTrouble:
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import deque
 from contextlib import suppress
 from typing import NewType
 
@@ -53,6 +54,10 @@
 """Heartbeats that may be missing before a host is taken for dead. A batch whose owner
 is lost waits this long, a fifth of the time in which its results are due."""
 
+KEPT_ENDED = 1000
+"""Ended runs that are remembered: a late heartbeat comes seconds after the end, in
+which far fewer hosts restart."""
+
 FOLLOW_PAUSE_S = 0.25
 """Pause between reads of the heartbeats: half of their interval."""
 
@@ -111,7 +116,7 @@
         self._writes_fail = False
         self._writes_since = 0.0
         self._seen: dict[HostId, tuple[Heartbeat, float]] = {}
-        self._ended: set[Lifetime] = set()
+        self._ended: deque[Lifetime] = deque(maxlen=KEPT_ENDED)
         self._unanswered: set[asyncio.Task[None]] = set()
         self._follower = TableFollower(
             store,
@@ -279,7 +284,7 @@
             return  # written before that run ended, and carried out late
         before = self._seen.get(host)
         if before is not None and before[0].lifetime != beat.lifetime:
-            self._ended.add(before[0].lifetime)
+            self._ended.append(before[0].lifetime)
         if before is None or before[0].lifetime != beat.lifetime:
             _log.info("presence: host runs", host=host, lifetime=beat.lifetime)
         self._seen[host] = (beat, self._clock.monotonic())
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -10,7 +10,6 @@
     EndpointDirectory,
     EndpointId,
     Lost,
-    OutgoingRequest,
     RefusalReason,
     Refused,
     SendOutcome,
@@ -77,8 +76,7 @@
         self._directory = directory
         self._client = client
         self._clock = clock
-        deadline = min(request.deadline, request.received_at + route.timeout_s)
-        self._deadline = deadline - ANSWER_MARGIN_S
+        self._deadline = route_deadline(request, route)
         self._sends: dict[asyncio.Task[SendOutcome], TrackedEndpoint] = {}
         self._tried: list[EndpointId] = []
         self._runs = 0
@@ -130,26 +128,17 @@
 
     async def _send(self, target: TrackedEndpoint) -> SendOutcome:
         began = self._clock.monotonic()
+        outgoing = self._request.outgoing(
+            self._left_s(), may_reuse_connection=self._may_repeat()
+        )
         target.in_flight += 1
         try:
-            outcome = await self._client.send(target.endpoint, self._outgoing())
+            outcome = await self._client.send(target.endpoint, outgoing)
         finally:
             target.in_flight -= 1
         _note_outcome(target, outcome, began, self._clock.monotonic())
         return outcome
 
-    def _outgoing(self) -> OutgoingRequest:
-        return OutgoingRequest(
-            request_id=self._request.request_id,
-            method=self._request.method,
-            target=self._request.target,
-            host=self._request.host,
-            headers=self._request.headers,
-            body=self._request.body,
-            timeout_s=self._left_s(),
-            may_reuse_connection=self._may_repeat(),
-        )
-
     async def _next_outcome(self) -> tuple[SendOutcome, TrackedEndpoint] | None:
         """Wait for a send to end; None when it is time for another one, or too late."""
         wait_s = self._left_s()
@@ -249,6 +238,12 @@
         return max(self._deadline - self._clock.monotonic(), 0.0)
 
 
+def route_deadline(request: IncomingRequest, route: Route) -> float:
+    """Return the time by which the caller must have a first answer."""
+    deadline = min(request.deadline, request.received_at + route.timeout_s)
+    return deadline - ANSWER_MARGIN_S
+
+
 def _note_outcome(
     target: TrackedEndpoint, outcome: SendOutcome, began: float, now: float
 ) -> None:
--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -13,6 +13,7 @@
     EndpointDirectory,
     EndpointId,
     Headers,
+    LossReason,
     Lost,
     OpenedStream,
     OutgoingRequest,
@@ -23,7 +24,12 @@
     StreamOutcome,
     TrackedEndpoint,
 )
-from bankrudder.relay._attempts import MAX_REFUSALS, MIN_SEND_S, RETRY_AFTER_S
+from bankrudder.relay._attempts import (
+    MAX_REFUSALS,
+    MIN_SEND_S,
+    RETRY_AFTER_S,
+    route_deadline,
+)
 from bankrudder.relay._values import (
     IncomingRequest,
     NotRun,
@@ -87,45 +93,37 @@
         self, request: IncomingRequest, route: Route, service: ServiceName
     ) -> StreamStarted | Reply:
         """Return the stream of an endpoint, or why there is none."""
-        sender = _StreamSender(self, request, route, service)
-        outcome = await sender.open_first()
+        runs = _Runs(
+            request, route, service, self._directory, self._client, self._clock
+        )
+        outcome = await runs.open_first()
         if not isinstance(outcome, OpenedStream):
             return outcome
-        return StreamStarted(outcome.status, outcome.headers, sender.events(outcome))
-
-    def choose(
-        self, service: ServiceName, tried: list[EndpointId]
-    ) -> TrackedEndpoint | None:
-        """Return the endpoint to send to."""
-        return self._directory.choose(service, tried)
-
-    @property
-    def client(self) -> EndpointClient:
-        """How endpoints are reached."""
-        return self._client
-
-    @property
-    def clock(self) -> Clock:
-        """The clock that deadlines are on."""
-        return self._clock
+        return StreamStarted(outcome.status, outcome.headers, runs.events(outcome))
 
 
-class _StreamSender:
+class _Runs:
     """The runs of one request, one after the other."""
 
     def __init__(
         self,
-        parent: StreamForwarder,
         request: IncomingRequest,
         route: Route,
         service: ServiceName,
+        directory: EndpointDirectory,
+        client: EndpointClient,
+        clock: Clock,
     ):
-        self._parent = parent
         self._request = request
         self._route = route
         self._service = service
+        self._directory = directory
+        self._client = client
+        self._clock = clock
+        # The route's time is that to the first event; a stream may last longer.
+        self._deadline = route_deadline(request, route)
         self._tried: list[EndpointId] = []
-        self._runs = 0
+        self._count = 0
         self._refusals = 0
         self._last_number = request.resume_after
         self._run: _Run | None = None
@@ -158,6 +156,7 @@
                         if event.number <= self._last_number:
                             raise StreamBrokenError("event came again")
                         self._last_number = event.number
+                        self._deadline = self._request.deadline
                         yield event.raw
                     return
                 except (StreamBrokenError, TimeoutError) as error:
@@ -184,8 +183,9 @@
         raise StreamBrokenError(reason)
 
     async def _timed(self, opened: OpenedStream) -> AsyncIterator[StreamEvent]:
-        limit_s = GAP_TIMEOUT_S if self._may_go_on() else self._left_s()
         while True:
+            left_s = self._left_s()
+            limit_s = min(GAP_TIMEOUT_S, left_s) if self._may_go_on() else left_s
             try:
                 async with asyncio.timeout(limit_s):
                     event = await anext(opened.events)
@@ -195,44 +195,43 @@
 
     async def _open_next(self) -> StreamOutcome | None:
         """Open a run at the next endpoint; None if there is none or no time."""
-        target = self._parent.choose(self._service, self._tried)
+        target = self._directory.choose(self._service, self._tried)
         if target is None or self._left_s() < MIN_SEND_S:
             return None
         if self._refusals >= MAX_REFUSALS:
             return None
         self._tried.append(target.endpoint.id)
         self._run = _Run(target)
-        outcome = await self._run.open(self._parent.client, self._outgoing())
+        outcome = await self._opened(self._run)
         match outcome:
             case Refused(reason=reason):
                 self._refusals += 1
                 if reason is not RefusalReason.FULL:
-                    target.note_failure(self._parent.clock.monotonic())
+                    target.note_failure(self._clock.monotonic())
             case Lost():
-                self._runs += 1
-                target.note_failure(self._parent.clock.monotonic())
+                self._count += 1
+                target.note_failure(self._clock.monotonic())
             case _:
-                self._runs += 1
+                self._count += 1
         return outcome
 
-    def _outgoing(self) -> OutgoingRequest:
-        return OutgoingRequest(
-            request_id=self._request.request_id,
-            method=self._request.method,
-            target=self._request.target,
-            host=self._request.host,
-            headers=self._request.headers,
-            body=self._request.body,
-            timeout_s=self._left_s(),
+    async def _opened(self, run: _Run) -> StreamOutcome:
+        outgoing = self._request.outgoing(
+            max(self._request.deadline - self._clock.monotonic(), MIN_SEND_S),
             may_reuse_connection=self._route.is_resumable,
             resume_after=self._last_number,
         )
+        try:
+            async with asyncio.timeout(self._left_s()):
+                return await run.open(self._client, outgoing)
+        except TimeoutError:
+            return Lost(LossReason.TIMEOUT)
 
     def _may_go_on(self) -> bool:
-        return self._route.is_resumable and self._runs < self._route.max_attempts
+        return self._route.is_resumable and self._count < self._route.max_attempts
 
     def _left_s(self) -> float:
-        return max(self._request.deadline - self._parent.clock.monotonic(), 0.0)
+        return max(self._deadline - self._clock.monotonic(), 0.0)
 
     async def _close(self) -> None:
         run, self._run = self._run, None
@@ -244,11 +243,11 @@
         _log.warning(
             "relay: stream given up",
             request=self._request.request_id,
-            runs=self._runs,
+            runs=self._count,
             refusals=self._refusals,
             left_s=round(self._left_s(), 3),
         )
-        if self._runs:
+        if self._count:
             return Unanswered(RejectReason.ENDPOINT_FAILED, is_timeout)
         return NotRun(
             RejectReason.FULL if self._refusals else RejectReason.NO_ENDPOINT,
--- a/src/bankrudder/relay/_values.py
+++ b/src/bankrudder/relay/_values.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bankrudder.fleet import Headers
+from bankrudder.fleet import Headers, OutgoingRequest
 
 
 class IncomingRequest(msgspec.Struct, frozen=True):
@@ -35,6 +35,22 @@
     received_at: float
     resume_after: int = -1
 
+    def outgoing(
+        self, timeout_s: float, *, may_reuse_connection: bool, resume_after: int = -1
+    ) -> OutgoingRequest:
+        """Return the request as an endpoint is to receive it."""
+        return OutgoingRequest(
+            request_id=self.request_id,
+            method=self.method,
+            target=self.target,
+            host=self.host,
+            headers=self.headers,
+            body=self.body,
+            timeout_s=timeout_s,
+            may_reuse_connection=may_reuse_connection,
+            resume_after=resume_after,
+        )
+
 
 class Relayed(msgspec.Struct, frozen=True):
     """An endpoint's own answer, passed on unchanged.
--- a/src/bankrudder/store/_settling.py
+++ b/src/bankrudder/store/_settling.py
@@ -72,8 +72,8 @@
                     return Committed(max(row.version for row in outcome.rows))
                 return outcome
             case NotCommitted(trouble=StoreTrouble.REJECTED):
-                _log.error("store: transaction rejected")
-                return outcome
+                _log.error("store: transaction rejected", may_be_done=may_be_done)
+                break
             case CommitUnknown():
                 may_be_done = True
         if clock.monotonic() + pause_s >= until:
--- a/tests/batches/test_dispatcher.py
+++ b/tests/batches/test_dispatcher.py
@@ -22,10 +22,8 @@
     return Dispatcher(directory, hand_clock)
 
 
-def asked(dispatcher, rank=0.0, version=1, group="g", avoid=()):
-    return asyncio.ensure_future(
-        dispatcher.acquire((rank,), "s", "m", version, group, avoid)
-    )
+def asked(dispatcher, rank=0.0, version=1, group="g"):
+    return asyncio.ensure_future(dispatcher.acquire((rank,), "s", "m", version, group))
 
 
 async def granted(*tasks):
--- a/tests/node/test_batches.py
+++ b/tests/node/test_batches.py
@@ -273,3 +273,9 @@
         await host.start()
     results = await site.read_all("b1", 2)
     assert [each["state"] for each in results] == ["aborted", "aborted"]
+
+
+async def test_another_batch_of_the_same_name_is_not_taken_for_accepted(site):
+    assert await site.submit(site.hosts[0], "b1") == 202
+    assert await site.submit(site.hosts[1], "b1", samples=3) == 400
+    check_results(await site.read_all("b1", 8), "b1", 8)
--- a/tests/node/test_streams.py
+++ b/tests/node/test_streams.py
@@ -5,7 +5,7 @@
 import aiohttp
 import pytest
 
-from outside.site import until
+from outside.site import configuration, until
 
 
 async def call(site, path, **headers):
@@ -77,3 +77,18 @@
         async with asyncio.timeout(0.5):
             await call(site, "/stream/1")
     await until(lambda: any(each.broken_off["q1"] for each in site.engines), 0.6)
+
+
+@pytest.mark.parametrize("path", ["/stream/1", "/resumable/1"])
+async def test_a_stream_that_does_not_begin_is_answered_at_the_routes_time(site, path):
+    document = configuration(2)
+    for route in document["routes"]:
+        route["timeout_ms"] = 1000
+    site.rows.put("op", "config", document)
+    await asyncio.sleep(0.5)
+    for engine in site.engines:
+        engine.fail_next = ["silent"] * 5
+    began = asyncio.get_running_loop().time()
+    status, _, _ = await call(site, path)
+    assert status == 504
+    assert asyncio.get_running_loop().time() - began < 1.4
--- a/tests/orders/test_switching.py
+++ b/tests/orders/test_switching.py
@@ -32,6 +32,7 @@
         self.taken = {}
         self.loading = {}
         self.most = {}
+        self.forgotten = []
 
     async def state(self, endpoint):
         return EngineState(
@@ -47,6 +48,9 @@
         asyncio.get_running_loop().call_later(LOAD_S, self._loaded, endpoint.id, order)
         return OrderOutcome.ACCEPTED
 
+    async def forget(self, engine):
+        self.forgotten.append(engine)
+
     async def announce(self, engine, loaded):
         assert self.versions[engine][loaded.model] == loaded.version
 
@@ -57,7 +61,7 @@
 
 @pytest.fixture
 def switch():
-    async def switch(count, named, needed=0):
+    async def switch(count, named, needed=0, lose=None):
         clock = SystemClock()
         directory = EndpointDirectory("north", clock)
         engines = Engines()
@@ -72,6 +76,9 @@
         )  # fmt: skip
         task = asyncio.ensure_future(switcher.run())
         await asyncio.sleep(10 * LOAD_S)
+        if lose is not None:
+            directory.remove(lose, 0.0)
+            await asyncio.sleep(LOAD_S)
         task.cancel()
         return engines
 
@@ -99,3 +106,8 @@
 async def test_engines_that_no_batch_can_use_load_as_far_as_the_service_allows(switch):
     assert (await switch(5, {"m": 2})).most == {"m": 1}
     assert (await switch(5, {"m": 2}, needed=2)).most == {"m": 2}
+
+
+async def test_the_row_of_an_engine_that_is_gone_is_removed(switch):
+    engines = await switch(2, {"m": 2}, lose="e1")
+    assert engines.forgotten == ["e1"]
--- a/tests/outside/store.py
+++ b/tests/outside/store.py
@@ -90,6 +90,8 @@
         self.lose_replies = 0
         self.delay_commits = 0
         self.hang_replies = False
+        self.rejects_after_delay = False
+        self.garbled = b""
         self.late_share = 0.0
         self.refuses_table = ""
         self.calls = []
@@ -130,6 +132,8 @@
             case GateMode.RESET:
                 request.transport.abort()
                 return web.Response(status=500)
+        if self.garbled:
+            return web.Response(body=self.garbled)
         name = request.path.removeprefix("/bankrudder/")
         match name.partition("/")[0]:
             case "rows-tx":
@@ -161,6 +165,8 @@
             self._delayed.append((expectations, puts, removals))
             request.transport.abort()
             return web.Response(status=500)
+        if self.rejects_after_delay:
+            return web.Response(status=400)
         conflicting = self.rows.commit(expectations, puts, removals)
         if self.lose_replies:
             self.lose_replies -= 1
--- a/tests/store/test_platform_store.py
+++ b/tests/store/test_platform_store.py
@@ -81,3 +81,15 @@
     assert await store.get_object("a") == b"one"
     await store.drop_object("a")
     assert await store.get_object("a") is None
+
+
+@pytest.mark.parametrize(
+    "reply", [b"{", b'{"rows": 7}', b'{"rows":[{"table":"t","ver":1,"value":"?"}]}']
+)
+async def test_a_reply_that_cannot_be_understood_is_none(store, gate, reply):
+    gate.garbled = reply
+    assert await store.commit(PUT) == CommitUnknown(StoreTrouble.NO_REPLY)
+    with pytest.raises(StoreUnavailableError):
+        await store.read("my", "p")
+    with pytest.raises(StoreUnavailableError):
+        await store.follow("my", ABSENT, 0.1)
--- a/tests/store/test_settling.py
+++ b/tests/store/test_settling.py
@@ -67,3 +67,11 @@
     gate.delay_commits = 100
     with pytest.raises(NotSettledError):
         await settled(store, b"me", give_up_s=0.2)
+
+
+async def test_a_rejection_after_an_unknown_try_settles_nothing(store, gate):
+    # The first try may still be carried out, whatever the store says of the second.
+    gate.delay_commits = 1
+    gate.rejects_after_delay = True
+    with pytest.raises(NotSettledError):
+        await settled(store, b"me")
