Spell the calls of trainers once for all tests

Cause: paths and headers of a batch's calls stood in the site, the soak, the fault table and the tests of batches.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,7 +16,7 @@
 ROOT = Path(__file__).parents[1]
 sys.path[:0] = [str(ROOT), str(ROOT / "src"), str(ROOT / "tests")]
 
-from outside.site import ENGINES, Site, until  # noqa: E402
+from outside.site import ENGINES, Site  # noqa: E402
 from soak.clients import Caller, Trainer  # noqa: E402
 from soak.faults import HEAL_S, KINDS, draw  # noqa: E402
 from soak.history import History, violations  # noqa: E402
@@ -234,5 +234,3 @@
 
 if __name__ == "__main__":
     main()
-
-__all__ = ["SoakRun", "main", "until"]
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -7,7 +7,8 @@
 
 import aiohttp
 
-from outside.site import HOST_NAME, MODEL, batch
+from outside.site import HOST_NAME, batch
+from outside.trainer_calls import ending, reading, submission
 from soak.history import BatchSeen, CallSeen
 
 READ_PAUSE_S = 0.1
@@ -67,9 +68,7 @@
     async def _submit(self, seen, document, over):
         body = json.dumps(document).encode()
         while not over.is_set():
-            status, _ = await self._ask(
-                "POST", "/rollout/all", body, {"X-Request-Id": seen.batch_id}
-            )
+            status, _ = await self._ask(submission(seen.batch_id, body))
             if status == 202:
                 seen.was_accepted = True
                 return True
@@ -83,8 +82,7 @@
         after = len(seen.positions)
         if after and self._rng.random() < 0.2:
             after = self._rng.randrange(after)
-        path = f"/bankrudder/lots/{seen.batch_id}?after={after}"
-        status, body = await self._ask("GET", path, b"", {"X-Max-Wait": "300"})
+        status, body = await self._ask(reading(seen.batch_id, after, wait_ms=300))
         if status == 200:
             page = json.loads(body)
             if page["total_count"] != self._samples:
@@ -95,9 +93,7 @@
 
     async def _end(self, seen):
         for _ in range(200):
-            status, _ = await self._ask(
-                "DELETE", f"/bankrudder/lots/{seen.batch_id}", b"", {}
-            )
+            status, _ = await self._ask(ending(seen.batch_id))
             if status == 200:
                 seen.ended_at = time.monotonic()
                 return
@@ -108,8 +104,7 @@
         for seen in self._history.batches.values():
             if not seen.batch_id.startswith(self._name) or not seen.was_accepted:
                 continue
-            path = f"/bankrudder/lots/{seen.batch_id}?after=0"
-            status, body = await self._ask("GET", path, b"", {})
+            status, body = await self._ask(reading(seen.batch_id))
             if status != 200:
                 seen.lost.append(f"status {status} at the end")
                 continue
@@ -119,15 +114,12 @@
             if page["next"] < known:
                 seen.lost.append(f"{page['next']} of {known} results at the end")
 
-    async def _ask(self, method, path, body, headers):
+    async def _ask(self, call):
         host = self._rng.choice(self._site.hosts)
         try:
-            status, _, answer = await self._site.call(
-                host, method, path, body=body, headers=headers
-            )
+            return await self._site.ask(host, call)
         except GONE:
             return 0, b""
-        return status, answer
 
 
 class Caller:
@@ -180,4 +172,4 @@
         return status == 200
 
 
-__all__ = ["MODEL", "Caller", "Trainer"]
+__all__ = ["Caller", "Trainer"]
--- a/tests/node/test_batches.py
+++ b/tests/node/test_batches.py
@@ -8,6 +8,7 @@
 from outside.endpoints import EngineStandIn
 from outside.site import FREEZE, MODEL, THAW, check_results, configuration, until
 from outside.store import GateMode
+from outside.trainer_calls import sample_body
 
 SLOW_GAP_S = 0.05
 """Time between two events that leaves room for a fault in the middle of a batch."""
@@ -51,15 +52,13 @@
 
 async def test_an_unknown_batch_is_not_found(site):
     assert (await site.read(site.hosts[0], "none"))[0] == 404
-    status, _, _ = await site.call(site.hosts[0], "DELETE", "/bankrudder/lots/none")
-    assert status == 404
+    assert await site.end(site.hosts[0], "none") == 404
 
 
 async def test_bodies_are_given_until_the_end(site):
     slow(site)
     await site.submit(site.hosts[0], "b1")
-    path = "/bankrudder/items/b1?id=b1-s3"
-    status, _, body = await site.call(site.hosts[1], "GET", path)
+    status, body = await site.ask(site.hosts[1], sample_body("b1", "b1-s3"))
     assert (status, body) == (200, b"\0\1\2")
 
 
@@ -68,8 +67,7 @@
     await site.submit(site.hosts[0], "b1", samples=20)
     await until(lambda: sum(len(each.arrivals) for each in site.engines) >= 8)
     for _ in range(2):
-        status, _, _ = await site.call(site.hosts[1], "DELETE", "/bankrudder/lots/b1")
-        assert status == 200
+        assert await site.end(site.hosts[1], "b1") == 200
     await asyncio.sleep(0.5)
     arrivals = sum(len(each.arrivals) for each in site.engines)
     await asyncio.sleep(0.5)
@@ -201,7 +199,7 @@
     slow(site, events=40)
     await site.submit(site.hosts[0], "b1", samples=2)
     await asyncio.sleep(1.0)
-    await site.call(site.hosts[1], "DELETE", "/bankrudder/lots/b1")
+    assert await site.end(site.hosts[1], "b1") == 200
     await until(lambda: any(key[0] == "progress" for key in site.rows.rows))
     assert await site.submit(site.hosts[2], "b2", samples=2, names="b1") == 202
     results = await site.read_all("b2", 2)
@@ -230,7 +228,7 @@
     slow(site, events=40)
     await site.submit(site.hosts[0], "b1", samples=2)
     check_results(await site.read_all("b1", 2), "b1", 2, events=40)
-    await site.call(site.hosts[1], "DELETE", "/bankrudder/lots/b1")
+    assert await site.end(site.hosts[1], "b1") == 200
     await until(lambda: not any(key[0] == "progress" for key in site.rows.rows))
 
 
--- a/tests/node/test_fault_table.py
+++ b/tests/node/test_fault_table.py
@@ -14,6 +14,7 @@
 
 from outside.site import FREEZE, THAW, Site, batch, until
 from outside.store import GateMode
+from outside.trainer_calls import ending, reading, submission
 
 EVENTS = 16
 EVENT_GAP_S = 0.04
@@ -123,23 +124,21 @@
 
     def __init__(self, site):
         self._site = site
+        self._turn = 0
         document = batch("b1", SAMPLES)
         self._body = json.dumps(document).encode()
         ids = [item["id"] for item in document["items"]]
         self.seen = BatchSeen("b1", 1, ids)
 
     async def submit(self):
-        await self._until(
-            202, "POST", "/rollout/all", self._body, {"X-Request-Id": "b1"}
-        )
+        await self._until(202, submission("b1", self._body))
 
     async def read(self, count):
         deadline = time.monotonic() + LIMIT_S
         while len(self.seen.positions) < count:
             assert time.monotonic() < deadline, f"{len(self.seen.positions)} in time"
             after = len(self.seen.positions)
-            path = f"/bankrudder/lots/b1?after={after}"
-            status, body = await self._ask("GET", path, b"", {"X-Max-Wait": "200"})
+            status, body = await self._ask(reading("b1", after, wait_ms=200))
             if status == 200:
                 self.seen.note_page(after, json.loads(body))
             elif status == 404:
@@ -147,36 +146,32 @@
             await asyncio.sleep(0.02)
 
     async def end(self):
-        await self._until(200, "DELETE", "/bankrudder/lots/b1", b"", {})
+        await self._until(200, ending("b1"))
         self.seen.ended_at = time.monotonic()
 
     async def read_again(self):
-        path = "/bankrudder/lots/b1?after=0"
-        page = json.loads(await self._until(200, "GET", path, b"", {}))
+        page = json.loads(await self._until(200, reading("b1")))
         if page["next"] < len(self.seen.positions):
             self.seen.lost.append(f"{page['next']} results are left")
         self.seen.note_page(0, page)
 
-    async def _until(self, wanted, *call):
+    async def _until(self, wanted, call):
         deadline = time.monotonic() + LIMIT_S
         while time.monotonic() < deadline:
-            status, body = await self._ask(*call)
+            status, body = await self._ask(call)
             if status == wanted:
                 return body
             await asyncio.sleep(0.05)
         raise AssertionError(f"no {wanted} in time")
 
-    async def _ask(self, method, path, body, headers):
-        self._turn = getattr(self, "_turn", -1) + 1
+    async def _ask(self, call):
+        self._turn += 1
         host = self._site.hosts[self._turn % len(self._site.hosts)]
         try:
             async with asyncio.timeout(1.5):
-                status, _, answer = await self._site.call(
-                    host, method, path, body=body, headers=headers
-                )
+                return await self._site.ask(host, call)
         except GONE:
             return 0, b""
-        return status, answer
 
 
 async def reach(step, site, trainer):
--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -14,6 +14,7 @@
 from loopback import own_address
 from outside.endpoints import EngineStandIn, ServiceStandIn
 from outside.store import StoreGate, StoreRows
+from outside.trainer_calls import ending, reading, submission
 
 MODEL = "m0"
 ENGINES = "engines"
@@ -206,28 +207,29 @@
         ) as response:
             return response.status, response.headers, await response.read()
 
+    async def ask(self, host, call):
+        """Make a call of a trainer; return its status and body."""
+        status, _, body = await self.call(
+            host, call.method, call.path, body=call.body, headers=call.headers
+        )
+        return status, body
+
     async def submit(self, host, batch_id, **changes):
         """Submit a batch; return the status."""
-        document = batch(batch_id, **changes)
-        status, _, _ = await self.call(
-            host,
-            "POST",
-            "/rollout/all",
-            body=json.dumps(document).encode(),
-            headers={"X-Request-Id": batch_id},
-        )
+        body = json.dumps(batch(batch_id, **changes)).encode()
+        status, _ = await self.ask(host, submission(batch_id, body))
         return status
 
     async def read(self, host, batch_id, after=0):
         """Read results once; return status and document."""
-        status, _, body = await self.call(
-            host,
-            "GET",
-            f"/bankrudder/lots/{batch_id}?after={after}",
-            headers={"X-Max-Wait": "500"},
-        )
+        status, body = await self.ask(host, reading(batch_id, after, wait_ms=500))
         return status, json.loads(body) if status == 200 else None
 
+    async def end(self, host, batch_id):
+        """End a batch; return the status."""
+        status, _ = await self.ask(host, ending(batch_id))
+        return status
+
     async def read_all(self, batch_id, count, hosts=None, limit_s=15.0):
         """Read at the hosts in turn until all results are there; return them."""
         hosts = hosts or self.hosts
--- /dev/null
+++ b/tests/outside/trainer_calls.py
@@ -0,0 +1,33 @@
+"""The calls of trainers as the platform spells them, in one place for all tests."""
+
+from typing import NamedTuple
+
+
+class Call(NamedTuple):
+    """One request; its fields are the arguments of `Site.call` after the host."""
+
+    method: str
+    path: str
+    body: bytes = b""
+    headers: dict[str, str] | None = None
+
+
+def submission(batch_id: str, body: bytes) -> Call:
+    """Return the call that submits a batch."""
+    return Call("POST", "/rollout/all", body, {"X-Request-Id": batch_id})
+
+
+def reading(batch_id: str, after: int = 0, wait_ms: int = 0) -> Call:
+    """Return the call that reads results from a position on."""
+    headers = {"X-Max-Wait": str(wait_ms)}
+    return Call("GET", f"/bankrudder/lots/{batch_id}?after={after}", b"", headers)
+
+
+def sample_body(batch_id: str, sample_id: str) -> Call:
+    """Return the call that reads the body of a sample."""
+    return Call("GET", f"/bankrudder/items/{batch_id}?id={sample_id}")
+
+
+def ending(batch_id: str) -> Call:
+    """Return the call that ends a batch."""
+    return Call("DELETE", f"/bankrudder/lots/{batch_id}")
