--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,13 @@
 # when the lock has not changed since.
 
 PYTHON ?= python3.11
-SITE ?= both
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 PROTO := bankrudder/v1/bankrudder.proto
 GENERATED := src/bankrudder/v1
 
-.PHONY: setup demo explain soak test lint format proto check-proto faults histories mechanisms bench slopes lock clean
+.PHONY: setup demo explain soak test lint format proto check-proto lock clean
 
 setup: $(STAMP)
 
@@ -22,12 +21,13 @@
 	touch $(STAMP)
 
 demo: $(STAMP)
-	$(BIN)/python bench/platform_demo.py
-	$(BIN)/python bench/demo.py --site $(SITE)
+	$(BIN)/python bench/demo.py
 
-# PYTEST_ARGS narrows a run; CI passes the known failures through it.
+# PYTEST_ARGS narrows a run; CI passes the known failures through it. Four at a time
+# leave room for the daemons that the tests start.
+TEST_JOBS ?= 4
 test: $(STAMP)
-	$(BIN)/python -m pytest -q $(PYTEST_ARGS)
+	$(BIN)/python -m pytest -q -n $(TEST_JOBS) $(PYTEST_ARGS)
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
@@ -60,30 +60,12 @@
 soak: $(STAMP)
 	$(BIN)/python -m soak $(SOAK_ARGS)
 
-faults: $(STAMP)
-	$(BIN)/python bench/faults.py
-
-# Concurrent runs under drawn faults; SEED names the schedules.
-SEED ?= 1
-histories: $(STAMP)
-	$(BIN)/python bench/histories.py --seed $(SEED)
-
-# Switches each mechanism off and shows what notices; this takes long.
-mechanisms: $(STAMP)
-	$(BIN)/python bench/mechanisms.py
-
-bench: $(STAMP)
-	$(BIN)/python bench/bench.py --site $(SITE)
-
-slopes: $(STAMP)
-	$(BIN)/python bench/slopes.py
-
 # Writes the lock anew from what pyproject.toml allows today.
 lock:
 	rm -rf build/lock
 	$(PYTHON) -m venv build/lock
 	build/lock/bin/python -m pip install --quiet --disable-pip-version-check \
-	    --editable '.[test,bench,dev]'
+	    --editable '.[test,dev]'
 	build/lock/bin/python -m pip freeze --all --exclude-editable \
 	    | grep -v '^pip==' > requirements.lock
 
--- a/src/bankrudder/batches/__init__.py
+++ b/src/bankrudder/batches/__init__.py
@@ -3,7 +3,7 @@
 from bankrudder.batches._cleaning import Cleaner
 from bankrudder.batches._progress import ProgressStore
 from bankrudder.batches._reading import BatchReader
-from bankrudder.batches._repository import BatchRepository
+from bankrudder.batches._repository import BatchRepository, UnknownBatchError
 from bankrudder.batches._scoring import Scorer
 from bankrudder.batches._service import BatchService
 from bankrudder.batches._values import (
@@ -34,4 +34,5 @@
     "SampleId",
     "SampleResult",
     "Scorer",
+    "UnknownBatchError",
 ]
--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -8,7 +8,7 @@
 from bankrudder.batches._values import GroupId
 from bankrudder.fleet import EndpointDirectory, EndpointId, TrackedEndpoint
 from bankrudder.routing import ModelName, ServiceName
-from bankrudder.world import Clock, ModelVersion
+from bankrudder.world import Clock, DataCentreName, ModelVersion
 
 RECHECK_S = 0.05
 """While samples wait, the engines are looked at this often, for changes that no
@@ -33,6 +33,7 @@
     model: ModelName = field(compare=False)
     min_version: ModelVersion = field(compare=False)
     group: GroupId = field(compare=False)
+    data_centres: tuple[DataCentreName, ...] = field(compare=False)
     granted: "asyncio.Future[TrackedEndpoint]" = field(compare=False)
 
 
@@ -59,6 +60,7 @@
         model: ModelName,
         min_version: ModelVersion,
         group: GroupId,
+        data_centres: tuple[DataCentreName, ...] = (),
     ) -> TrackedEndpoint:
         """Wait for a slot; give it back with `release`."""
         request = SlotRequest(
@@ -68,6 +70,7 @@
             model,
             min_version,
             group,
+            data_centres,
             asyncio.get_running_loop().create_future(),
         )
         heapq.heappush(self._waiting, request)
@@ -97,6 +100,7 @@
         model: ModelName,
         min_version: ModelVersion,
         factor: float,
+        data_centres: tuple[DataCentreName, ...] = (),
     ) -> bool:
         """Whether a free engine makes events that many times as fast."""
         gap_s = target.event_gap_s
@@ -104,7 +108,7 @@
             return False
         return any(
             each.event_gap_s is not None and each.event_gap_s * factor < gap_s
-            for each in self._free(service, model, min_version)
+            for each in self._free(service, model, min_version, data_centres)
             if each is not target
         )
 
@@ -117,12 +121,17 @@
 
     def _grant(self) -> None:
         left: list[SlotRequest] = []
-        full: set[tuple[ServiceName, ModelName, ModelVersion]] = set()
+        full: set[tuple[object, ...]] = set()
         while self._waiting:
             request = heapq.heappop(self._waiting)
             if request.granted.done():
                 continue
-            kind = (request.service, request.model, request.min_version)
+            kind = (
+                request.service,
+                request.model,
+                request.min_version,
+                request.data_centres,
+            )
             target = None if kind in full else self._choose(request)
             if target is None:
                 full.add(kind)
@@ -135,7 +144,9 @@
             heapq.heappush(self._waiting, request)
 
     def _choose(self, request: SlotRequest) -> TrackedEndpoint | None:
-        free = self._free(request.service, request.model, request.min_version)
+        free = self._free(
+            request.service, request.model, request.min_version, request.data_centres
+        )
         if not free:
             return None
         known = sorted(each.event_gap_s for each in free if each.event_gap_s)
@@ -157,11 +168,12 @@
         service: ServiceName,
         model: ModelName,
         min_version: ModelVersion,
+        data_centres: tuple[DataCentreName, ...],
     ) -> list[TrackedEndpoint]:
         now = self._clock.monotonic()
         return [
             each
-            for each in self._directory.of_service(service)
+            for each in self._directory.of_service(service, data_centres)
             if each.in_flight < each.endpoint.slots
             and not each.is_suspended(now)
             and self._paused.get((each.endpoint.id, model), 0.0) <= now
--- a/src/bankrudder/batches/_loading.py
+++ b/src/bankrudder/batches/_loading.py
@@ -85,7 +85,7 @@
         while (table := self._routes()) is None:
             _log.warning("batches: no configuration yet", batch=batch.id)
             await asyncio.sleep(CONFIGURATION_PAUSE_S)
-        for route in table.configuration.routes:
+        for route in table.routes:
             if route.name == batch.route:
                 return route.retention_s or DEFAULT_RETENTION_S
         _log.warning("batches: route no longer configured", batch=batch.id)
--- a/src/bankrudder/batches/_ownership.py
+++ b/src/bankrudder/batches/_ownership.py
@@ -78,7 +78,7 @@
         """
         hosts = [
             host
-            for host in self._presence.batch_hosts()
+            for host in self._presence.batch_hosts(batch.data_centres)
             if may_be_me or host != self._presence.host
         ]
         host = self._last_owner.get(batch.model)
@@ -91,6 +91,7 @@
             model=batch.model,
             work=_expected_tokens(batch),
             min_version=batch.min_version,
+            data_centres=batch.data_centres,
         )
 
     def mine(self, before: Owner) -> Owner:
@@ -107,7 +108,9 @@
                 self._ownerless_since.pop(batch_id, None)
                 continue
             since = self._ownerless_since.setdefault(batch_id, now)
-            if now - since >= self._rank(batch_id) * RANK_DELAY_S:
+            if not self._presence.is_in(self._presence.host, owner.data_centres):
+                continue
+            if now - since >= self._rank(batch_id, owner) * RANK_DELAY_S:
                 yield batch_id, owner, version
 
     def _has_owner(self, owner: Owner) -> bool:
@@ -122,10 +125,10 @@
             return self._presence.lifetime
         return self._presence.lifetime_of(host)
 
-    def _rank(self, batch_id: BatchId) -> int:
+    def _rank(self, batch_id: BatchId, owner: Owner) -> int:
         """Return this host's place among those that would take a batch over."""
         hosts = sorted(
-            self._presence.live_hosts(),
+            self._presence.live_hosts(owner.data_centres),
             key=lambda host: (-self._presence.room_of(host), _drawn(batch_id, host)),
         )
         if self._presence.host not in hosts:
--- a/src/bankrudder/batches/_repository.py
+++ b/src/bankrudder/batches/_repository.py
@@ -100,7 +100,7 @@
             If that is not known.
         """
         body = msgspec.msgpack.encode(batch)
-        digest = hashlib.sha256(body).hexdigest()
+        digest = _digest(batch)
         chunks = self._split(body) if len(body) <= MAX_INLINE_BYTES else []
         if not chunks:
             await self._put_object(batch.id, digest, body)
@@ -312,6 +312,12 @@
     return RowKey(OWNERS_TABLE, batch_id, _OWNER_KEY)
 
 
+def _digest(batch: Batch) -> str:
+    """Return what a batch is recognised by when it comes again, in another trace."""
+    untraced = msgspec.structs.replace(batch, trace="")
+    return hashlib.sha256(msgspec.msgpack.encode(untraced)).hexdigest()
+
+
 def _head_key(batch_id: BatchId) -> RowKey:
     return RowKey(BATCHES_TABLE, batch_id, _HEAD_KEY)
 
--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -24,6 +24,7 @@
     SampleResult,
 )
 from bankrudder.fleet import EndpointClient
+from bankrudder.observe import Tracer
 from bankrudder.routing import Route
 from bankrudder.store import NotSettledError, RowVersion, StoreUnavailableError
 from bankrudder.world import Clock
@@ -72,7 +73,9 @@
         scorer: Scorer,
         client: EndpointClient,
         clock: Clock,
+        tracer: Tracer,
     ):
+        self._tracer = tracer
         self._batch = batch
         self._fence = fence
         self._next_position = len(listed)
@@ -96,6 +99,7 @@
                 client,
                 clock,
                 self._give_up_at,
+                tracer,
                 progress.get(sample.id),
             )
             for sample in batch.samples
@@ -175,11 +179,18 @@
     async def _finish(self, generator: SampleGenerator) -> None:
         sample = generator.sample
         began = self._clock.monotonic()
+        span = self._tracer.span(
+            "batches.sample",
+            self._batch.trace,
+            batch=self._batch.id,
+            sample=sample.id,
+        )
         try:
-            async with asyncio.timeout(self._give_up_at - began):
-                await generator.run()
-                whole_at = self._clock.monotonic()
-                score = await self._scored(sample)
+            with span:
+                async with asyncio.timeout(self._give_up_at - began):
+                    await generator.run(span.traceparent)
+                    whole_at = self._clock.monotonic()
+                    score = await self._scored(sample, span.traceparent)
         except (SampleFailedError, ScoreFailedError, TimeoutError) as error:
             _log.warning(
                 "batches: sample given up",
@@ -210,13 +221,14 @@
                 generator.text,
                 generator.versions,
                 score,
+                generator.version_events,
             )
         self._results.put_nowait(result)
 
-    async def _scored(self, sample: Sample) -> str:
+    async def _scored(self, sample: Sample, trace: str) -> str:
         if sample.reward is None:
             return ""
-        return await self._scorer.score(sample.reward)
+        return await self._scorer.score(sample.reward, trace)
 
     async def _list_results(self, count: int) -> bool:
         """List `count` results as they come; False if another owner took over."""
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -19,6 +19,7 @@
     StreamEvent,
     TrackedEndpoint,
 )
+from bankrudder.observe import Tracer
 from bankrudder.routing import Route
 from bankrudder.world import Clock, ModelVersion
 
@@ -81,8 +82,10 @@
         client: EndpointClient,
         clock: Clock,
         give_up_at: float,
+        tracer: Tracer,
         progress: Progress | None = None,
     ):
+        self._tracer = tracer
         self._batch = batch
         self._sample = sample
         self._route_now = route_now
@@ -94,6 +97,7 @@
         self._give_up_at = give_up_at
         self._texts: list[str] = []
         self._versions: list[ModelVersion] = []
+        self._version_events: list[int] = []
         self._next_number = -1
         self._is_whole = False
         self._failures = 0
@@ -103,6 +107,7 @@
         if progress is not None and self._fits(progress):
             self._texts = list(progress.texts)
             self._versions = list(progress.versions)
+            self._version_events = list(progress.version_events)
             self._next_number = progress.next_number
             self._is_whole = progress.is_whole
 
@@ -121,6 +126,11 @@
         """The versions that generated it, in the order of their first events."""
         return tuple(self._versions)
 
+    @property
+    def version_events(self) -> tuple[int, ...]:
+        """The number of events that each of the versions made."""
+        return tuple(self._version_events)
+
     @property
     def run_count(self) -> int:
         """Number of runs on engines so far."""
@@ -140,12 +150,21 @@
     def progress(self) -> Progress:
         """What has been generated so far."""
         return Progress(
-            tuple(self._texts), self.versions, self._next_number, self._is_whole
+            tuple(self._texts),
+            self.versions,
+            self._next_number,
+            self._is_whole,
+            self.version_events,
         )
 
-    async def run(self) -> None:
+    async def run(self, trace: str = "") -> None:
         """Generate until the text is whole.
 
+        Parameters
+        ----------
+        trace : str
+            W3C ``traceparent`` of the sample's span, or empty.
+
         Raises
         ------
         SampleFailedError
@@ -160,11 +179,21 @@
                 self._batch.model,
                 self._batch.min_version,
                 self._sample.group,
+                route.data_centres,
             )
             self._waited_s += self._clock.monotonic() - asked_at
             self._run_count += 1
+            span = self._tracer.span(
+                "batches.run",
+                trace,
+                sample=self._sample.id,
+                endpoint=target.endpoint.id,
+                first_event=self._next_number,
+            )
             try:
-                await self._run_on(target)
+                with span:
+                    await self._run_on(target)
+                    span.set(events=len(self._texts), is_whole=self._is_whole)
             finally:
                 self._dispatcher.release(target, self._sample.group)
 
@@ -206,6 +235,7 @@
             body=self._sample.body,
             timeout_s=max(left_s, MIN_RUN_TIMEOUT_S),
             resume_after=self._next_number - 1 if self._texts else -1,
+            generation=self._sample.generation,
         )
 
     async def _take_stream(
@@ -252,11 +282,17 @@
             raise StreamBrokenError(
                 f"event {event.number} in place of {self._next_number}"
             )
-        if version is not None and version not in self._versions:
-            self._versions.append(version)
+        if version is not None:
+            self._count_event(version)
         self._texts.append(event.data)
         self._next_number = event.number + 1
 
+    def _count_event(self, version: ModelVersion) -> None:
+        if version not in self._versions:
+            self._versions.append(version)
+            self._version_events.append(0)
+        self._version_events[self._versions.index(version)] += 1
+
     def _check_version(self, version: ModelVersion) -> None:
         if version < self._batch.min_version:
             raise _StaleWeightsError
@@ -268,6 +304,7 @@
     def _discard(self) -> None:
         self._texts = []
         self._versions = []
+        self._version_events = []
         self._next_number = -1
 
     def _should_move(self, target: TrackedEndpoint) -> bool:
@@ -279,6 +316,7 @@
             LONG_SLOWNESS_FACTOR
             if len(self._texts) >= LONG_EVENTS
             else SLOWNESS_FACTOR,
+            self._route.data_centres if self._route is not None else (),
         )
 
     def _take_failure(self, target: TrackedEndpoint, status: int) -> None:
@@ -306,6 +344,8 @@
     def _fits(self, progress: Progress) -> bool:
         if self._is_single_version and len(progress.versions) > 1:
             return False
+        if len(progress.version_events) != len(progress.versions):
+            return False  # saved by a program that did not count them
         return bool(progress.versions) and (
             min(progress.versions) >= self._batch.min_version
         )
--- a/src/bankrudder/batches/_scoring.py
+++ b/src/bankrudder/batches/_scoring.py
@@ -42,7 +42,7 @@
         self._running: dict[ServiceName, int] = {}
         self._freed = asyncio.Event()
 
-    async def score(self, call: RewardCall) -> str:
+    async def score(self, call: RewardCall, trace: str) -> str:
         """Return the proof of the grading service's answer.
 
         Raises
@@ -71,6 +71,7 @@
                     body=call.body,
                     deadline=now + route.timeout_s,
                     received_at=now,
+                    trace=trace,
                 )
                 reply = await self._forwarder.forward(request, route)
             finally:
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -24,8 +24,9 @@
     Owner,
 )
 from bankrudder.fleet import EndpointClient, EndpointDirectory
+from bankrudder.observe import Tracer
 from bankrudder.presence import Presence
-from bankrudder.routing import Route, RoutingTable
+from bankrudder.routing import RoutingTable
 from bankrudder.store import (
     ABSENT,
     NotSettledError,
@@ -64,8 +65,10 @@
         scorer: Scorer,
         routes: Callable[[], RoutingTable | None],
         clock: Clock,
+        tracer: Tracer,
         loaded: TableFollower | None = None,
     ):
+        self._tracer = tracer
         self._loaded = loaded
         self._following: asyncio.Task[None] | None = None
         self._repository = repository
@@ -106,7 +109,7 @@
         """Number of samples that wait for an engine."""
         return self._dispatcher.waiting_count
 
-    async def accept(self, batch: Batch, route: Route) -> bool:
+    async def accept(self, batch: Batch) -> bool:
         """Keep a batch and begin with it; False if one of its name is another one.
 
         Raises
@@ -216,6 +219,7 @@
             scorer=self._scorer,
             client=self._client,
             clock=self._clock,
+            tracer=self._tracer,
         )
         self._batches[batch_id] = run
         _log.info(
--- a/src/bankrudder/batches/_values.py
+++ b/src/bankrudder/batches/_values.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from bankrudder.fleet import Headers
+from bankrudder.fleet import Generation, Headers
 from bankrudder.routing import ModelName, RouteName
-from bankrudder.world import ModelVersion
+from bankrudder.world import DataCentreName, ModelVersion
 
 BatchId = NewType("BatchId", str)
 SampleId = NewType("SampleId", str)
@@ -23,7 +23,7 @@
     body: bytes
 
 
-class Sample(msgspec.Struct, frozen=True):
+class Sample(msgspec.Struct, frozen=True, omit_defaults=True):
     """One text to generate.
 
     Attributes
@@ -32,6 +32,8 @@
         Path and query of the request to an engine.
     length_hint : int
         Estimate of the tokens that will be generated, often far off.
+    generation : Generation or None
+        What to generate, if the headers do not say it.
     """
 
     id: SampleId
@@ -41,9 +43,10 @@
     group: GroupId
     length_hint: int = 0
     reward: RewardCall | None = None
+    generation: Generation | None = None
 
 
-class Batch(msgspec.Struct, frozen=True):
+class Batch(msgspec.Struct, frozen=True, omit_defaults=True):
     """All samples of one step of a trainer.
 
     Attributes
@@ -52,6 +55,10 @@
         Oldest weights that may generate any of its text.
     target_groups : int
         Whole groups that the trainer waits for.
+    data_centres : tuple of DataCentreName
+        Where it may be worked on; empty for anywhere.
+    trace : str
+        W3C ``traceparent`` of the span that received it, or empty.
     """
 
     id: BatchId
@@ -61,6 +68,8 @@
     min_version: ModelVersion
     target_groups: int
     samples: tuple[Sample, ...]
+    data_centres: tuple[DataCentreName, ...] = ()
+    trace: str = ""
 
 
 class BatchHead(msgspec.Struct, frozen=True):
@@ -79,7 +88,7 @@
     chunks: int
 
 
-class Owner(msgspec.Struct, frozen=True):
+class Owner(msgspec.Struct, frozen=True, omit_defaults=True):
     """Which run of which host works on a batch; both empty if none does.
 
     Attributes
@@ -91,6 +100,8 @@
         Tokens that the batch is expected to generate.
     min_version : ModelVersion
         Oldest weights that may generate any of its text.
+    data_centres : tuple of DataCentreName
+        Where the batch may be worked on; empty for anywhere.
     """
 
     host: str
@@ -99,6 +110,7 @@
     accepted_at: float = 0.0
     work: int = 0
     min_version: ModelVersion = ModelVersion(0)
+    data_centres: tuple[DataCentreName, ...] = ()
 
 
 class ResultState(Enum):
@@ -108,27 +120,35 @@
     ABORTED = "aborted"
 
 
-class SampleResult(msgspec.Struct, frozen=True):
-    """The end of one sample; it keeps its position in the batch for good."""
+class SampleResult(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The end of one sample; it keeps its position in the batch for good.
+
+    Attributes
+    ----------
+    version_events : tuple of int
+        Number of events that each version made.
+    """
 
     id: SampleId
     state: ResultState
     text: str = ""
     versions: tuple[ModelVersion, ...] = ()
     score: str = ""
+    version_events: tuple[int, ...] = ()
 
 
-class Progress(msgspec.Struct, frozen=True):
+class Progress(msgspec.Struct, frozen=True, omit_defaults=True):
     """What has been generated of a sample: its events and their versions.
 
     ``next_number`` is the number of the event that has to come next, -1 before
-    the first one.
+    the first one; ``version_events`` is the number of events that each version made.
     """
 
     texts: tuple[str, ...] = ()
     versions: tuple[ModelVersion, ...] = ()
     next_number: int = -1
     is_whole: bool = False
+    version_events: tuple[int, ...] = ()
 
 
 class ResultPage(msgspec.Struct, frozen=True):
--- a/src/bankrudder/calls/__init__.py
+++ b/src/bankrudder/calls/__init__.py
@@ -1,37 +1,22 @@
-"""Calls: idempotent ones retried, others run at most once by key."""
+"""Calls of the project's own interface: places, classes of callers, keys."""
 
-from bankrudder.calls._endpoints import HttpEndpoints
-from bankrudder.calls._entry import CallEntry
-from bankrudder.calls._home import CallHome
-from bankrudder.calls._ports import CallParts
-from bankrudder.calls._records import (
-    KeyRecord,
-    KeyRecords,
-    RecordedAnswer,
-    RecordState,
-)
-from bankrudder.calls._values import (
-    NO_KEY,
-    AnswerChunk,
-    AnswerEnd,
-    CallLimits,
-    CallOrder,
-    CallSettings,
-)
+from bankrudder.calls._admission import ClassAdmission, ClassTerms
+from bankrudder.calls._cleaning import CallCleaner
+from bankrudder.calls._once import OnceRunner
+from bankrudder.calls._records import CALLS_TABLE, CallRecords
+from bankrudder.calls._service import CallService
+from bankrudder.calls._values import NO_KEY, AnswerChunk, AnswerEnd, CallOrder
 
 __all__ = [
-    "NO_KEY",
     "AnswerChunk",
     "AnswerEnd",
-    "CallEntry",
-    "CallHome",
+    "CALLS_TABLE",
+    "CallCleaner",
     "CallOrder",
-    "CallParts",
-    "CallLimits",
-    "CallSettings",
-    "HttpEndpoints",
-    "KeyRecord",
-    "KeyRecords",
-    "RecordState",
-    "RecordedAnswer",
+    "CallRecords",
+    "CallService",
+    "ClassAdmission",
+    "ClassTerms",
+    "NO_KEY",
+    "OnceRunner",
 ]
--- a/src/bankrudder/calls/_admission.py
+++ b/src/bankrudder/calls/_admission.py
@@ -1,131 +1,185 @@
-"""What a call home does with a key: a decision on values, without I/O."""
-
-import msgspec
-
-from bankrudder.calls._keys import KeyAge, age_against
-from bankrudder.calls._records import KeyRecord, RecordState
-from bankrudder.failures import Failure, FailureKind, FailureReason
-
-
-class KeyFacts(msgspec.Struct, frozen=True):
-    """What the home knows when a request with a key arrives.
-
-    Attributes
-    ----------
-    minted : float
-        Wall time in seconds at which the key was minted.
-    floor : float
-        Wall time in seconds below which a key may have been run by a home that
-        was lost, 0.0 if there is none.
-    forgotten_until : float
-        Newest minting time of the keys that were forgotten, the same way.
-    may_act : bool
-        Whether this node is the home and its lease holds.
-    retry_after_s : float
-        Seconds after which a refused caller is told to come back.
-    """
-
-    record: KeyRecord | None
-    fingerprint: bytes
-    minted: float
-    floor: float
-    forgotten_until: float
-    may_act: bool
-    can_look_up: bool
-    is_full: bool
-    is_stopping: bool
-    retry_after_s: float
-
-
-class Run(msgspec.Struct, frozen=True):
-    """The key was never run: run it."""
-
-
-class Join(msgspec.Struct, frozen=True):
-    """The call is running: follow it."""
-
-
-class Replay(msgspec.Struct, frozen=True):
-    """The call ended: give its recorded end again."""
-
-    record: KeyRecord
+"""Which caller's request goes next when the endpoints of a service are busy.
 
+Each host admits its own requests, going by what endpoints report of their load and by
+what it sends itself. So classes are kept apart on each host; between hosts only the
+places that a class reserves hold.
+"""
 
-class Resolve(msgspec.Struct, frozen=True):
-    """It may have run: ask the endpoints, and else refuse with `failure`."""
+import asyncio
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
 
-    failure: Failure
-
-
-class Refuse(msgspec.Struct, frozen=True):
-    """Answer with a failure."""
-
-    failure: Failure
-
-
-Admission = Run | Join | Replay | Resolve | Refuse
-
-
-def admit(facts: KeyFacts) -> Admission:
-    """Return what to do with a key."""
-    if not facts.may_act:
-        return Refuse(_not_run(FailureReason.HOME_CHANGED, "not the home", facts))
-    if facts.record is not None:
-        return _admit_known(facts.record, facts)
-    if _may_be_lost(facts):
-        return _unknown(facts, _below_floor(facts))
-    if facts.is_stopping:
-        return Refuse(_not_run(FailureReason.STOPPING, "the home is stopping", facts))
-    if facts.is_full:
-        return Refuse(_not_run(FailureReason.OVERLOADED, "too many keys", facts))
-    return Run()
-
-
-def _admit_known(record: KeyRecord, facts: KeyFacts) -> Admission:
-    if record.fingerprint != facts.fingerprint:
-        return Refuse(_reused())
-    match record.state:
-        case RecordState.RUNNING:
-            return Join()
-        case RecordState.DONE:
-            return Replay(record)
-        case _:
-            return _unknown(facts, record.failure or _lost(facts))
-
-
-def _may_be_lost(facts: KeyFacts) -> bool:
-    if facts.minted <= facts.forgotten_until:
-        return True
-    return age_against(facts.minted, facts.floor) is KeyAge.BELOW_FLOOR
-
-
-def _unknown(facts: KeyFacts, failure: Failure) -> Admission:
-    return Resolve(failure) if facts.can_look_up else Refuse(failure)
+import msgspec
+import structlog
 
+from bankrudder.exceptions import NotRunError
+from bankrudder.failures import FailureReason
+from bankrudder.fleet import EndpointDirectory
+from bankrudder.routing import ServiceName
+from bankrudder.world import CallerClass, CallerClassName, Clock, DataCentreName
 
-def _reused() -> Failure:
-    return Failure(
-        FailureKind.INVALID,
-        FailureReason.KEY_REUSED,
-        "the key was used for another request",
-        field="key",
-    )
+RECHECK_S = 0.02
+"""While requests wait, the load is looked at this often: endpoints report a change of
+it with other answers, which wakes nobody here."""
 
+RETRY_AFTER_S = 0.25
+"""When to come back after a refusal: a few times a usual answer."""
 
-def _below_floor(facts: KeyFacts) -> Failure:
-    return msgspec.structs.replace(_lost(facts), reason=FailureReason.KEY_BELOW_FLOOR)
+_log = structlog.get_logger("calls")
 
 
-def _lost(facts: KeyFacts) -> Failure:
-    return Failure(
-        FailureKind.OUTCOME_UNKNOWN,
-        FailureReason.HOME_LOST,
-        "a home that was lost may have run the key",
-        retry_after_s=facts.retry_after_s if facts.can_look_up else None,
-    )
+class ClassTerms(msgspec.Struct, frozen=True):
+    """How the requests of a class are treated.
 
+    Attributes
+    ----------
+    reserved_above : int
+        Places on each endpoint that more urgent classes keep for themselves.
+    """
 
-def _not_run(reason: FailureReason, detail: str, facts: KeyFacts) -> Failure:
-    return Failure(
-        FailureKind.NOT_RUN, reason, detail, retry_after_s=facts.retry_after_s
-    )
+    name: CallerClassName
+    priority: int
+    queue_limit: int
+    queue_timeout_s: float
+    reserved_above: int = 0
+
+    @classmethod
+    def from_config(
+        cls, own: CallerClass, classes: tuple[CallerClass, ...]
+    ) -> "ClassTerms":
+        """Return the terms of a class among all classes."""
+        reserved = sum(
+            each.reserved for each in classes if each.priority < own.priority
+        )
+        return cls(
+            own.name, own.priority, own.queue_limit, own.queue_timeout_s, reserved
+        )
+
+
+class Place(msgspec.Struct, frozen=True):
+    """Where a request may go; each place is a queue of its own."""
+
+    service: ServiceName
+    data_centres: tuple[DataCentreName, ...] = ()
+
+
+@dataclass(order=True)
+class _Waiting:
+    priority: int
+    sequence: int
+    terms: ClassTerms = field(compare=False)
+    admitted: "asyncio.Future[None]" = field(compare=False)
+
+
+class _Queue:
+    """The requests for one place."""
+
+    def __init__(self) -> None:
+        self.waiting: list[_Waiting] = []
+        self.waiting_of: Counter[CallerClassName] = Counter()
+        self.admitted = 0
+
+
+class ClassAdmission:
+    """Admits requests by class; tasks that wait are woken in the order of classes."""
+
+    def __init__(self, directory: EndpointDirectory, clock: Clock):
+        self._directory = directory
+        self._clock = clock
+        self._queues: dict[Place, _Queue] = {}
+        self._sequence = itertools.count()
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests that wait."""
+        return sum(len(queue.waiting) for queue in self._queues.values())
+
+    @asynccontextmanager
+    async def admitted(
+        self, place: Place, terms: ClassTerms, deadline: float
+    ) -> AsyncIterator[None]:
+        """Hold a place while the block runs, after waiting for one.
+
+        Raises
+        ------
+        NotRunError
+            If too many of the class wait, or it waited for as long as it may.
+        """
+        queue = self._queues.setdefault(place, _Queue())
+        if queue.waiting or not self._has_room(place, queue, terms):
+            await self._wait(place, queue, terms, deadline)
+        else:
+            queue.admitted += 1
+        try:
+            yield
+        finally:
+            queue.admitted -= 1
+            self._admit(place, queue)
+
+    async def _wait(
+        self, place: Place, queue: _Queue, terms: ClassTerms, deadline: float
+    ) -> None:
+        if queue.waiting_of[terms.name] >= terms.queue_limit:
+            raise _refusal(FailureReason.OVERLOADED, f"{terms.queue_limit} wait")
+        entry = _Waiting(
+            terms.priority,
+            next(self._sequence),
+            terms,
+            asyncio.get_running_loop().create_future(),
+        )
+        heapq.heappush(queue.waiting, entry)
+        queue.waiting_of[terms.name] += 1
+        until = min(deadline, self._clock.monotonic() + terms.queue_timeout_s)
+        try:
+            await self._until_admitted(place, queue, entry, until)
+        except BaseException:
+            self._leave(queue, entry)
+            raise
+        finally:
+            queue.waiting_of[terms.name] -= 1
+
+    async def _until_admitted(
+        self, place: Place, queue: _Queue, entry: _Waiting, until: float
+    ) -> None:
+        while not entry.admitted.done():
+            self._admit(place, queue)
+            if self._clock.monotonic() >= until and not entry.admitted.done():
+                _log.info(
+                    "calls: waited in vain",
+                    service=place.service,
+                    caller_class=entry.terms.name,
+                    waiting=len(queue.waiting),
+                )
+                raise _refusal(FailureReason.QUEUE_TIMEOUT, "no place in time")
+            await asyncio.wait((entry.admitted,), timeout=RECHECK_S)
+
+    def _leave(self, queue: _Queue, entry: _Waiting) -> None:
+        if entry.admitted.done():
+            queue.admitted -= 1
+        elif entry in queue.waiting:
+            queue.waiting.remove(entry)
+            heapq.heapify(queue.waiting)
+
+    def _admit(self, place: Place, queue: _Queue) -> None:
+        while queue.waiting and self._has_room(place, queue, queue.waiting[0].terms):
+            entry = heapq.heappop(queue.waiting)
+            queue.admitted += 1
+            entry.admitted.set_result(None)
+
+    def _has_room(self, place: Place, queue: _Queue, terms: ClassTerms) -> bool:
+        endpoints = self._directory.of_service(place.service, place.data_centres)
+        if not endpoints:
+            return True  # it is refused at once where it would be sent
+        now = self._clock.monotonic()
+        places = sum(each.endpoint.slots - terms.reserved_above for each in endpoints)
+        others = sum(each.others_load(now) for each in endpoints)
+        own = max(queue.admitted, sum(each.in_flight for each in endpoints))
+        return own + others < max(places, 1)
+
+
+def _refusal(reason: FailureReason, detail: str) -> NotRunError:
+    return NotRunError(reason, detail, retry_after_s=RETRY_AFTER_S)
--- a/src/bankrudder/calls/_keys.py
+++ b/src/bankrudder/calls/_keys.py
@@ -1,7 +1,6 @@
 """Idempotency keys: their form, their age, and the fingerprint of a request."""
 
 import uuid
-from enum import Enum
 
 import msgspec
 import xxhash
@@ -14,25 +13,26 @@
 TIME_SHIFT = 80
 """Bits of a UUID of version 7 below its time of minting."""
 
-MILLISECONDS_PER_SECOND = 1000
+MS_PER_S = 1000
 
+CLOCK_BOUND_S = 5.0
+"""Most seconds by which the wall clocks of a host and of a caller may differ; the
+platform's own bound on the difference of two clocks."""
 
-class KeyAge(Enum):
-    """Where the time of minting lies relative to what this node can know."""
 
-    FRESH = "fresh"
-    """Minted since the floor: only this node's records can know the key."""
-
-    BELOW_FLOOR = "below_floor"
-    """A home that was lost with its records may have run the key."""
-
-
-class ScopedKey(msgspec.Struct, frozen=True):
-    """A key within its scope: the caller, and the data class of its requests."""
+class RequestIdentity(msgspec.Struct, frozen=True, array_like=True):
+    """What makes two requests the same."""
 
     caller: CallerName
     data_class: DataClassName
-    key: CallKey
+    pool: PoolName
+    method: str
+    payload: bytes
+
+
+def fingerprint_of(request: RequestIdentity) -> bytes:
+    """Return the 16-byte hash that a repeat of the same request shares."""
+    return xxhash.xxh3_128_digest(msgspec.msgpack.encode(request))
 
 
 def minted_at(key: CallKey) -> float:
@@ -47,13 +47,10 @@
         raise InvalidError(
             FailureReason.KEY_MISSING, "this pool needs a key", field="key"
         )
-    parsed = _parse(key)
-    return (parsed.int >> TIME_SHIFT) / MILLISECONDS_PER_SECOND
+    return (_parse(key).int >> TIME_SHIFT) / MS_PER_S
 
 
-def check_window(
-    minted: float, now: float, retry_window_s: float, clock_bound_s: float
-) -> None:
+def check_window(minted: float, now: float, retry_window_s: float) -> None:
     """Check that a key minted at `minted` may still be used at wall time `now`.
 
     Raises
@@ -63,7 +60,7 @@
     OutcomeUnknownError
         If it is older than the retry window, when its record may be gone.
     """
-    if minted > now + clock_bound_s:
+    if minted > now + CLOCK_BOUND_S:
         raise InvalidError(
             FailureReason.KEY_FROM_FUTURE, "the key is from the future", field="key"
         )
@@ -73,40 +70,18 @@
         )
 
 
-def age_against(minted: float, floor: float) -> KeyAge:
-    """Return whether a lost home may have run a key minted at `minted`.
+def record_name(caller: CallerName, key: CallKey) -> str:
+    """Return the name of a key's record; it begins with the key's time.
 
-    The margin of the floor covers the difference of two hosts' clocks and the
-    furthest future from which a key is taken, twice the clock bound in all.
+    A caller's keys are its own: another caller's equal key is another record.
     """
-    if minted < floor:
-        return KeyAge.BELOW_FLOOR
-    return KeyAge.FRESH
-
-
-class RequestIdentity(msgspec.Struct, frozen=True, array_like=True):
-    """What makes two requests the same."""
-
-    caller: CallerName
-    data_class: DataClassName
-    pool: PoolName
-    method: str
-    max_tokens: int
-    payload: bytes
+    scope = xxhash.xxh3_64_hexdigest(caller.encode())
+    return f"{round(minted_at(key) * MS_PER_S):013d}.{scope}.{key}"
 
 
-def fingerprint_of(request: RequestIdentity) -> bytes:
-    """Return the 16-byte hash that a repeat of the same request shares."""
-    return xxhash.xxh3_128_digest(msgspec.msgpack.encode(request))
-
-
-def endpoint_key_of(key: CallKey, fingerprint: bytes) -> str:
-    """Return the key as an endpoint sees it.
-
-    It begins with the caller's key; the fingerprint behind it keeps another
-    caller or another request from being given its answer by a look-up.
-    """
-    return f"{key}.{fingerprint.hex()}"
+def minted_in(name: str) -> float:
+    """Return the wall time in seconds that a record's name begins with."""
+    return int(name.partition(".")[0]) / MS_PER_S
 
 
 def _parse(key: CallKey) -> uuid.UUID:
@@ -114,8 +89,7 @@
         parsed = uuid.UUID(key)
     except ValueError:
         raise _malformed() from None
-    canonical = str(parsed) == key
-    if parsed.version != KEY_VERSION or not canonical:
+    if parsed.version != KEY_VERSION or str(parsed) != key:
         raise _malformed()
     return parsed
 
--- a/src/bankrudder/calls/_once.py
+++ b/src/bankrudder/calls/_once.py
@@ -1,176 +1,240 @@
-"""Runs one call at most once: nothing is sent after a byte may have been."""
+"""Requests that run at most once, whatever is repeated where.
+
+The record of the key is begun before the request is sent. So a repeat, at any host,
+finds it, and is given its answer, or is told that nobody knows what became of it.
+"""
 
 import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 import msgspec
 import structlog
+import uuid_utils
 
-from bankrudder.calls._attempts import AttemptRunner
-from bankrudder.calls._budgets import PoolBudgets
-from bankrudder.calls._ports import Attempt, CallParts, LookupAnswer, LookupRunning
-from bankrudder.calls._records import RecordedAnswer
-from bankrudder.calls._running import Outcome, RunningCall
-from bankrudder.exceptions import BankrudderError, NotRunError
-from bankrudder.failures import Failure, FailureKind, FailureReason
-from bankrudder.pools import NO_PREFIX, Grant, GrantAsk, prefix_of
-from bankrudder.world import CallerClassName, CallId, DataClassName, EndpointName, Pool
+from bankrudder.calls._records import CallRecords, Kept
+from bankrudder.calls._values import Answer, CallRecord, RecordState
+from bankrudder.exceptions import (
+    BankrudderError,
+    ExpiredError,
+    FailedError,
+    InvalidError,
+    NotRunError,
+    OutcomeUnknownError,
+)
+from bankrudder.failures import FailureReason
+from bankrudder.presence import Presence
+from bankrudder.store import NotSettledError, RowVersion, StoreUnavailableError
+from bankrudder.world import Clock
 
-_log = structlog.get_logger("calls")
+BEGIN_GIVE_UP_S = 1.0
+"""Time for which the beginning of a record is tried again: a caller waits for it."""
 
+REPLY_MARGIN_S = 0.1
+"""Time kept for telling a caller that its request was not sent."""
 
-class OnceOrder(msgspec.Struct, frozen=True):
-    """A call that its home has admitted.
+POLL_S = 0.1
+"""Pause between two looks at a key that another attempt is sending: twice a usual
+answer."""
 
-    Attributes
-    ----------
-    endpoint_key : str
-        The key as the endpoint sees it.
-    deadline : float
-        Monotonic time in seconds after which nothing is sent any more.
-    """
+STORE_RETRY_AFTER_S = 0.5
+"""When to come back while the store takes no record here; another host may reach it."""
 
-    call_id: CallId
-    caller_class: CallerClassName
-    data_class: DataClassName
-    pool: Pool
-    method: str
-    payload: bytes
-    max_tokens: int
-    endpoint_key: str
-    deadline: float
-    trace: str = ""
+LATE_WRITE_S = 10.0
+"""Time for which a record is looked for whose beginning is not settled: the store may
+carry a write out some seconds after it gave no answer."""
 
+LATE_PAUSE_S = 1.0
 
-class OnceRunner:
-    """Sends an admitted call to one endpoint after another until one takes it."""
-
-    def __init__(self, parts: CallParts, attempts: AttemptRunner):
-        self._parts = parts
-        self._attempts = attempts
-        self._budgets = PoolBudgets(parts.settings, parts.clock)
-
-    async def run(self, call: RunningCall, order: OnceOrder) -> Outcome:
-        """Return how the call ended; a NOT_RUN failure leaves its key usable."""
-        excluded: tuple[EndpointName, ...] = ()
-        budget = self._budgets.of(order.pool.name)
-        budget.request()
-        for number in range(1, self._parts.settings.max_attempts + 1):
-            try:
-                grant = await self._grant(order, excluded)
-            except BankrudderError as error:
-                return _as_not_run(error.failure)
-            attempt = _attempt_of(order, grant, number)
-            if not self._may_send(call):
-                await self._attempts.unused(attempt)
-                return _lease_lapsed(self._parts.settings.retry_after_s)
-            outcome = await self._send(call, attempt)
-            if not _is_not_run(outcome) or not budget.try_retry():
-                return outcome
-            excluded = (*excluded, grant.endpoint)
-        return outcome
-
-    async def _grant(
-        self, order: OnceOrder, excluded: tuple[EndpointName, ...]
-    ) -> Grant:
-        remaining_s = order.deadline - self._parts.clock.monotonic()
-        if remaining_s <= 0:
-            raise NotRunError(FailureReason.DEADLINE_PASSED, "no time is left")
-        ask = GrantAsk(
-            order.pool.name,
-            order.data_class,
-            order.caller_class,
-            prefix=prefix_of(order.payload) if order.pool.model else NO_PREFIX,
-            exclude=excluded,
-            timeout_s=order.pool.contract.timeout_s,
-        )
-        return await self._parts.grants.acquire(ask, order.deadline)
+Run = Callable[[], Awaitable[Answer]]
+
+_log = structlog.get_logger("calls")
 
-    def _may_send(self, call: RunningCall) -> bool:
-        """Return whether no other node can take the key for one that never ran.
 
-        A record that was handed over keeps the key from running elsewhere.
+class OnceRunner:
+    """Runs requests under records of their keys."""
+
+    def __init__(self, records: CallRecords, presence: Presence, clock: Clock):
+        self._records = records
+        self._presence = presence
+        self._clock = clock
+        self._background: set[asyncio.Task[None]] = set()
+
+    async def run(
+        self, name: str, fingerprint: bytes, deadline: float, run: Run
+    ) -> tuple[Answer, bool]:
+        """Return the answer to a key, and whether it was recorded before.
+
+        Parameters
+        ----------
+        name : str
+            Name of the key's record.
+        deadline : float
+            Monotonic time after which the caller no longer waits.
+        run : callable
+            Sends the request. Its `NotRunError` means that it surely did not run.
+
+        Raises
+        ------
+        BankrudderError
+            What became of the request, or why it was not sent.
         """
-        return call.is_moved or self._parts.directory.may_act_for(call.subject)
+        while True:
+            record = CallRecord(
+                fingerprint,
+                self._presence.host,
+                self._presence.lifetime,
+                str(uuid_utils.uuid4()),
+            )
+            kept = await self._begin(name, record, deadline)
+            if kept.is_ours:
+                return await self._send(name, kept, run), False
+            if kept.record.fingerprint != fingerprint:
+                raise InvalidError(
+                    FailureReason.KEY_REUSED,
+                    "the key stands for another request",
+                    field="key",
+                )
+            answer = await self._result_of_other(name, kept, deadline)
+            if answer is not None:
+                return answer, True
 
-    async def _send(self, call: RunningCall, attempt: Attempt) -> Outcome:
-        call.is_sent = True
+    async def _begin(self, name: str, record: CallRecord, deadline: float) -> Kept:
+        left_s = deadline - self._clock.monotonic() - REPLY_MARGIN_S
         try:
-            async for part in self._attempts.run(attempt):
-                call.append(part.data, part.version)
-        except NotRunError as error:
-            call.is_sent = False
-            return error.failure
+            return await self._records.begin(name, record, min(BEGIN_GIVE_UP_S, left_s))
+        except StoreUnavailableError as error:
+            raise _not_recorded(error.trouble.value) from None
+        except NotSettledError:
+            # It will not be sent, so a record that appears yet must go again.
+            self._spawn(self._withdraw_late(name, record))
+            raise _not_recorded("no reply") from None
+
+    async def _send(self, name: str, kept: Kept, run: Run) -> Answer:
+        try:
+            answer = await run()
+        except NotRunError:
+            await self._withdraw(name, kept.version)
+            raise
+        except FailedError as error:
+            await self._finish(
+                name, kept, RecordState.FAILED, detail=error.failure.detail
+            )
+            raise
         except BankrudderError as error:
-            if error.kind is FailureKind.FAILED:
-                return error.failure
-            return await self._resolve(call, attempt, error.failure)
-        return RecordedAnswer(call.data_from(0), call.versions, attempt.grant.endpoint)
-
-    async def _resolve(
-        self, call: RunningCall, attempt: Attempt, failure: Failure
-    ) -> Outcome:
-        """Ask the endpoint what became of the call, while it says "running"."""
-        if not attempt.pool.contract.key_lookup:
-            return failure
-        clock = self._parts.clock
-        give_up = clock.monotonic() + attempt.timeout_s
-        settings = self._parts.settings
-        while clock.monotonic() < give_up:
-            try:
-                fate = await self._parts.endpoints.lookup(
-                    attempt.grant.address, attempt.key, settings.lookup_timeout_s
+            await self._finish(
+                name, kept, RecordState.UNKNOWN, detail=error.failure.detail
+            )
+            raise
+        except asyncio.CancelledError:
+            # The caller left while it may have run: a repeat must be told so.
+            finishing = self._finish(
+                name, kept, RecordState.UNKNOWN, detail="the caller left"
+            )
+            self._spawn(finishing)
+            raise
+        # A repeat may come as soon as the caller has the answer, so it is kept first.
+        await self._finish(
+            name,
+            kept,
+            RecordState.ANSWERED,
+            body=answer.body,
+            endpoint=answer.endpoint,
+        )
+        return answer
+
+    async def _result_of_other(
+        self, name: str, kept: Kept, deadline: float
+    ) -> Answer | None:
+        """Return what another attempt made of a key; None if it was withdrawn."""
+        found: Kept | None = kept
+        while found is not None:
+            record = found.record
+            match record.state:
+                case RecordState.ANSWERED:
+                    return await self._replayed(record)
+                case RecordState.FAILED:
+                    raise FailedError(FailureReason.ENDPOINT_ERROR, record.detail)
+                case RecordState.UNKNOWN:
+                    raise OutcomeUnknownError(
+                        FailureReason.ENDPOINT_TIMEOUT, record.detail
+                    )
+            if not self._presence.is_alive(record.host, record.lifetime):
+                raise OutcomeUnknownError(
+                    FailureReason.HOST_LOST, f"{record.host}, which sent it, ended"
                 )
-            except BankrudderError:
-                return failure
-            match fate:
-                case LookupAnswer(answer):
-                    return _fitting(call, attempt, answer, failure)
-                case LookupRunning():
-                    await asyncio.sleep(settings.retry_after_s)
-                case _:
-                    return failure
-        return failure
-
-
-def _attempt_of(order: OnceOrder, grant: Grant, number: int) -> Attempt:
-    return Attempt(
-        order.call_id,
-        number,
-        order.pool,
-        grant,
-        order.method,
-        order.payload,
-        order.max_tokens,
-        order.pool.contract.timeout_s,
-        key=order.endpoint_key,
-        trace=order.trace,
-    )
-
-
-def _fitting(
-    call: RunningCall, attempt: Attempt, answer: RecordedAnswer, failure: Failure
-) -> Outcome:
-    """Return the looked-up answer, if it continues what was passed on already."""
-    if not answer.data.startswith(call.data_from(0)):
-        return failure
-    return msgspec.structs.replace(answer, endpoint=attempt.grant.endpoint)
-
+            if self._clock.monotonic() + POLL_S >= deadline:
+                raise ExpiredError(
+                    FailureReason.DEADLINE_PASSED, "another attempt is still running"
+                )
+            await asyncio.sleep(POLL_S)
+            found = await self._read(name)
+        return None
 
-def _is_not_run(outcome: Outcome) -> bool:
-    return isinstance(outcome, Failure) and outcome.kind is FailureKind.NOT_RUN
+    async def _read(self, name: str) -> Kept | None:
+        try:
+            return await self._records.read(name)
+        except StoreUnavailableError as error:
+            raise _not_known(error.trouble.value) from None
 
+    async def _replayed(self, record: CallRecord) -> Answer:
+        try:
+            body = await self._records.body_of(record)
+        except StoreUnavailableError as error:
+            raise _not_known(error.trouble.value) from None
+        if body is None:
+            raise OutcomeUnknownError(
+                FailureReason.KEY_EXPIRED, "it ran, and its answer is no longer kept"
+            )
+        return Answer(body, record.endpoint)
+
+    async def _finish(
+        self, name: str, kept: Kept, state: RecordState, **what: Any
+    ) -> None:
+        record = msgspec.structs.replace(kept.record, state=state, **what)
+        try:
+            await self._records.finish(name, kept.version, record)
+        except (StoreUnavailableError, NotSettledError):
+            # A repeat will be told that nobody knows, which is true for it.
+            _log.warning("calls: outcome not kept", record=name, state=state.value)
 
-def _as_not_run(failure: Failure) -> Failure:
-    """Return why no grant was had, as the refusal that it is: nothing was sent."""
-    if failure.kind is FailureKind.INVALID:
-        return failure
-    return msgspec.structs.replace(failure, kind=FailureKind.NOT_RUN)
+    async def _withdraw(self, name: str, version: RowVersion) -> None:
+        try:
+            await self._records.withdraw(name, version)
+        except (StoreUnavailableError, NotSettledError):
+            _log.warning("calls: record not withdrawn", record=name)
+
+    async def _withdraw_late(self, name: str, record: CallRecord) -> None:
+        """Remove a record that this attempt may have begun, once it appears."""
+        until = self._clock.monotonic() + LATE_WRITE_S
+        while self._clock.monotonic() < until:
+            await asyncio.sleep(LATE_PAUSE_S)
+            try:
+                kept = await self._records.read(name)
+            except StoreUnavailableError:
+                continue  # looked for again after the pause
+            if kept is not None:
+                if kept.record.attempt == record.attempt:
+                    await self._withdraw(name, kept.version)
+                return
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+
+def _not_recorded(trouble: str) -> NotRunError:
+    return NotRunError(
+        FailureReason.STORE_UNAVAILABLE,
+        f"the key cannot be recorded: {trouble}",
+        retry_after_s=STORE_RETRY_AFTER_S,
+    )
 
 
-def _lease_lapsed(retry_after_s: float) -> Failure:
-    return Failure(
-        FailureKind.NOT_RUN,
-        FailureReason.LEASE_LAPSED,
-        "the home's lease lapsed before anything was sent",
-        retry_after_s=retry_after_s,
+def _not_known(trouble: str) -> OutcomeUnknownError:
+    return OutcomeUnknownError(
+        FailureReason.STORE_UNAVAILABLE,
+        f"the key's record cannot be read: {trouble}",
+        retry_after_s=STORE_RETRY_AFTER_S,
     )
--- a/src/bankrudder/cli/_calls.py
+++ b/src/bankrudder/cli/_calls.py
@@ -30,7 +30,6 @@
     group: int
     index: int
     versions: tuple[int, ...]
-    endpoint: str
     text_base64: str
 
 
@@ -77,7 +76,6 @@
                 sample.slot.group,
                 sample.slot.index,
                 tuple(span.version for span in sample.versions),
-                sample.endpoint,
                 base64.b64encode(sample.text).decode(),
             )
             output.value(line, _sample_lines(line, sample.text))
@@ -98,4 +96,4 @@
 def _sample_lines(line: _SampleLine, text: bytes) -> Sequence[str]:
     versions = ",".join(map(str, line.versions))
     shown = text.decode(errors="replace")
-    return [f"{line.group}.{line.index} {line.endpoint} versions {versions}: {shown}"]
+    return [f"{line.group}.{line.index} versions {versions}: {shown}"]
--- a/src/bankrudder/cli/_commands.py
+++ b/src/bankrudder/cli/_commands.py
@@ -18,7 +18,11 @@
 from bankrudder.cli._tls import credentials_of
 from bankrudder.client import Applied, ConfigurationDocument, OperatorClient
 from bankrudder.config import check, decode_document, difference, published_schema
-from bankrudder.exceptions import InvalidError, OutcomeUnknownError
+from bankrudder.exceptions import (
+    BankrudderError,
+    InvalidError,
+    OutcomeUnknownError,
+)
 from bankrudder.failures import FailureReason
 from bankrudder.world import Address, Configuration, Revision
 
@@ -27,9 +31,6 @@
 
 TRACE_ID = re.compile(r"[0-9a-f]{32}")
 
-DECLARED_AT_ONCE = 8
-"""Hosts that are declared at the same time; each waits for pings, and one row."""
-
 Command = Callable[[argparse.Namespace, Output], Awaitable[ExitCode]]
 
 
@@ -43,7 +44,7 @@
     data = read_file(arguments.file)
     if arguments.settings:
         # Imported late: the daemon's package brings every part with it.
-        from bankrudder.daemon import parse_settings
+        from bankrudder.node import parse_settings
 
         parse_settings(data)
     else:
@@ -57,7 +58,7 @@
     if arguments.document == "configuration":
         document = published_schema(Configuration)
     else:
-        from bankrudder.daemon import NodeSettings
+        from bankrudder.node import NodeSettings
 
         document = published_schema(NodeSettings)
     output.text(document.decode())
@@ -123,48 +124,41 @@
     return ExitCode.OK
 
 
-async def declare_ended(arguments: argparse.Namespace, output: Output) -> ExitCode:
-    """Declare that the processes of hosts ended for good; raise the first failure.
-
-    A failure for one host does not keep the others from being declared.
-    """
-    hosts = arguments.hosts
-    if not arguments.yes:
-        raise InvalidError(
-            FailureReason.BAD_REQUEST,
-            f"make sure that {', '.join(hosts)} ended for good, then give --yes",
-            field="yes",
-        )
-    places = asyncio.Semaphore(DECLARED_AT_ONCE)
-    async with _client(arguments, arguments.entry) as client:
-
-        async def declare(host: str) -> None:
-            async with places:
-                incarnation = await client.declare_ended(host)
-            line = f"{host} ({incarnation}) is declared to have ended"
-            output.value(_DeclaredEnded(host, incarnation), [line])
-
-        declaring = [declare(host) for host in hosts]
-        outcomes = await asyncio.gather(*declaring, return_exceptions=True)
-    for outcome in outcomes:
-        if isinstance(outcome, BaseException):
-            raise outcome
-    return ExitCode.OK
-
-
 async def trace(arguments: argparse.Namespace, output: Output) -> ExitCode:
-    """Print the finished spans of a trace; fail if there are none."""
+    """Print the finished spans of a trace, of all hosts; fail if there are none."""
     if not TRACE_ID.fullmatch(arguments.trace_id):
         detail = "ID: allowed are 32 lower-case hexadecimal digits"
         raise InvalidError(FailureReason.BAD_REQUEST, detail, field="ID")
     async with _client(arguments, arguments.entry) as client:
+        nodes = await client.status(all_hosts=True)
         spans = await client.trace(arguments.trace_id)
+    others = [
+        Address(node.rpc_address)
+        for node in nodes[1:]
+        if node.rpc_address and not node.unreachable
+    ]
+    found = await asyncio.gather(
+        *(_spans_at(arguments, address, output) for address in others)
+    )
+    spans += tuple(span for each in found for span in each)
     output.value([msgspec.Raw(span.encode()) for span in spans], spans)
     if not spans:
-        output.note(_NoSpans(arguments.trace_id), "no member holds spans of the trace")
+        output.note(_NoSpans(arguments.trace_id), "no host holds spans of the trace")
     return ExitCode.OK if spans else ExitCode.FAILED
 
 
+async def _spans_at(
+    arguments: argparse.Namespace, address: Address, output: Output
+) -> tuple[str, ...]:
+    """Return the spans that another host holds, none if it does not answer."""
+    try:
+        async with _client(arguments, address) as client:
+            return await client.trace(arguments.trace_id)
+    except BankrudderError as error:
+        output.note(error.failure, f"{address}: {error.failure.reason.value}")
+        return ()
+
+
 class _NoSpans(msgspec.Struct, frozen=True):
     trace_id: str
     spans: int = 0
@@ -175,11 +169,6 @@
     stopping: bool = True
 
 
-class _DeclaredEnded(msgspec.Struct, frozen=True):
-    host: str
-    incarnation: str
-
-
 def _client(arguments: argparse.Namespace, address: Address) -> OperatorClient:
     token = read_token(arguments.token_file)
     credentials = credentials_of(arguments)
--- a/src/bankrudder/cli/_exit.py
+++ b/src/bankrudder/cli/_exit.py
@@ -20,8 +20,8 @@
   0  done
   1  failed; the error says whether it may have taken effect
   2  wrong input, nothing was sent or the node refused it as wrong
-  3  not yet: written, but some members may still act without it; or the node
-     holds less than --revision
+  3  not yet: written, but not in force on all live hosts; or the node holds less
+     than --revision
   4  conflict: somebody else applied a newer revision
 """
 
--- a/src/bankrudder/cli/_output.py
+++ b/src/bankrudder/cli/_output.py
@@ -9,7 +9,6 @@
 from bankrudder.client import Applied, NodeReport
 from bankrudder.config import ConfigurationDifference
 from bankrudder.failures import Failure
-from bankrudder.waits import WaitReason
 from bankrudder.world import Configuration
 
 BYTES_PER_MIB = 1024 * 1024
@@ -17,31 +16,13 @@
 NODE_COLUMNS = (
     "HOST",
     "DATA CENTRE",
-    "EPOCH",
+    "ADDRESS",
     "REVISION",
-    "LEASE",
     "STATE",
     "MIB",
     "VERSION",
-    "PROTOCOL",
-)
-ENDPOINT_COLUMNS = ("HOST", "ENDPOINT", "STATE", "IN FLIGHT", "LIMIT", "VERSION")
-
-
-_WAITS = {
-    WaitReason.NOT_JOINING: "waits to read the configuration from the table",
-    WaitReason.TABLE_UNAVAILABLE: "waits for the table, which does not answer",
-    WaitReason.NOT_LISTED: "waits to be taken up into the member map",
-    WaitReason.CHANGE_PENDING: "epoch {epoch} of the member map is pending",
-    WaitReason.NO_LEASE: "too few witnesses vouch for it",
-    WaitReason.OTHER: "waits for a reason that this version does not know",
-}
-
-_MISSING_ADVICE = (
-    "  If these seconds grow, the members above are lost, and most of those that",
-    "  vouched for them. For each one: start its process at its old peer address,",
-    "  or, once you are sure that it ended: bankrudder declare-ended HOST ... --yes",
 )
+ENDPOINT_COLUMNS = ("ENDPOINT", "STATE", "IN FLIGHT", "SLOTS", "VERSION")
 
 
 class Output:
@@ -84,10 +65,9 @@
     """Return what an operator reads after an apply."""
     if applied.accepted:
         return [f"revision {applied.revision} accepted"]
-    pending = ", ".join(applied.pending_members)
     return [
         f"revision {applied.revision} is written, but not accepted yet",
-        f"pending members: {pending}" if pending else "the member map is changing",
+        f"pending hosts: {', '.join(applied.pending_hosts)}",
     ]
 
 
@@ -103,57 +83,40 @@
 
 
 def status_lines(nodes: Sequence[NodeReport], endpoints: bool) -> list[str]:
-    """Return a table of nodes, and of the endpoints that they see."""
+    """Return a table of nodes, and of the endpoints that the first one sees."""
     lines = _table([NODE_COLUMNS, *(_node_row(node) for node in nodes)])
     if endpoints:
         lines += ["", *_table([ENDPOINT_COLUMNS, *_endpoint_rows(nodes)])]
-    return lines + [line for node in nodes for line in _wait_lines(node)]
+    return lines
 
 
 def _node_row(node: NodeReport) -> tuple[str, ...]:
-    if node.unreachable:
-        return (node.host, node.data_centre, "", "", "", node.unreachable, "", "", "")
     return (
         node.host,
         node.data_centre,
-        str(node.epoch),
+        node.rpc_address,
         str(node.revision),
-        "held" if node.leased else "lapsed",
         _state(node),
-        str(node.memory_bytes // BYTES_PER_MIB),
+        str(node.memory_bytes // BYTES_PER_MIB) if node.memory_bytes else "",
         node.version,
-        str(node.protocol),
     )
 
 
 def _state(node: NodeReport) -> str:
+    if node.unreachable:
+        return node.unreachable
     if node.stopping:
         return "stopping"
     return "running" if node.serving else "waiting"
 
 
-def _wait_lines(node: NodeReport) -> list[str]:
-    wait = node.wait
-    if wait is None:
-        return []
-    told = _WAITS[wait.reason].format(epoch=wait.epoch)
-    lines = ["", f"{node.host}: {told}, for {wait.waited_s:.0f} s"]
-    if wait.missing:
-        missing = ", ".join(f"{m.host} ({m.peer_address})" for m in wait.missing)
-        lines += [f"  missing: {missing}", *_MISSING_ADVICE]
-    elif wait.proposer:
-        lines.append(f"  {wait.proposer} knows for which members: see its status")
-    return lines
-
-
 def _endpoint_rows(nodes: Sequence[NodeReport]) -> list[tuple[str, ...]]:
     return [
         (
-            node.host,
             endpoint.name,
             endpoint.state,
             str(endpoint.in_flight),
-            str(endpoint.limit),
+            str(endpoint.slots),
             str(endpoint.version),
         )
         for node in nodes
--- a/src/bankrudder/cli/_parser.py
+++ b/src/bankrudder/cli/_parser.py
@@ -127,27 +127,13 @@
 
 def _add_operation(add: Add) -> None:
     status = add("status", _commands.status, "show a node, or all of them")
-    status.add_argument("--all", action="store_true", help="ask every member")
+    status.add_argument("--all", action="store_true", help="tell of all hosts")
     status.add_argument("--endpoints", action="store_true", help="list endpoints too")
 
     drain = add("drain", _commands.drain, "stop a node gracefully", entry=False)
     drain.add_argument("host_address", type=_address, metavar="HOST-ADDRESS")
     _add_token_options(drain)
 
-    declare = add(
-        "declare-ended",
-        _commands.declare_ended,
-        "declare that the processes of hosts ended for good",
-    )
-    declare.add_argument(
-        "hosts", nargs="+", metavar="HOST", help="its name in the member map"
-    )
-    declare.add_argument(
-        "--yes",
-        action="store_true",
-        help="you made sure that they ended; if one lives, keys may run twice",
-    )
-
     trace = add("trace", _commands.trace, "print the finished spans of a trace")
     trace.add_argument("trace_id", metavar="ID", help="32 hexadecimal digits")
 
--- a/src/bankrudder/cli/_tls.py
+++ b/src/bankrudder/cli/_tls.py
@@ -4,9 +4,10 @@
 
 import grpc
 
+from bankrudder.client import channel_credentials
 from bankrudder.exceptions import InvalidError
 from bankrudder.failures import FailureReason
-from bankrudder.tls import ClientTlsSettings, grpc_channel_credentials
+from bankrudder.tls import ClientTlsSettings
 
 
 def credentials_of(arguments: argparse.Namespace) -> grpc.ChannelCredentials | None:
@@ -26,4 +27,4 @@
     if not arguments.ca:
         return None
     settings = ClientTlsSettings(arguments.ca, certificate, key)
-    return grpc_channel_credentials(settings)
+    return channel_credentials(settings)
--- a/src/bankrudder/client/__init__.py
+++ b/src/bankrudder/client/__init__.py
@@ -1,6 +1,7 @@
 """Clients of callers, trainers and operators."""
 
 from bankrudder.client._caller import Answer, Caller, CallerSettings, new_key
+from bankrudder.client._credentials import channel_credentials
 from bankrudder.client._operator import (
     Applied,
     ConfigurationDocument,
@@ -21,5 +22,6 @@
     "OperatorClient",
     "Trainer",
     "TrainerSettings",
+    "channel_credentials",
     "new_key",
 ]
--- a/src/bankrudder/client/_caller.py
+++ b/src/bankrudder/client/_caller.py
@@ -34,7 +34,6 @@
     CallKey,
     Clock,
     DataClassName,
-    EndpointName,
     ModelVersion,
     PoolName,
     SystemClock,
@@ -72,7 +71,7 @@
     data: bytes
     key: CallKey
     versions: tuple[ModelVersion, ...] = ()
-    endpoint: EndpointName = EndpointName("")
+    endpoint: str = ""
     replayed: bool = False
 
 
@@ -175,8 +174,7 @@
     ) -> Answer:
         """Return the whole answer to a call.
 
-        The call is repeated within its time, with the same key unless that is
-        known to be unused.
+        The call is repeated within its time, with the same key.
 
         Parameters
         ----------
@@ -209,12 +207,12 @@
         if timeout_s <= 0:
             raise ExpiredError(FailureReason.DEADLINE_PASSED, "the deadline is past")
         deadline = self._clock.monotonic() + timeout_s
-        repeats = Repeats(key, new_key, deadline, self._rng)
+        repeats = Repeats(deadline, self._rng)
+        key = key or new_key()
         request = _Request(pool, method, payload, max_tokens, traceparent)
         address = self._next_address()
         while True:
             try:
-                key = repeats.next_key()
                 return await self._attempt(address, request, key, deadline)
             except BankrudderError as error:
                 step = repeats.after(error.failure, self._clock.monotonic())
@@ -295,7 +293,7 @@
     if end.length != len(data):
         raise _broken("the answer is shorter than its end mark says")
     versions = tuple(ModelVersion(version) for version in end.versions)
-    return Answer(data, key, versions, EndpointName(end.endpoint), end.replayed)
+    return Answer(data, key, versions, end.endpoint, end.replayed)
 
 
 def _broken(detail: str) -> OutcomeUnknownError:
@@ -305,6 +303,6 @@
 def _not_connected(address: Address) -> Failure:
     return Failure(
         FailureKind.NOT_RUN,
-        FailureReason.PEER_UNREACHABLE,
+        FailureReason.NODE_UNREACHABLE,
         f"no connection to {address}",
     )
--- a/src/bankrudder/client/_channel.py
+++ b/src/bankrudder/client/_channel.py
@@ -124,5 +124,5 @@
     if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
         return if_lost(FailureReason.DEADLINE_PASSED, "no answer in time")
     return if_lost(
-        FailureReason.PEER_UNREACHABLE, f"the connection broke: {error.code().name}"
+        FailureReason.NODE_UNREACHABLE, f"the connection broke: {error.code().name}"
     )
--- a/src/bankrudder/client/_operator.py
+++ b/src/bankrudder/client/_operator.py
@@ -22,8 +22,7 @@
 from bankrudder.failures import FailureReason
 from bankrudder.v1 import bankrudder_pb2 as pb
 from bankrudder.v1 import bankrudder_pb2_grpc as pb_grpc
-from bankrudder.waits import MapWait
-from bankrudder.wire import caller_metadata, wait_from_proto
+from bankrudder.wire import caller_metadata
 from bankrudder.world import Address, Revision
 
 DEFAULT_TIMEOUT_S = 20.0
@@ -41,14 +40,14 @@
     Attributes
     ----------
     accepted : bool
-        Whether every member holds the revision or cannot act without it.
-    pending_members : tuple of str
-        Hosts that may still act without it.
+        Whether the revision is in force on every live host.
+    pending_hosts : tuple of str
+        Live hosts that do not say yet that it is in force there.
     """
 
     revision: Revision
     accepted: bool
-    pending_members: tuple[str, ...] = ()
+    pending_hosts: tuple[str, ...] = ()
 
 
 class ConfigurationDocument(msgspec.Struct, frozen=True):
@@ -64,38 +63,35 @@
     name: str
     state: str
     in_flight: int
-    limit: int
+    slots: int
     version: int
 
 
 class NodeReport(msgspec.Struct, frozen=True):
-    """What a node says of itself.
+    """What a node says of itself, or what another one knows of it.
 
-    ``unreachable`` says why it could not be asked, empty if it was.
+    ``unreachable`` says why it is taken for dead, empty if it is not.
     """
 
     host: str
-    incarnation: str
+    lifetime: str
     data_centre: str
-    epoch: int
+    rpc_address: str
     revision: int
-    leased: bool
     stopping: bool
-    memory_bytes: int
+    serving: bool
     unreachable: str
-    endpoints: tuple[EndpointReport, ...]
-    serving: bool = False
-    wait: MapWait | None = None
+    endpoints: tuple[EndpointReport, ...] = ()
+    memory_bytes: int = 0
     version: str = ""
-    protocol: int = 0
 
 
 class OperatorClient:
     """Asks one node on behalf of an operator.
 
     Each method raises a `BankrudderError` of the kind that the node answers,
-    or `NotRunError` if the node cannot be reached. `apply`, `drain` and
-    `declare_ended` raise `OutcomeUnknownError` if their reply was lost.
+    or `NotRunError` if the node cannot be reached. `apply` and
+    `drain` raise `OutcomeUnknownError` if their reply was lost.
 
     Parameters
     ----------
@@ -158,7 +154,7 @@
         await self._connect()
         reply = await self._change(self._stub.Apply(request, **self._options))
         return Applied(
-            Revision(reply.revision), reply.accepted, tuple(reply.pending_members)
+            Revision(reply.revision), reply.accepted, tuple(reply.pending_hosts)
         )
 
     async def configuration(self) -> ConfigurationDocument:
@@ -168,9 +164,9 @@
         reply = await self._read(call)
         return ConfigurationDocument(Revision(reply.revision), reply.configuration)
 
-    async def status(self, all_members: bool = False) -> tuple[NodeReport, ...]:
-        """Return what the node, or every member, says of itself."""
-        request = pb.StatusRequest(all_members=all_members)
+    async def status(self, all_hosts: bool = False) -> tuple[NodeReport, ...]:
+        """Return what the node says of itself, or knows of all hosts."""
+        request = pb.StatusRequest(all_hosts=all_hosts)
         reply = await self._read(self._stub.Status(request, **self._options))
         return tuple(_node_report(node) for node in reply.nodes)
 
@@ -179,17 +175,6 @@
         await self._connect()
         await self._change(self._stub.Drain(pb.DrainRequest(), **self._options))
 
-    async def declare_ended(self, host: str) -> str:
-        """Declare that the process of `host` ended for good; return its run.
-
-        Nothing can take that back, and it is unsafe if the process lives. It
-        may be declared again.
-        """
-        request = pb.DeclareEndedRequest(host=host)
-        await self._connect()
-        reply = await self._change(self._stub.DeclareEnded(request, **self._options))
-        return str(reply.incarnation)
-
     async def trace(self, trace_id: str) -> tuple[str, ...]:
         """Return the finished spans of a trace, each as JSON."""
         request = pb.TraceRequest(trace_id=trace_id)
@@ -204,7 +189,7 @@
         """Connect before a change is sent, so that a failure to is NOT_RUN."""
         if not await is_connected(self._channel, CONNECT_TIMEOUT_S):
             raise NotRunError(
-                FailureReason.PEER_UNREACHABLE, f"no connection to {self._address}"
+                FailureReason.NODE_UNREACHABLE, f"no connection to {self._address}"
             )
 
     async def _read(self, call: Awaitable[ReplyT]) -> ReplyT:
@@ -225,20 +210,17 @@
 def _node_report(node: pb.NodeStatus) -> NodeReport:
     return NodeReport(
         host=node.host,
-        incarnation=node.incarnation,
+        lifetime=node.lifetime,
         data_centre=node.data_centre,
-        epoch=node.epoch,
+        rpc_address=node.rpc_address,
         revision=node.revision,
-        leased=node.leased,
         stopping=node.stopping,
-        memory_bytes=node.memory_bytes,
+        serving=node.serving,
         unreachable=node.unreachable,
         endpoints=tuple(
-            EndpointReport(e.name, e.state, e.in_flight, e.limit, e.version)
+            EndpointReport(e.name, e.state, e.in_flight, e.slots, e.version)
             for e in node.endpoints
         ),
-        serving=node.serving,
-        wait=wait_from_proto(node.wait) if node.HasField("wait") else None,
+        memory_bytes=node.memory_bytes,
         version=node.version,
-        protocol=node.protocol,
     )
--- a/src/bankrudder/client/_received.py
+++ b/src/bankrudder/client/_received.py
@@ -2,34 +2,32 @@
 
 from collections.abc import Iterable
 
-from bankrudder.policy import StalenessBound
-from bankrudder.steps import Sample, SampleSlot
-from bankrudder.world import Epoch
+from bankrudder.world import SampleSlot, StepSample
 
 
 class ReceivedStep:
-    """Decides which samples of a step are new, fresh and of the present home.
+    """Decides which samples of a step are new and fresh.
 
     Parameters
     ----------
     held : iterable of SampleSlot
         Slots whose samples the trainer has from before.
+    max_staleness : int
+        Most versions by which a sample may lag the newest published one.
 
     Attributes
     ----------
-    duplicates, outdated, stale : int
-        Samples dropped since their slot was held, their home was deposed, or
-        a newer version was published.
+    duplicates, stale : int
+        Samples dropped since their slot was held, or a newer version was published.
     """
 
-    def __init__(self, held: Iterable[SampleSlot], bound: StalenessBound):
+    def __init__(self, held: Iterable[SampleSlot], max_staleness: int):
         self._held = set(held)
-        self._bound = bound
-        self._epochs: dict[int, Epoch] = {}
+        self._used = set(self._held)
+        self._max_staleness = max_staleness
         self._rejected: set[SampleSlot] = set()
-        self._to_ack: set[SampleSlot] = set()
+        self._opened: set[int] = set()
         self.duplicates = 0
-        self.outdated = 0
         self.stale = 0
 
     @property
@@ -43,11 +41,20 @@
         return bool(self._rejected - self._held)
 
     @property
-    def to_ack(self) -> tuple[SampleSlot, ...]:
-        """Slots that are used and not acked yet, in order."""
-        return tuple(sorted(self._to_ack))
+    def used(self) -> tuple[SampleSlot, ...]:
+        """Slots that the trainer's code is done with, in order."""
+        return tuple(sorted(self._used))
 
-    def take(self, sample: Sample, published: int) -> bool:
+    @property
+    def opened_versions(self) -> tuple[int, ...]:
+        """The versions that the step was opened with, in order."""
+        return tuple(sorted(self._opened))
+
+    def note_opened(self, current_version: int) -> None:
+        """Note that a stream is opened with a version."""
+        self._opened.add(current_version)
+
+    def take(self, sample: StepSample, published: int) -> bool:
         """Return whether the trainer is to have `sample`.
 
         Parameters
@@ -58,12 +65,7 @@
         if sample.slot in self._held:
             self.duplicates += 1
             return False
-        if sample.epoch < self._epochs.get(sample.shard, sample.epoch):
-            self.outdated += 1
-            self._rejected.add(sample.slot)
-            return False
-        self._epochs[sample.shard] = sample.epoch
-        if not self._bound.usable(sample.oldest_version, published):
+        if sample.oldest_version < published - self._max_staleness:
             self.stale += 1
             self._rejected.add(sample.slot)
             return False
@@ -72,8 +74,4 @@
 
     def note_used(self, slot: SampleSlot) -> None:
         """Note that the trainer's code is done with a sample."""
-        self._to_ack.add(slot)
-
-    def note_acked(self, slots: Iterable[SampleSlot]) -> None:
-        """Note that the homes know of these slots."""
-        self._to_ack.difference_update(slots)
+        self._used.add(slot)
--- a/src/bankrudder/client/_trainer.py
+++ b/src/bankrudder/client/_trainer.py
@@ -11,29 +11,23 @@
 
 from bankrudder.client._received import ReceivedStep
 from bankrudder.client._trainer_link import GrpcTrainerLink, TrainerLink
-from bankrudder.endpoints import VersionSpan
 from bankrudder.exceptions import (
     BankrudderError,
-    FailedError,
     NotRunError,
     OutcomeUnknownError,
 )
 from bankrudder.failures import FailureReason
-from bankrudder.policy import StalenessBound
-from bankrudder.steps import Sample, SampleSlot
 from bankrudder.v1 import bankrudder_pb2 as pb
 from bankrudder.world import (
     Address,
     Clock,
-    EndpointName,
-    Epoch,
     ModelVersion,
+    SampleSlot,
+    StepSample,
     SystemClock,
+    VersionSpan,
 )
 
-STEP_CONFLICT_RETRIES = 1
-"""Times that a step is opened again after another stream replaced it."""
-
 _log = structlog.get_logger("client")
 
 Connect = Callable[[Address], TrainerLink]
@@ -44,21 +38,18 @@
 
     Attributes
     ----------
-    ack_batch : int
-        Used samples that are acked together.
     backoff_s, max_backoff_s : float
         First and longest wait after a failure that names no time itself.
     patience_s : float
         Time without any event of a step after which its failure is raised.
-    final_acks : int
-        Tries to send the last acks of a step.
+    acks : int
+        Tries to tell that a step is done; it ends by itself some time later.
     """
 
-    ack_batch: int = 32
     backoff_s: float = 0.1
     max_backoff_s: float = 2.0
     patience_s: float = 600.0
-    final_acks: int = 3
+    acks: int = 3
 
 
 class Trainer:
@@ -92,7 +83,6 @@
         self._published: dict[str, ModelVersion] = {}
         self._duplicates_dropped = 0
         self._stale_dropped = 0
-        self._outdated_dropped = 0
 
     @classmethod
     def from_config(
@@ -134,30 +124,20 @@
         """Samples that were too old for what this trainer had published."""
         return self._stale_dropped
 
-    @property
-    def outdated_dropped(self) -> int:
-        """Samples that a deposed home delivered."""
-        return self._outdated_dropped
-
     # ---- weights ------------------------------------------------------------
 
-    async def publish(self, job: str, version: int, source: str) -> None:
+    async def publish(self, job: str, version: int) -> None:
         """Make `version` the newest version of the job's weights.
 
         It is asked again while the outcome is not known: publishing the same
         version twice is the same as once.
 
-        Parameters
-        ----------
-        source : str
-            Where the weight store holds the weights.
-
         Raises
         ------
         BankrudderError
             If the version is refused, or the patience is spent.
         """
-        request = pb.PublishRequest(job=job, version=version, source=source)
+        request = pb.PublishRequest(job=job, version=version)
         pause = _Pause(self._settings, self._clock)
         while True:
             try:
@@ -180,18 +160,20 @@
         max_staleness: int = 1,
         max_tokens: int = 0,
         held: Iterable[SampleSlot] = (),
-    ) -> AsyncGenerator[Sample, None]:
+    ) -> AsyncGenerator[StepSample, None]:
         """Yield one sample for each slot, in the order in which they are made.
 
-        A sample is acked when the next one is asked for. A step number of a job
-        stands for one set of groups for ever.
+        A sample that is too old for a version published meanwhile is dropped, and
+        its slot is asked for again. A step number of a job stands for one set of
+        groups for ever.
 
         Parameters
         ----------
         groups : sequence of bytes
             One prompt for each group.
         max_staleness : int
-            Most versions by which a sample may lag what was published here.
+            Most versions by which a sample may lag what was published here; the
+            job's own bound, by which nodes go.
         max_tokens : int
             Most tokens of a sample; 0 takes the job's.
         held : iterable of SampleSlot
@@ -202,7 +184,7 @@
         BankrudderError
             If the step is refused, or the patience is spent.
         """
-        received = ReceivedStep(held, StalenessBound(max_staleness))
+        received = ReceivedStep(held, max_staleness)
         request = pb.OpenStepRequest(
             job=job,
             step=step,
@@ -215,15 +197,14 @@
                 async for sample in samples:
                     yield sample
                     received.note_used(sample.slot)
-            await self._ack_last(request, received)
+            await self._ack(request, received)
         finally:
             self._count(received)
 
     async def _samples(
         self, request: pb.OpenStepRequest, received: ReceivedStep
-    ) -> AsyncGenerator[Sample, None]:
+    ) -> AsyncGenerator[StepSample, None]:
         pause = _Pause(self._settings, self._clock)
-        conflicts = 0
         while True:
             try:
                 async with aclosing(self._one_stream(request, received)) as samples:
@@ -235,75 +216,43 @@
                 await self._sleep(self._settings.backoff_s)
             except (NotRunError, OutcomeUnknownError) as error:
                 await self._recover(pause, error)
-            except FailedError as error:
-                conflicts += error.failure.reason is FailureReason.STEP_CONFLICT
-                if not 0 < conflicts <= STEP_CONFLICT_RETRIES:
-                    raise
-                await self._recover(pause, error)
 
     async def _one_stream(
         self, request: pb.OpenStepRequest, received: ReceivedStep
-    ) -> AsyncGenerator[Sample, None]:
+    ) -> AsyncGenerator[StepSample, None]:
         """Yield what is new on one stream; return at its end mark."""
-        job = request.job
         opening = pb.OpenStepRequest()
         opening.CopyFrom(request)
-        opening.current_version = self._published.get(job, 0)
+        opening.current_version = self._published.get(request.job, 0)
+        received.note_opened(opening.current_version)
         opening.held.extend(_slots_to_proto(received.held))
-        link = self._link()
-        acking: asyncio.Task[None] | None = None
-        try:
-            async with aclosing(link.open_step(opening)) as events:
-                async for event in events:
-                    if event.WhichOneof("event") == "end":
-                        return
-                    sample = _sample_from(event.sample)
-                    if received.take(sample, self._published.get(job, 0)):
-                        yield sample
-                    if acking is None or acking.done():
-                        acking = self._ack_batch(link, request, received)
-        finally:
-            if acking is not None:
-                await asyncio.wait({acking})
+        async with aclosing(self._link().open_step(opening)) as events:
+            async for event in events:
+                if event.WhichOneof("event") == "end":
+                    return
+                sample = _sample_from(event.sample)
+                if received.take(sample, self._published.get(request.job, 0)):
+                    yield sample
         raise OutcomeUnknownError(FailureReason.ANSWER_BROKEN, "no end mark")
 
-    # ---- acks ---------------------------------------------------------------
-
-    def _ack_batch(
-        self, link: TrainerLink, request: pb.OpenStepRequest, received: ReceivedStep
-    ) -> "asyncio.Task[None] | None":
-        if len(received.to_ack) < self._settings.ack_batch:
-            return None
-        return asyncio.create_task(self._ack_quietly(link, request, received))
-
-    async def _ack_last(
-        self, request: pb.OpenStepRequest, received: ReceivedStep
-    ) -> None:
-        for _ in range(self._settings.final_acks):
-            if not received.to_ack:
-                return
-            await self._ack_quietly(self._link(), request, received)
-            if received.to_ack:
-                self._turn_to_next()
-                await self._sleep(self._settings.backoff_s)
-
-    async def _ack_quietly(
-        self, link: TrainerLink, request: pb.OpenStepRequest, received: ReceivedStep
-    ) -> None:
-        slots = received.to_ack
+    async def _ack(self, request: pb.OpenStepRequest, received: ReceivedStep) -> None:
+        """Tell that all samples are here, so that nothing of the step is kept."""
         ack = pb.AckRequest(
             job=request.job,
             step=request.step,
-            slots=_slots_to_proto(slots),
+            slots=_slots_to_proto(received.used),
             groups=len(request.groups),
             samples_per_group=request.samples_per_group,
+            opened_versions=received.opened_versions,
         )
-        try:
-            await link.ack(ack)
-        except BankrudderError as error:
-            _log.info("client: ack put off", reason=error.failure.reason.value)
-            return
-        received.note_acked(slots)
+        for _ in range(self._settings.acks):
+            try:
+                await self._link().ack(ack)
+                return
+            except BankrudderError as error:
+                _log.info("client: ack failed", reason=error.failure.reason.value)
+            self._turn_to_next()
+            await self._sleep(self._settings.backoff_s)
 
     # ---- entry nodes --------------------------------------------------------
 
@@ -331,7 +280,6 @@
     def _count(self, received: ReceivedStep) -> None:
         self._duplicates_dropped += received.duplicates
         self._stale_dropped += received.stale
-        self._outdated_dropped += received.outdated
 
 
 class _Pause:
@@ -361,16 +309,13 @@
     return [pb.SampleSlot(group=s.group, index=s.index) for s in sorted(slots)]
 
 
-def _sample_from(message: pb.Sample) -> Sample:
-    return Sample(
+def _sample_from(message: pb.Sample) -> StepSample:
+    return StepSample(
         slot=SampleSlot(message.slot.group, message.slot.index),
         text=message.text,
         versions=tuple(
-            VersionSpan(ModelVersion(span.version), span.tokens)
+            VersionSpan(ModelVersion(span.version), span.events)
             for span in message.versions
         ),
-        endpoint=EndpointName(message.endpoint),
-        epoch=Epoch(message.epoch),
-        shard=message.shard,
         sample_id=message.sample_id,
     )
--- a/src/bankrudder/config/__init__.py
+++ b/src/bankrudder/config/__init__.py
@@ -1,28 +1,35 @@
-"""Configuration: checking it, looking it up, applying and spreading it."""
+"""Configuration: checking it, looking it up, applying it, what it means for routes."""
 
-from bankrudder.config._acceptance import ApplyOutcome
 from bankrudder.config._check import Finding, check, findings
-from bankrudder.config._covering import SpreadTimings
 from bankrudder.config._decode import address_error, decode_document, shown
 from bankrudder.config._difference import ConfigurationDifference, difference
 from bankrudder.config._index import ConfigurationIndex
+from bankrudder.config._placement import PlacementGuard
+from bankrudder.config._routes import job_route, job_routes, model_of, pool_route
 from bankrudder.config._schema import published_schema
-from bankrudder.config._service import ConfigurationService
-from bankrudder.config._store import CONFIGURATION_KEY
+from bankrudder.config._service import (
+    CONFIGURATION_TABLE,
+    ApplyOutcome,
+    ConfigurationService,
+)
 
 __all__ = [
     "ApplyOutcome",
-    "CONFIGURATION_KEY",
+    "CONFIGURATION_TABLE",
     "ConfigurationDifference",
     "ConfigurationIndex",
     "ConfigurationService",
     "Finding",
-    "SpreadTimings",
+    "PlacementGuard",
     "address_error",
     "check",
     "decode_document",
     "difference",
     "findings",
+    "job_route",
+    "job_routes",
+    "model_of",
+    "pool_route",
     "published_schema",
     "shown",
 ]
--- a/src/bankrudder/config/_check.py
+++ b/src/bankrudder/config/_check.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from bankrudder.config._decode import address_error, decode_document, shown
+from bankrudder.config._decode import decode_document, shown
+from bankrudder.config._routes import BASE_ADAPTER
 from bankrudder.exceptions import InvalidError
 from bankrudder.failures import FailureReason
 from bankrudder.world import (
@@ -14,7 +15,6 @@
     CallerRole,
     Configuration,
     DataClass,
-    Endpoint,
     Job,
     Pool,
     PoolKind,
@@ -26,9 +26,6 @@
 MAX_FINDINGS = 50
 """Most findings that one error lists."""
 
-BASE_ADAPTER = "base"
-"""What a job's adapter is called that is the pool's own model."""
-
 NAME_ALLOWED = "allowed are 1 to 64 letters, digits, '.', '_' or '-'"
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
@@ -101,7 +98,6 @@
         self._classes = {c.name for c in configuration.caller_classes}
         self._callers = {c.name: c for c in configuration.callers}
         self._pools = {p.name: p for p in configuration.pools}
-        self._reserved = sum(c.reserved for c in configuration.caller_classes)
 
     def run(self) -> Iterator[Finding]:
         yield from self._names()
@@ -115,7 +111,6 @@
         yield from self._all_callers()
         for i, pool in enumerate(self._all.pools):
             yield from self._pool(f"pools[{i}]", pool)
-        yield from self._all_endpoints()
         yield from self._all_jobs()
 
     def _names(self) -> Iterator[Finding]:
@@ -141,10 +136,7 @@
         yield from _at_least(f"{path}.priority", entry.priority, 0)
         yield from _at_least(f"{path}.queue_limit", entry.queue_limit, 1)
         yield from _above_zero(f"{path}.queue_timeout_s", entry.queue_timeout_s)
-        yield from _above_zero(f"{path}.weight", entry.weight)
         yield from _at_least(f"{path}.reserved", entry.reserved, 0)
-        yield from _above_zero(f"{path}.max_share", entry.max_share)
-        yield from _at_most(f"{path}.max_share", entry.max_share, 1)
 
     def _all_callers(self) -> Iterator[Finding]:
         callers = self._all.callers
@@ -185,7 +177,10 @@
                 yield _finding(
                     f"{path}.model", pool.model, "a service pool has no model"
                 )
+        if not (pool.path.startswith("/") and pool.path.endswith("/")):
+            yield _finding(f"{path}.path", pool.path, "it begins and ends with '/'")
         contract = pool.contract
+        yield from _at_least(f"{path}.contract.max_attempts", contract.max_attempts, 1)
         yield from _above_zero(f"{path}.contract.timeout_s", contract.timeout_s)
         window = f"{path}.contract.retry_window_s"
         yield from _at_least(window, contract.retry_window_s, 0)
@@ -196,30 +191,6 @@
                 f"allowed is at least timeout_s ({contract.timeout_s})",
             )
 
-    def _all_endpoints(self) -> Iterator[Finding]:
-        endpoints = self._all.endpoints
-        for i, endpoint in enumerate(endpoints):
-            yield from self._endpoint(f"endpoints[{i}]", endpoint)
-        paths = [f"endpoints[{i}].address" for i in range(len(endpoints))]
-        yield from _duplicates(paths, [e.address for e in endpoints])
-
-    def _endpoint(self, path: str, endpoint: Endpoint) -> Iterator[Finding]:
-        yield from _reference(f"{path}.pool", endpoint.pool, self._pools, "pool")
-        yield from _reference(
-            f"{path}.data_centre", endpoint.data_centre, self._centres, "data centre"
-        )
-        problem = address_error(endpoint.address)
-        if problem:
-            yield _finding(f"{path}.address", endpoint.address, problem)
-        field = f"{path}.capacity"
-        yield from _at_least(field, endpoint.capacity, 1)
-        if 0 < endpoint.capacity <= self._reserved:
-            yield _finding(
-                field,
-                endpoint.capacity,
-                f"allowed is more than the classes reserve ({self._reserved})",
-            )
-
     def _all_jobs(self) -> Iterator[Finding]:
         publishers: dict[tuple[str, str], Job] = {}
         for i, job in enumerate(self._all.jobs):
@@ -242,7 +213,6 @@
         )
         yield from self._trainer(f"{path}.trainer", job)
         yield from _at_least(f"{path}.max_staleness", job.max_staleness, 0)
-        yield from _above_zero(f"{path}.weight", job.weight)
         yield from _at_least(f"{path}.max_tokens", job.max_tokens, 1)
         yield from _above_zero(f"{path}.sample_timeout_s", job.sample_timeout_s)
         if job.adapter and not _NAME.fullmatch(job.adapter):
@@ -263,19 +233,8 @@
 
     def _job_pool(self, field: str, job: Job) -> Iterator[Finding]:
         pool = self._pools.get(job.pool)
-        data_class = self._data_classes.get(job.data_class)
-        if pool is None or data_class is None:
-            return
-        if pool.kind is not PoolKind.ENGINE:
+        if pool is not None and pool.kind is not PoolKind.ENGINE:
             yield _finding(field, job.pool, "a job needs a pool of engines")
-        allowed = data_class.allowed_data_centres
-        of_pool = (e for e in self._all.endpoints if e.pool == job.pool)
-        if not any(endpoint.data_centre in allowed for endpoint in of_pool):
-            yield _finding(
-                field,
-                job.pool,
-                f"the pool has no endpoint where {job.data_class} is allowed",
-            )
 
 
 def _duplicates(paths: Iterable[str], values: Iterable[str]) -> Iterator[Finding]:
@@ -300,11 +259,6 @@
         yield _finding(path, value, f"allowed is at least {least}")
 
 
-def _at_most(path: str, value: float, most: float) -> Iterator[Finding]:
-    if value > most:
-        yield _finding(path, value, f"allowed is at most {most}")
-
-
 def _above_zero(path: str, value: float) -> Iterator[Finding]:
     if value <= 0:
         yield _finding(path, value, "allowed is more than 0")
--- a/src/bankrudder/config/_index.py
+++ b/src/bankrudder/config/_index.py
@@ -13,13 +13,10 @@
     DataCentreName,
     DataClass,
     DataClassName,
-    Endpoint,
-    EndpointName,
     Job,
     JobName,
     Pool,
     PoolName,
-    RegionName,
 )
 
 KeyT = TypeVar("KeyT", bound=str)
@@ -49,13 +46,10 @@
     def __init__(self, configuration: Configuration):
         self._configuration = configuration
         self._pools = _by_name(configuration.pools)
-        self._endpoints = _by_name(configuration.endpoints)
         self._classes = _by_name(configuration.caller_classes)
         self._data_classes = _by_name(configuration.data_classes)
-        self._data_centres = _by_name(configuration.data_centres)
         self._jobs = _by_name(configuration.jobs)
         self._callers = {c.token_sha256: c for c in configuration.callers}
-        self._endpoints_of = _endpoints_by_pool(configuration)
         self._allowed: dict[str, frozenset[DataCentreName]] = {
             data_class.name: frozenset(data_class.allowed_data_centres)
             for data_class in configuration.data_classes
@@ -69,15 +63,6 @@
         """Return the pool, or raise UNKNOWN_POOL."""
         return _known(self._pools, name, "pool", FailureReason.UNKNOWN_POOL)
 
-    def endpoints_of(self, pool: PoolName) -> tuple[Endpoint, ...]:
-        """Return the pool's endpoints by name, or raise UNKNOWN_POOL."""
-        reason = FailureReason.UNKNOWN_POOL
-        return _known(self._endpoints_of, pool, "pool", reason)
-
-    def endpoint(self, name: EndpointName) -> Endpoint:
-        """Return the endpoint, or raise NO_ENDPOINT."""
-        return _known(self._endpoints, name, "endpoint", FailureReason.NO_ENDPOINT)
-
     def caller_by_token_hash(self, token_sha256: str) -> Caller | None:
         """Return whose token has this hexadecimal SHA-256, None if nobody's."""
         return self._callers.get(token_sha256)
@@ -101,23 +86,11 @@
         """Return the job, or raise UNKNOWN_JOB."""
         return _known(self._jobs, name, "job", FailureReason.UNKNOWN_JOB)
 
-    def region_of(self, data_centre: DataCentreName) -> RegionName:
-        """Return the region of a data centre, or raise WRONG_PLACE."""
-        reason = FailureReason.WRONG_PLACE
-        return _known(self._data_centres, data_centre, "data_centre", reason).region
-
 
 def _by_name(entries: Iterable[NamedT]) -> dict[str, NamedT]:
     return {entry.name: entry for entry in entries}
 
 
-def _endpoints_by_pool(configuration: Configuration) -> dict[str, tuple[Endpoint, ...]]:
-    of_pool: dict[str, list[Endpoint]] = {p.name: [] for p in configuration.pools}
-    for endpoint in sorted(configuration.endpoints, key=lambda e: e.name):
-        of_pool.setdefault(endpoint.pool, []).append(endpoint)
-    return {pool: tuple(endpoints) for pool, endpoints in of_pool.items()}
-
-
 def _known(
     entries: dict[str, ValueT], name: KeyT, field: str, reason: FailureReason
 ) -> ValueT:
--- a/src/bankrudder/config/_service.py
+++ b/src/bankrudder/config/_service.py
@@ -1,242 +1,317 @@
-"""The configuration of a node: learned, applied, and never reverted."""
+"""The configuration: applied once, in force on every host soon after.
 
-import random
-from collections.abc import Callable, Iterable
-from typing import Self
+One row of table ``configuration`` names the newest revision and the object that holds
+its document. It changes under the condition that the operator read the one before. Each
+host follows the row, and refuses calls once it cannot tell for a while whether what it
+has is the newest.
+"""
+
+import asyncio
+from collections.abc import Callable
+from hashlib import sha256
 
 import msgspec
 import structlog
 
-from bankrudder.config._acceptance import Acceptance, ApplyOutcome
 from bankrudder.config._check import check
-from bankrudder.config._covering import SpreadTimings
-from bankrudder.config._difference import canonical
-from bankrudder.config._holding import Holding
 from bankrudder.config._index import ConfigurationIndex
-from bankrudder.config._learning import POLL_INTERVAL_S, Learner
-from bankrudder.config._spreader import Spreader
-from bankrudder.config._store import (
-    ConfigurationRow,
-    ConfigurationStore,
-    revision_conflict,
-)
-from bankrudder.exceptions import NotRunError
+from bankrudder.exceptions import InvalidError, NotRunError, OutcomeUnknownError
 from bankrudder.failures import FailureReason
-from bankrudder.homes import Directory
-from bankrudder.peers import Mailbox
-from bankrudder.platform import Table
-from bankrudder.world import Address, Clock, Configuration, Revision
+from bankrudder.presence import Presence
+from bankrudder.store import (
+    ABSENT,
+    Committed,
+    Conflict,
+    Expectation,
+    NotCommitted,
+    NotSettledError,
+    Put,
+    Row,
+    RowKey,
+    RowVersion,
+    Store,
+    StoreUnavailableError,
+    TableFollower,
+    Transaction,
+    commit_settled,
+)
+from bankrudder.world import Clock, Configuration, HostId, Revision
+
+CONFIGURATION_TABLE = "configuration"
+
+MAX_AGE_S = 10.0
+"""A host that could not read for so long refuses calls: operators may have moved data
+classes meanwhile. Outages of the store of several seconds pass unnoticed."""
+
+APPLY_GIVE_UP_S = 3.0
+"""Time for which an apply is tried again."""
+
+ACCEPT_WAIT_S = 4.0
+"""Time for which an apply waits until all live hosts say that it is in force: some
+intervals of the idle heartbeats of a fleet of 30 hosts, after which it tells who lacks
+it. The operator may ask again."""
+
+POLL_S = 0.1
+
+RETRY_AFTER_S = 1.0
+
+RELOAD_PAUSE_S = 0.2
+"""Pause after a document could not be read."""
+
+_ROW = RowKey(CONFIGURATION_TABLE, "", "newest")
 
 _log = structlog.get_logger("config")
 
 
+class ConfigurationRow(msgspec.Struct, frozen=True):
+    """The newest revision; ``object_name`` holds its document."""
+
+    revision: Revision
+    object_name: str
+
+
+class ApplyOutcome(msgspec.Struct, frozen=True):
+    """What became of an apply.
+
+    Attributes
+    ----------
+    pending_hosts : tuple of HostId
+        Live hosts that do not say yet that it is in force there.
+    """
+
+    revision: Revision
+    pending_hosts: tuple[HostId, ...] = ()
+
+    @property
+    def accepted(self) -> bool:
+        """Whether it is in force on all live hosts."""
+        return not self.pending_hosts
+
+
 class ConfigurationService:
-    """Holds, learns, applies and spreads the configuration.
+    """Holds the configuration in force here, and applies new ones.
 
     Parameters
     ----------
-    directory, mailbox, table, clock
-        The member map, the link to peers, the platform's table, and the time.
-    seeds : iterable of Address
-        Peers to ask while the table is out and no member is known.
-    poll_interval_s : float
-        Mean seconds between two reads of the row.
-    timings : SpreadTimings
-        How long spreading waits.
-    store : ConfigurationStore, optional
-        The row; by default the one in `table`.
-    rng : random.Random, optional
-        Source of jitter and of the order in which peers are asked.
+    on_change : callable
+        Told each configuration that comes into force.
     """
 
     def __init__(
         self,
-        directory: Directory,
-        mailbox: Mailbox,
-        table: Table,
+        store: Store,
+        presence: Presence,
         clock: Clock,
-        *,
-        seeds: Iterable[Address] = (),
-        poll_interval_s: float = POLL_INTERVAL_S,
-        timings: SpreadTimings | None = None,
-        store: ConfigurationStore | None = None,
-        rng: random.Random | None = None,
+        on_change: Callable[[ConfigurationIndex], None] = lambda _: None,
     ):
-        self._store = store or ConfigurationStore(table)
-        self._holding = Holding()
+        self._store = store
+        self._presence = presence
+        self._clock = clock
+        self._on_change = on_change
         self._index = ConfigurationIndex(Configuration())
-        self._listeners: list[Callable[[], None]] = []
-        self._spreader = Spreader(
-            directory,
-            mailbox,
-            clock,
-            self._holding,
-            self._changed,
-            timings or SpreadTimings(),
-        )
-        self._acceptance = Acceptance(directory, self._spreader)
-        self._learner = Learner(
-            directory,
-            self._spreader,
-            self._store,
+        self._document = b""
+        self._revision = Revision(0)
+        self._newest: ConfigurationRow | None = None
+        self._newest_changed = asyncio.Event()
+        self._follower = TableFollower(
+            store,
+            CONFIGURATION_TABLE,
             clock,
-            self._holding,
-            self._changed,
-            seeds=seeds,
-            poll_interval_s=poll_interval_s,
-            rng=rng or random.Random(),
+            on_row=self._on_row,
+            on_removed=lambda _: None,
         )
 
-    @classmethod
-    def from_config(
-        cls,
-        directory: Directory,
-        mailbox: Mailbox,
-        table: Table,
-        clock: Clock,
-        *,
-        seeds: Iterable[Address] = (),
-        poll_interval_s: float = POLL_INTERVAL_S,
-    ) -> Self:
-        """Make a service with the usual timings."""
-        return cls(
-            directory,
-            mailbox,
-            table,
-            clock,
-            seeds=seeds,
-            poll_interval_s=poll_interval_s,
-        )
-
-    # ---- what is held -------------------------------------------------------
-
-    @property
-    def index(self) -> ConfigurationIndex:
-        """Look-ups over the configuration in force on this node."""
-        return self._index
-
-    @property
-    def current(self) -> Configuration:
-        """The configuration in force on this node, sections sorted by name."""
-        return self._holding.held.configuration
-
     @property
     def revision(self) -> Revision:
-        """Its revision, 0 while there is none; it never goes down."""
-        return self._holding.revision
+        """The revision in force here, 0 before the first."""
+        return self._revision
 
     @property
     def document(self) -> bytes:
-        """The configuration as JSON, laid out for a person."""
-        encoded = msgspec.json.encode(self.current)
-        return msgspec.json.format(encoded, indent=2) + b"\n"
-
-    @property
-    def confirmed(self) -> bool:
-        """Whether the row was read since this process started."""
-        return self._learner.confirmed
+        """The document in force here, as it was applied."""
+        return self._document
 
     @property
-    def whole_pulls(self) -> int:
-        """Times that a whole configuration was asked of a peer."""
-        return self._spreader.whole_pulls
+    def known_index(self) -> ConfigurationIndex:
+        """The configuration in force here, however old."""
+        return self._index
 
     @property
-    def seconds_since_read(self) -> float | None:
-        """Seconds since the row was last read, None if it never was."""
-        return self._learner.seconds_since_read
-
-    def held_revision(self) -> Revision:
-        """Return the held revision, as a source for membership."""
-        return self.revision
-
-    def on_change(self, listener: Callable[[], None]) -> None:
-        """Call `listener` after each change of the configuration in force."""
-        self._listeners.append(listener)
-
-    # ---- learning -----------------------------------------------------------
-
-    async def start(self) -> None:
-        """Learn what is in force, as far as it can be now, and keep polling."""
-        await self._learner.start()
-
-    async def stop(self) -> None:
-        """Stop polling and pulling."""
-        await self._learner.stop()
-
-    async def wait_confirmed(self) -> None:
-        """Wait until the row was read; a node joins no earlier."""
-        await self._learner.wait_confirmed()
-
-    async def learn(self) -> bool:
-        """Read the row, or ask peers if the table is out.
+    def index(self) -> ConfigurationIndex:
+        """The configuration in force, for requests.
 
-        Returns
-        -------
-        bool
-            Whether the row held a higher revision.
+        Raises
+        ------
+        NotRunError
+            If there is none, or this host cannot tell whether it is the newest.
         """
-        return await self._learner.learn()
-
-    async def poll_once(self) -> None:
-        """Learn, and spread what was new in the row."""
-        await self._learner.poll_once()
-
-    def behind(self, revision: Revision, address: Address) -> None:
-        """Take note that the peer at `address` holds `revision`."""
-        self._learner.behind(revision, address)
+        if not self._revision:
+            raise NotRunError(
+                FailureReason.NO_CONFIGURATION,
+                "no configuration is known here",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        age_s = self._clock.monotonic() - (self._follower.last_read_at or 0.0)
+        if age_s > MAX_AGE_S:
+            raise NotRunError(
+                FailureReason.STALE_CONFIGURATION,
+                f"the configuration was last read {age_s:.0f} s ago",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return self._index
 
-    # ---- changes ------------------------------------------------------------
+    async def run(self) -> None:
+        """Follow the newest configuration until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follower.run())
+            group.create_task(self._load_newest())
 
-    async def apply(self, document: bytes, base_revision: Revision) -> ApplyOutcome:
-        """Replace the configuration that the operator read.
+    async def apply(self, document: bytes, base: Revision) -> ApplyOutcome:
+        """Replace the configuration of revision `base`.
 
-        Applying the same document on the same base again is harmless: it tells
-        whether the revision is accepted by now.
+        The same document on the same base may be applied again: no second revision
+        comes of it.
 
         Raises
         ------
         InvalidError
-            CONFIGURATION_WRONG for a wrong document; REVISION_CONFLICT, naming
-            the newest revision, if `base_revision` is not the newest.
+            If the document is wrong, or `base` is not the newest revision.
         NotRunError
-            If nothing was written.
+            If the store does not take it.
         OutcomeUnknownError
-            If it may have been written, or may yet be; apply it again.
+            If it may have been applied.
         """
-        configuration = canonical(check(document))
-        row = await self._store.read()
-        self._learner.take(row)
-        stored = row.stored
-        self._check_not_reverted(stored.revision)
-        if not row.has_applied(configuration, base_revision):
-            if stored.revision != base_revision:
-                raise revision_conflict(stored.revision)
-            await self._replace(row, configuration)
-        return await self._acceptance.judge(self.revision)
-
-    async def _replace(
-        self, row: ConfigurationRow, configuration: Configuration
-    ) -> None:
-        stored = await self._store.replace(row, configuration)
-        if stored is None:
-            newest = await self._store.read()
-            self._learner.take(newest)
-            raise revision_conflict(newest.stored.revision)
-        _log.info("config: revision written", revision=stored.revision)
-        if self._holding.adopt(stored.revision, configuration):
-            self._changed()
-
-    def _check_not_reverted(self, stored: Revision) -> None:
-        if stored < self.revision:
-            _log.error("config: table went back", stored=stored, held=self.revision)
+        check(document)
+        revision = Revision(base + 1)
+        row = ConfigurationRow(revision, _object_name(revision, document))
+        try:
+            await self._write(row, document, base)
+        except StoreUnavailableError as error:
             raise NotRunError(
                 FailureReason.STORE_UNAVAILABLE,
-                f"the table holds revision {stored}, below {self.revision} in force",
-            )
+                error.trouble.value,
+                retry_after_s=RETRY_AFTER_S,
+            ) from None
+        except NotSettledError:
+            raise OutcomeUnknownError(
+                FailureReason.STORE_UNAVAILABLE,
+                "the store gave no reply; the same document may be applied again",
+                retry_after_s=RETRY_AFTER_S,
+            ) from None
+        _log.info("config: applied", revision=revision, bytes=len(document))
+        return await self._accepted(revision)
+
+    async def _write(
+        self, row: ConfigurationRow, document: bytes, base: Revision
+    ) -> None:
+        before, version = await self._read()
+        if before == row:
+            return
+        if (before.revision if before else 0) != base:
+            raise _revision_conflict(base, before)
+        put = await self._store.put_object(row.object_name, document)
+        if not isinstance(put, Committed | Conflict):
+            raise StoreUnavailableError(put.trouble)
+        value = msgspec.json.encode(row)
+        outcome = await commit_settled(
+            self._store,
+            Transaction((Expectation(_ROW, version),), (Put(_ROW, value),)),
+            lambda conflict: any(each.value == value for each in conflict.rows),
+            self._clock,
+            APPLY_GIVE_UP_S,
+        )
+        match outcome:
+            case NotCommitted(trouble=trouble):
+                raise StoreUnavailableError(trouble)
+            case Conflict():
+                after, _ = await self._read()
+                if after != row:
+                    raise _revision_conflict(base, after)
+
+    async def _read(self) -> tuple[ConfigurationRow | None, RowVersion]:
+        page = await self._store.read(CONFIGURATION_TABLE, "")
+        if not page.rows:
+            return None, ABSENT
+        row = page.rows[0]
+        return msgspec.json.decode(row.value, type=ConfigurationRow), row.version
+
+    async def _accepted(self, revision: Revision) -> ApplyOutcome:
+        until = self._clock.monotonic() + ACCEPT_WAIT_S
+        while True:
+            pending = self._pending(revision)
+            if not pending or self._clock.monotonic() >= until:
+                return ApplyOutcome(revision, pending)
+            await asyncio.sleep(POLL_S)
+
+    def _pending(self, revision: Revision) -> tuple[HostId, ...]:
+        beats = self._presence.heartbeats()
+        return tuple(
+            host
+            for host in self._presence.live_hosts()
+            if beats[host].rpc_address and beats[host].revision < revision
+        )
 
-    def _changed(self) -> None:
-        self._index = ConfigurationIndex(self.current)
-        _log.info("config: revision in force", revision=self.revision)
-        for listener in self._listeners:
-            listener()
+    def _on_row(self, row: Row) -> None:
+        newest = msgspec.json.decode(row.value, type=ConfigurationRow)
+        if newest.revision > self._revision:
+            self._newest = newest
+            self._newest_changed.set()
+
+    async def _load_newest(self) -> None:
+        while True:
+            await self._newest_changed.wait()
+            self._newest_changed.clear()
+            newest = self._newest
+            if newest is None or newest.revision <= self._revision:
+                continue
+            if not await self._was_loaded(newest):
+                self._newest_changed.set()
+                await asyncio.sleep(RELOAD_PAUSE_S)
+
+    async def _was_loaded(self, newest: ConfigurationRow) -> bool:
+        try:
+            document = await self._store.get_object(newest.object_name)
+        except StoreUnavailableError as error:
+            _log.warning(
+                "config: document not read yet",
+                revision=newest.revision,
+                reason=error.trouble.value,
+            )
+            return False
+        if document is None:
+            _log.error("config: document missing", revision=newest.revision)
+            return False
+        try:
+            self._take(newest.revision, document)
+        except InvalidError as error:
+            # Another version of the program applied it; what is in force stays.
+            _log.error(
+                "config: document not understood",
+                revision=newest.revision,
+                field=error.failure.field,
+                reason=error.failure.detail,
+            )
+        return True
+
+    def _take(self, revision: Revision, document: bytes) -> None:
+        before = self._revision
+        self._index = ConfigurationIndex(check(document))
+        self._document = document
+        self._revision = revision
+        self._presence.set_revision(revision)
+        self._on_change(self._index)
+        _log.info("config: in force", revision=revision, before=before)
+
+
+def _object_name(revision: Revision, document: bytes) -> str:
+    # Objects are never written twice, so the name tells the document.
+    return f"configuration-{revision}-{sha256(document).hexdigest()[:16]}"
+
+
+def _revision_conflict(base: Revision, newest: ConfigurationRow | None) -> InvalidError:
+    revision = newest.revision if newest is not None else 0
+    return InvalidError(
+        FailureReason.REVISION_CONFLICT,
+        f"it was made from revision {base}, the newest is {revision}",
+        field="base_revision",
+    )
--- a/src/bankrudder/fleet/_directory.py
+++ b/src/bankrudder/fleet/_directory.py
@@ -91,27 +91,44 @@
         for endpoint_id in [key for key, at in self._missing.items() if at <= now]:
             self.remove(endpoint_id, now)
 
-    def of_service(self, service: ServiceName) -> list[TrackedEndpoint]:
-        """Return the endpoints of a service that take new work."""
+    def of_service(
+        self, service: ServiceName, data_centres: Collection[DataCentreName] = ()
+    ) -> list[TrackedEndpoint]:
+        """Return the endpoints of a service that take new work.
+
+        Parameters
+        ----------
+        data_centres : collection of DataCentreName
+            Where they must be; empty for anywhere.
+        """
         return [
             each
             for each in self._tracked.values()
-            if each.endpoint.service == service and each.takes_work
+            if each.endpoint.service == service
+            and each.takes_work
+            and (not data_centres or each.endpoint.data_centre in data_centres)
         ]
 
+    def all(self) -> list[TrackedEndpoint]:
+        """Return all listed endpoints, by their names."""
+        return sorted(self._tracked.values(), key=lambda each: each.endpoint.id)
+
     def services(self) -> set[ServiceName]:
         """Return the services that have endpoints."""
         return {each.endpoint.service for each in self._tracked.values()}
 
     def choose(
-        self, service: ServiceName, tried: Collection[EndpointId] = ()
+        self,
+        service: ServiceName,
+        tried: Collection[EndpointId] = (),
+        data_centres: Collection[DataCentreName] = (),
     ) -> TrackedEndpoint | None:
         """Return the endpoint that should answer soonest, None without any.
 
         Endpoints that were tried before come last, suspended ones next to last.
         """
         now = self._clock.monotonic()
-        candidates = self.of_service(service)
+        candidates = self.of_service(service, data_centres)
         fresh = [each for each in candidates if each.endpoint.id not in tried]
         sound = [each for each in fresh if not each.is_suspended(now)]
         return self._best(sound or fresh or candidates, now)
--- a/src/bankrudder/fleet/_sending.py
+++ b/src/bankrudder/fleet/_sending.py
@@ -15,6 +15,22 @@
 """Names and values, in the order in which they came."""
 
 
+class Generation(msgspec.Struct, frozen=True):
+    """What an engine is to generate, for requests that do not say so themselves.
+
+    Attributes
+    ----------
+    max_tokens : int
+        Most tokens to generate, 0 for the engine's own bound.
+    priority : int
+        0 is the most urgent.
+    """
+
+    model: ModelName
+    max_tokens: int = 0
+    priority: int = 5
+
+
 class OutgoingRequest(msgspec.Struct, frozen=True):
     """A request as an endpoint is to receive it.
 
@@ -29,6 +45,8 @@
         closing it, and then nobody can tell whether the request was run.
     resume_after : int
         Number of the last event that is already here, -1 for none.
+    generation : Generation or None
+        What to generate; None if the headers say it, or it is no engine's request.
     """
 
     request_id: str
@@ -40,6 +58,7 @@
     timeout_s: float
     may_reuse_connection: bool = True
     resume_after: int = -1
+    generation: Generation | None = None
 
 
 class RefusalReason(Enum):
--- a/src/bankrudder/fleet/_tracked.py
+++ b/src/bankrudder/fleet/_tracked.py
@@ -71,6 +71,10 @@
             return 0
         return max(self._load.running + self._load.waiting - self.in_flight, 0)
 
+    def free_places(self, now: float) -> int:
+        """Return the slots that nobody is known to use, below 0 if some wait."""
+        return self._endpoint.slots - self.in_flight - self.others_load(now)
+
     def update(self, endpoint: Endpoint) -> None:
         """Take a newer entry of the list."""
         self._endpoint = endpoint
--- a/src/bankrudder/node/__init__.py
+++ b/src/bankrudder/node/__init__.py
@@ -4,7 +4,13 @@
 from bankrudder.node._gateway import Gateway
 from bankrudder.node._main import run_daemon
 from bankrudder.node._node import Node
-from bankrudder.node._settings import NodeSettings, StoreSettings, load_settings
+from bankrudder.node._settings import (
+    NodeSettings,
+    RpcSettings,
+    StoreSettings,
+    load_settings,
+    parse_settings,
+)
 from bankrudder.node._world_view import Documents, WorldView
 
 __all__ = [
@@ -15,8 +21,10 @@
     "Listener",
     "Node",
     "NodeSettings",
+    "RpcSettings",
     "StoreSettings",
     "WorldView",
     "load_settings",
+    "parse_settings",
     "run_daemon",
 ]
--- a/src/bankrudder/node/_gateway.py
+++ b/src/bankrudder/node/_gateway.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import msgspec
 import structlog
 
 from bankrudder.batches import (
@@ -14,6 +15,7 @@
     SampleId,
 )
 from bankrudder.node._instruments import Instruments
+from bankrudder.observe import Span, Tracer
 from bankrudder.relay import (
     Forwarder,
     IncomingRequest,
@@ -53,8 +55,10 @@
         reader: BatchReader,
         repository: BatchRepository,
         instruments: Instruments,
+        tracer: Tracer,
         clock: Clock,
     ):
+        self._tracer = tracer
         self._routes = routes
         self._is_ready = is_ready
         self._forwarder = forwarder
@@ -83,13 +87,16 @@
     def route(self, host: str, path: str) -> Route | NotRun | NotFound:
         """Return the route of a request."""
         table = self._routes()
-        if table is None:
+        if table is None or not table.configuration.revision:
             return NotRun(RejectReason.NO_CONFIGURATION, START_RETRY_AFTER_S)
         return table.match(host, path) or NotFound(RejectReason.NO_ROUTE)
 
     async def forward(self, request: IncomingRequest, route: Route) -> Reply:
         """Return an endpoint's answer to a request, or why there is none."""
-        reply = await self._forwarder.forward(request, route)
+        with self._span("gateway.request", request, route) as span:
+            traced = msgspec.structs.replace(request, trace=span.traceparent)
+            reply = await self._forwarder.forward(traced, route)
+            span.set(outcome=type(reply).__name__)
         self._note(request, route, reply)
         return reply
 
@@ -98,14 +105,21 @@
     ) -> StreamStarted | Reply:
         """Return the stream of an endpoint, or why there is none."""
         service = self._forwarder.pick_service(route)
-        reply = await self._streams.forward(request, route, service)
+        with self._span("gateway.stream", request, route) as span:
+            reply = await self._streams.forward(request, route, service)
+            span.set(outcome=type(reply).__name__)
         self._note(request, route, reply)
         return reply
 
-    async def accept(self, batch: Batch, route: Route) -> Reply | None:
+    def _span(self, name: str, request: IncomingRequest, route: Route) -> Span:
+        return self._tracer.span(
+            name, request.trace, request=request.request_id, route=route.name
+        )
+
+    async def accept(self, batch: Batch) -> Reply | None:
         """Keep a batch; None means that it is kept."""
         try:
-            is_same = await self._batches.accept(batch, route)
+            is_same = await self._batches.accept(batch)
         except StoreUnavailableError as error:
             _log.warning(
                 "gateway: batch not accepted",
--- /dev/null
+++ b/src/bankrudder/node/_interface.py
@@ -0,0 +1,180 @@
+"""The project's own interface on one host: calls, steps, operators, over gRPC.
+
+It stands on the same parts as the platform's front. Imported only where the settings
+name an address for it: gRPC costs some twenty megabytes.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from bankrudder.batches import BatchReader, BatchRepository
+from bankrudder.calls import (
+    CallCleaner,
+    CallRecords,
+    CallService,
+    ClassAdmission,
+    OnceRunner,
+)
+from bankrudder.config import (
+    ConfigurationIndex,
+    ConfigurationService,
+    PlacementGuard,
+    job_routes,
+)
+from bankrudder.node._parts import Parts
+from bankrudder.node._settings import NodeSettings, RpcSettings
+from bankrudder.rpc import (
+    CallsServicer,
+    OperatorsServicer,
+    RpcContext,
+    RpcServer,
+    StatusBoard,
+    TrainersServicer,
+    server_credentials,
+)
+from bankrudder.steps import (
+    NAMED_VERSIONS_TABLE,
+    StepService,
+    VersionRegistry,
+    decode_named_version,
+)
+from bankrudder.store import Row, TableFollower
+from bankrudder.v1 import bankrudder_pb2_grpc as pb_grpc
+from bankrudder.world import Clock
+
+STOP_SLACK_S = 0.5
+"""Time that calls in progress get once everything else has ended."""
+
+
+class OwnInterface:
+    """Listens for callers, trainers and operators.
+
+    Parameters
+    ----------
+    drain : callable
+        Begins the host's planned stop.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        rpc: RpcSettings,
+        parts: Parts,
+        clock: Clock,
+        drain: Callable[[], None],
+    ):
+        self._settings = settings
+        self._parts = parts
+        self._clock = clock
+        self._configuration = ConfigurationService(
+            parts.store, parts.presence, clock, self._on_configuration
+        )
+        self._placement = PlacementGuard(
+            settings.data_centre, parts.presence.heartbeats
+        )
+        self._records = CallRecords(parts.store, clock)
+        self._cleaner = CallCleaner(
+            self._records, parts.lease, self._longest_window_s, clock
+        )
+        self._versions = TableFollower(
+            parts.store,
+            NAMED_VERSIONS_TABLE,
+            clock,
+            on_row=self._on_version,
+            on_removed=lambda _: None,
+        )
+        self._context = RpcContext(
+            self._configuration, rpc.operator_token_sha256, rpc.limits
+        )
+        credentials = server_credentials(rpc.tls) if rpc.tls is not None else None
+        self._server = RpcServer.from_config(rpc.address, credentials)
+        self._add_services(drain)
+
+    async def start(self) -> None:
+        """Listen; raises `OSError` if the address cannot be bound."""
+        try:
+            await self._server.start()
+        except RuntimeError as error:
+            raise OSError(str(error)) from None
+
+    async def run(self) -> None:
+        """Follow the configuration and published versions until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._configuration.run())
+            group.create_task(self._versions.run())
+            group.create_task(self._cleaner.run())
+
+    def leave(self) -> None:
+        """Refuse new calls and steps from now on."""
+        self._context.stop_taking()
+
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that are not answered yet."""
+        return self._context.held.requests
+
+    async def stop(self) -> None:
+        """Stop listening and end what is left."""
+        await self._server.stop(STOP_SLACK_S)
+
+    def _add_services(self, drain: Callable[[], None]) -> None:
+        parts = self._parts
+        server = self._server.grpc_server
+        calls = CallsServicer.from_config(
+            self._context,
+            self._calls(),
+            parts.tracer,
+            parts.instruments.metrics,
+            self._clock,
+        )
+        pb_grpc.add_CallsServicer_to_server(calls, server)  # type: ignore[no-untyped-call]
+        trainers = TrainersServicer(
+            self._context,
+            self._steps(),
+            VersionRegistry(parts.store, self._clock),
+            parts.tracer,
+        )
+        pb_grpc.add_TrainersServicer_to_server(trainers, server)  # type: ignore[no-untyped-call]
+        board = StatusBoard(
+            parts.presence, parts.directory, self._is_serving, self._clock
+        )
+        operators = OperatorsServicer(self._context, board, parts.tracer, drain)
+        pb_grpc.add_OperatorsServicer_to_server(operators, server)  # type: ignore[no-untyped-call]
+
+    def _calls(self) -> CallService:
+        parts = self._parts
+        return CallService(
+            self._configuration,
+            self._placement,
+            ClassAdmission(parts.directory, self._clock),
+            parts.forwarder,
+            parts.streams,
+            OnceRunner(self._records, parts.presence, self._clock),
+            self._clock,
+        )
+
+    def _steps(self) -> StepService:
+        parts = self._parts
+        repository: BatchRepository = parts.repository
+        return StepService(
+            self._configuration,
+            self._placement,
+            parts.batches,
+            BatchReader(repository, self._clock),
+            repository,
+            lambda: self._context.stopping,
+            self._clock,
+        )
+
+    def _is_serving(self) -> bool:
+        return bool(self._configuration.revision) and not self._context.stopping
+
+    def _on_configuration(self, index: ConfigurationIndex) -> None:
+        self._parts.view.set_more_routes(job_routes(index))
+
+    def _on_version(self, row: Row) -> None:
+        self._parts.view.take_named(decode_named_version(row.value))
+
+    def _longest_window_s(self) -> float:
+        pools = self._configuration.known_index.configuration.pools
+        return max((each.contract.retry_window_s for each in pools), default=0.0)
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
-from typing import Self
+from typing import TYPE_CHECKING, Self
 
 import msgspec
 import structlog
@@ -14,6 +14,9 @@
 from bankrudder.observe import ObserveServer, Sample
 from bankrudder.world import Clock
 
+if TYPE_CHECKING:
+    from bankrudder.node._interface import OwnInterface
+
 NOTICE_S = 2.6
 """Time for which new connections are still answered after the request to stop: the
 balancer asks once a second and leaves a host out after two questions."""
@@ -49,6 +52,7 @@
         self._parts = Parts(settings, adapter, clock, lines)
         self._parts.instruments.metrics.add_source(self._samples)
         self._metrics_server = self._make_metrics_server()
+        self._interface = self._make_interface()
         self._callers = adapter.caller_listener(settings, self._parts.gateway, clock)
         self._readiness = adapter.readiness_listener(settings, self._parts.gateway)
         self._stop_asked = asyncio.Event()
@@ -97,6 +101,8 @@
         await self._callers.start()
         if self._metrics_server is not None:
             await self._metrics_server.start()
+        if self._interface is not None:
+            await self._interface.start()
         _log.info(
             "node: started", host=self._settings.host, lifetime=self._parts.lifetime
         )
@@ -106,6 +112,8 @@
         self._start("lease", self._parts.lease.run)
         self._start("orders", self._parts.switcher.run)
         self._start("cleaning", self._parts.cleaner.run)
+        if self._interface is not None:
+            self._start("interface", self._interface.run)
         await self._stop_asked.wait()
         await self._drain()
 
@@ -116,8 +124,17 @@
             self._settings.metrics_address,
             self._parts.instruments.metrics,
             lambda: self._parts.gateway.is_ready,
+            spans_of=self._parts.tracer.spans_of,
         )
 
+    def _make_interface(self) -> "OwnInterface | None":
+        rpc = self._settings.rpc
+        if rpc is None:
+            return None
+        from bankrudder.node._interface import OwnInterface
+
+        return OwnInterface(self._settings, rpc, self._parts, self._clock, self.stop)
+
     def _samples(self) -> Iterable[Sample]:
         """Yield what the node holds now, for its metrics."""
         routes = self._parts.view.routes
@@ -157,6 +174,8 @@
         grace_s = self._settings.grace_s
         _log.info("node: stop begins", in_progress=self._callers.in_progress)
         self._parts.gateway.leave()
+        if self._interface is not None:
+            self._interface.leave()
         self._parts.presence.leave()
         await asyncio.gather(
             self._parts.presence.announce(), self._parts.lease.release()
@@ -173,18 +192,26 @@
             await asyncio.sleep(RELEASE_PAUSE_S)
         await self._wait(
             end,
-            lambda: self._callers.in_progress == 0,
+            lambda: self._in_progress == 0,
             began + NOTICE_S,
         )
         for task in self._tasks:
             task.cancel()
         await self._callers.stop()
         await self._readiness.stop()
+        if self._interface is not None:
+            await self._interface.stop()
         if self._metrics_server is not None:
             await self._metrics_server.stop()
         await self._adapter.close()
+        await self._parts.tracer.stop()
         _log.info("node: stopped", seconds=round(self._clock.monotonic() - began, 3))
 
+    @property
+    def _in_progress(self) -> int:
+        own = self._interface.in_progress if self._interface is not None else 0
+        return self._callers.in_progress + own
+
     async def _wait(
         self, until: float, is_done: Callable[[], bool], not_before: float
     ) -> None:
--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -18,8 +18,9 @@
 from bankrudder.node._instruments import Instruments
 from bankrudder.node._settings import NodeSettings
 from bankrudder.node._world_view import WorldView
+from bankrudder.observe import Tracer
 from bankrudder.orders import LOADED_TABLE, LoadAnnouncer, VersionSwitcher
-from bankrudder.presence import Lifetime, Presence
+from bankrudder.presence import NO_ADDRESS, Lifetime, Presence
 from bankrudder.relay import Forwarder, StreamForwarder
 from bankrudder.routing import RoutingTable
 from bankrudder.store import MeasuredStore, TableFollower
@@ -43,45 +44,56 @@
         self._endpoints = adapter.endpoints
         self.lifetime = Lifetime(str(uuid_utils.uuid4()))
         self.instruments = Instruments.from_config(settings.host, lines)
-        self._store = MeasuredStore(
+        self.tracer = Tracer.from_config(settings.host, settings.traces, clock)
+        self.store = MeasuredStore(
             adapter.store, clock, self.instruments.note_store_call
         )
         self.directory = EndpointDirectory(settings.data_centre, clock)
-        self.view = WorldView(self._store, adapter.documents, self.directory, clock)
+        self.view = WorldView(self.store, adapter.documents, self.directory, clock)
         self.presence = self._make_presence()
-        self._forwarder = Forwarder(self.directory, self._endpoints, clock)
-        self._announcer = LoadAnnouncer(self._store, self.directory)
-        self._repository = BatchRepository(self._store, clock, settings.store.row_bytes)
+        self.forwarder = Forwarder(self.directory, self._endpoints, clock, self.tracer)
+        self.streams = StreamForwarder(self.directory, self._endpoints, clock)
+        self._announcer = LoadAnnouncer(self.store, self.directory)
+        self.repository = BatchRepository(self.store, clock, settings.store.row_bytes)
         self.batches = self._make_batches()
         self.lease = self._make_lease()
         self.switcher = self._make_switcher()
         self.cleaner = Cleaner(
-            self._store, self._repository, self.lease, settings.status_retention_s
+            self.store, self.repository, self.lease, settings.status_retention_s
         )
         self.gateway = self._make_gateway()
 
     def _make_presence(self) -> Presence:
         settings = self._settings
         room = settings.processor_share * settings.processor_speed
-        return Presence(self._store, settings.host, self.lifetime, self._clock, room)
+        return Presence(
+            self.store,
+            settings.host,
+            self.lifetime,
+            self._clock,
+            room,
+            settings.data_centre,
+            settings.rpc.address if settings.rpc is not None else NO_ADDRESS,
+        )
 
     def _make_batches(self) -> BatchService:
         return BatchService(
-            self._store,
-            self._repository,
-            ProgressStore(self._store, self._settings.store.row_bytes),
+            self.store,
+            self.repository,
+            ProgressStore(self.store, self._settings.store.row_bytes),
             self.presence,
             self.directory,
             self._endpoints,
-            Scorer(self._forwarder, self.directory, self._routes, self._clock),
+            Scorer(self.forwarder, self.directory, self._routes, self._clock),
             self._routes,
             self._clock,
+            self.tracer,
             self._make_loads_follower(),
         )
 
     def _make_loads_follower(self) -> TableFollower:
         return TableFollower(
-            self._store,
+            self.store,
             LOADED_TABLE,
             self._clock,
             on_row=self._announcer.take,
@@ -90,7 +102,7 @@
 
     def _make_lease(self) -> Lease:
         return Lease(
-            self._store,
+            self.store,
             ORDERS_LEASE,
             self._settings.host,
             self.lifetime,
@@ -118,12 +130,13 @@
         return Gateway(
             self._routes,
             lambda: self.view.is_complete,
-            self._forwarder,
-            StreamForwarder(self.directory, self._endpoints, self._clock),
+            self.forwarder,
+            self.streams,
             self.batches,
-            BatchReader(self._repository, self._clock),
-            self._repository,
+            BatchReader(self.repository, self._clock),
+            self.repository,
             self.instruments,
+            self.tracer,
             self._clock,
         )
 
--- a/src/bankrudder/node/_settings.py
+++ b/src/bankrudder/node/_settings.py
@@ -1,15 +1,30 @@
-"""Settings of a daemon on the platform: one JSON document."""
+"""Settings of a daemon: one JSON document, checked as a whole.
 
+They are what one process must know before it can ask anyone. Everything else is
+configuration, which operators apply.
+"""
+
+import re
+from collections.abc import Iterator
 from pathlib import Path
 
 import msgspec
 
+from bankrudder.config import address_error, decode_document, shown
 from bankrudder.exceptions import InvalidError
 from bankrudder.failures import FailureReason
-from bankrudder.world import Address, DataCentreName, HostId
+from bankrudder.observe import NoTraceExport, OtlpTraceExport, TraceExport
+from bankrudder.tls import TlsSettings
+from bankrudder.world import Address, DataCentreName, HostId, RpcLimits
+
+_SHA256 = re.compile(r"[0-9a-f]{64}")
+
 
+class _Part(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of the parts of the settings."""
 
-class StoreSettings(msgspec.Struct, frozen=True):
+
+class StoreSettings(_Part, frozen=True):
     """The platform's store.
 
     Attributes
@@ -22,7 +37,25 @@
     row_bytes: int = 65536
 
 
-class NodeSettings(msgspec.Struct, frozen=True):
+class RpcSettings(_Part, frozen=True):
+    """The project's own interface, over gRPC.
+
+    Attributes
+    ----------
+    operator_token_sha256 : str
+        Hexadecimal SHA-256 of a token that may always operate, so that the first
+        configuration can be applied; empty for none.
+    tls : TlsSettings or None
+        This node's identity; None listens in clear.
+    """
+
+    address: Address
+    operator_token_sha256: str = ""
+    tls: TlsSettings | None = None
+    limits: RpcLimits = RpcLimits()
+
+
+class NodeSettings(_Part, frozen=True):
     """All settings of one daemon; ``_ms`` and ``_s`` give the unit of times.
 
     Attributes
@@ -32,13 +65,17 @@
     processor_share, processor_speed : float
         Share of a core, and how many times as fast as the usual one it is.
     metrics_address : Address or None
-        Listener for metrics and health; None for none.
+        Listener for metrics, health and spans; None for none.
     status_retention_s : float
         Time for which results can be read after the end of a batch.
     lease_ms : float
         Length of a lease on a duty.
     grace_s : float
         Time between the request to stop and the end by force.
+    rpc : RpcSettings or None
+        The project's own interface; None for none.
+    traces : TraceExport
+        Where finished spans go besides memory.
     """
 
     host: HostId
@@ -52,6 +89,16 @@
     status_retention_s: float = 120.0
     lease_ms: float = 3000.0
     grace_s: float = 8.0
+    rpc: RpcSettings | None = None
+    traces: TraceExport = NoTraceExport()
+
+
+class _WrongValue(msgspec.Struct, frozen=True):
+    """A field, its value, and what is allowed."""
+
+    field: str
+    value: object
+    problem: str
 
 
 def load_settings(path: Path) -> NodeSettings:
@@ -60,37 +107,72 @@
     Raises
     ------
     InvalidError
-        If the file cannot be read, or a field is missing or wrong.
+        If the file cannot be read; else for the first wrong field, with its path,
+        its value and what is allowed.
     """
     try:
         body = path.read_bytes()
     except OSError as error:
         raise InvalidError(
-            FailureReason.CONFIGURATION_WRONG, str(error), field=str(path)
+            FailureReason.CONFIGURATION_WRONG,
+            f"cannot read {path}: {error.strerror}",
+            field=str(path),
         ) from None
-    try:
-        settings = msgspec.json.decode(body, type=NodeSettings)
-    except msgspec.DecodeError as error:
+    return parse_settings(body)
+
+
+def parse_settings(body: bytes) -> NodeSettings:
+    """Decode and check settings, raising as `load_settings`."""
+    settings = decode_document(body, NodeSettings)
+    wrong = next(_wrong_values(settings), None)
+    if wrong is not None:
         raise InvalidError(
-            FailureReason.CONFIGURATION_WRONG, str(error), field="settings"
-        ) from None
-    _check(settings)
+            FailureReason.CONFIGURATION_WRONG,
+            f"{wrong.field} is {shown(wrong.value)}: {wrong.problem}",
+            field=wrong.field,
+        )
     return settings
 
 
-def _check(settings: NodeSettings) -> None:
-    addresses = {
-        "callers_address": settings.callers_address,
-        "readiness_address": settings.readiness_address,
-        "store.address": settings.store.address,
-    }
+def _wrong_values(settings: NodeSettings) -> Iterator[_WrongValue]:
+    for field in ("host", "data_centre"):
+        if not getattr(settings, field).strip():
+            yield _WrongValue(field, getattr(settings, field), "a name is needed")
+    yield from _wrong_addresses(settings)
+    yield from _not_positive(settings)
+    if settings.rpc is not None:
+        yield from _wrong_token(settings.rpc)
+
+
+def _wrong_addresses(settings: NodeSettings) -> Iterator[_WrongValue]:
+    seen: set[Address] = set()
+    for field, address in _listeners(settings):
+        problem = address_error(address)
+        if address in seen:
+            problem = "each listener needs an address of its own"
+        if problem:
+            yield _WrongValue(field, address, problem)
+        seen.add(address)
+    others = [("store.address", settings.store.address)]
+    match settings.traces:
+        case OtlpTraceExport(address):
+            others.append(("traces.address", address))
+    for field, address in others:
+        if problem := address_error(address):
+            yield _WrongValue(field, address, problem)
+
+
+def _listeners(settings: NodeSettings) -> Iterator[tuple[str, Address]]:
+    yield "callers_address", settings.callers_address
+    yield "readiness_address", settings.readiness_address
     if settings.metrics_address is not None:
-        addresses["metrics_address"] = settings.metrics_address
-    for field, address in addresses.items():
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdigit():
-            _fail(field, address)
-    positive = {
+        yield "metrics_address", settings.metrics_address
+    if settings.rpc is not None:
+        yield "rpc.address", settings.rpc.address
+
+
+def _not_positive(settings: NodeSettings) -> Iterator[_WrongValue]:
+    values = {
         "store.row_bytes": settings.store.row_bytes,
         "processor_share": settings.processor_share,
         "processor_speed": settings.processor_speed,
@@ -98,14 +180,19 @@
         "lease_ms": settings.lease_ms,
         "grace_s": settings.grace_s,
     }
-    for field, value in positive.items():
+    if settings.rpc is not None:
+        limits = msgspec.structs.asdict(settings.rpc.limits)
+        values |= {f"rpc.limits.{name}": value for name, value in limits.items()}
+    for field, value in values.items():
         if value <= 0:
-            _fail(field, value)
-    if not settings.host:
-        _fail("host", settings.host)
+            yield _WrongValue(field, value, "allowed is more than 0")
 
 
-def _fail(field: str, value: object) -> None:
-    raise InvalidError(
-        FailureReason.CONFIGURATION_WRONG, f"not valid: {value!r}", field=field
-    )
+def _wrong_token(rpc: RpcSettings) -> Iterator[_WrongValue]:
+    digest = rpc.operator_token_sha256
+    if digest and not _SHA256.fullmatch(digest):
+        yield _WrongValue(
+            "rpc.operator_token_sha256",
+            digest,
+            "allowed are 64 lower-case hexadecimal digits",
+        )
--- a/src/bankrudder/node/_world_view.py
+++ b/src/bankrudder/node/_world_view.py
@@ -1,7 +1,7 @@
 """What a host knows from the platform: configuration, endpoints, named versions."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Protocol
 
 import msgspec
@@ -14,7 +14,7 @@
     EndpointId,
     ModelState,
 )
-from bankrudder.routing import ModelName, RoutingConfiguration, RoutingTable
+from bankrudder.routing import ModelName, Route, RoutingConfiguration, RoutingTable
 from bankrudder.store import Row, RowKey, Store, TableFollower
 from bankrudder.world import Clock, ModelVersion
 
@@ -23,6 +23,11 @@
 second: a delay of an eighth of the time in which a draining endpoint must be left."""
 
 OVERDUE_LOOK_S = 0.2
+"""How often it is looked for endpoints that did not come back in time: a tenth of that
+time."""
+
+NO_CONFIGURATION = RoutingConfiguration(0, (), ())
+"""What is in force before the platform's first configuration is known."""
 
 _log = structlog.get_logger("node")
 
@@ -62,6 +67,7 @@
         self._directory = directory
         self._clock = clock
         self._routes: RoutingTable | None = None
+        self._more_routes: tuple[Route, ...] = ()
         self._named: dict[ModelName, ModelVersion] = {}
         self._configuration = TableFollower(
             store,
@@ -94,6 +100,14 @@
         """Whether configuration and endpoints are known."""
         return self._routes is not None and self._endpoints.is_loaded
 
+    def set_more_routes(self, routes: Iterable[Route]) -> None:
+        """Replace the routes of the project's own configuration."""
+        self._more_routes = tuple(routes)
+        configuration = NO_CONFIGURATION
+        if self._routes is not None:
+            configuration = self._routes.configuration
+        self._routes = RoutingTable(configuration, self._more_routes)
+
     def ages(self) -> dict[str, float]:
         """Return, by table, the seconds since it was last read."""
         now = self._clock.monotonic()
@@ -126,7 +140,7 @@
             if key == self._documents.configuration_key:
                 self._take_configuration(self._documents.configuration(row.value))
             elif key.startswith(self._documents.named_version_prefix):
-                self._take_named(self._documents.named_version(row.value))
+                self.take_named(self._documents.named_version(row.value))
         except msgspec.DecodeError as error:
             _log.error("node: document not understood", key=key, reason=str(error))
 
@@ -139,7 +153,7 @@
                 in_force=before,
             )
             return
-        self._routes = RoutingTable(configuration)
+        self._routes = RoutingTable(configuration, self._more_routes)
         _log.info(
             "node: configuration in force",
             revision=configuration.revision,
@@ -147,7 +161,8 @@
             routes=len(configuration.routes),
         )
 
-    def _take_named(self, named: ModelState) -> None:
+    def take_named(self, named: ModelState) -> None:
+        """Take a version that a trainer named or published; versions only grow."""
         if named.version > self._named.get(named.model, 0):
             self._named[named.model] = named.version
             _log.info("node: version named", model=named.model, version=named.version)
--- a/src/bankrudder/observe/_http.py
+++ b/src/bankrudder/observe/_http.py
@@ -1,7 +1,7 @@
-"""The HTTP listener that monitoring asks: metrics, health, readiness."""
+"""The HTTP listener that monitoring asks: metrics, health, readiness, spans."""
 
 import ssl
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Self
 
 from aiohttp import web
@@ -13,7 +13,7 @@
 
 
 class ObserveServer:
-    """Serves ``/metrics``, ``/healthz`` and ``/readyz``.
+    """Serves ``/metrics``, ``/healthz``, ``/readyz`` and ``/spans/ID``.
 
     Parameters
     ----------
@@ -25,6 +25,8 @@
         Whether the node takes calls now; ``/readyz`` answers 503 if not.
     ssl_context : ssl.SSLContext, optional
         None serves in clear.
+    spans_of : callable, optional
+        Finished spans of a trace, request, batch or sample, as JSON; none by default.
     """
 
     def __init__(
@@ -33,7 +35,9 @@
         metrics: Metrics,
         is_ready: Callable[[], bool],
         ssl_context: ssl.SSLContext | None = None,
+        spans_of: Callable[[str], Iterable[str]] = lambda _: (),
     ):
+        self._spans_of = spans_of
         self._address = address
         self._metrics = metrics
         self._is_ready = is_ready
@@ -47,9 +51,10 @@
         metrics: Metrics,
         is_ready: Callable[[], bool],
         ssl_context: ssl.SSLContext | None = None,
+        spans_of: Callable[[str], Iterable[str]] = lambda _: (),
     ) -> Self:
         """Make a server that `start` lets listen on `address`."""
-        return cls(address, metrics, is_ready, ssl_context)
+        return cls(address, metrics, is_ready, ssl_context, spans_of)
 
     @property
     def address(self) -> Address:
@@ -71,6 +76,7 @@
         application.router.add_get("/metrics", self._get_metrics)
         application.router.add_get("/healthz", self._get_health)
         application.router.add_get("/readyz", self._get_readiness)
+        application.router.add_get("/spans/{id}", self._get_spans)
         runner = web.AppRunner(
             application, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
@@ -100,6 +106,11 @@
     async def _get_health(self, _: web.Request) -> web.Response:
         return web.Response(text="ok\n")
 
+    async def _get_spans(self, request: web.Request) -> web.Response:
+        spans = self._spans_of(request.match_info["id"])
+        text = "".join(f"{span}\n" for span in spans)
+        return web.Response(text=text, content_type="application/x-ndjson")
+
     async def _get_readiness(self, _: web.Request) -> web.Response:
         if self._is_ready():
             return web.Response(text="ready\n")
--- a/src/bankrudder/observe/_spans.py
+++ b/src/bankrudder/observe/_spans.py
@@ -6,19 +6,14 @@
 from typing import Self
 
 import msgspec
-from opentelemetry import trace
-from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.trace import ReadableSpan
 
 from bankrudder.exceptions import BankrudderError
 from bankrudder.world import Clock, HostId
 
 MAX_ATTRIBUTE_LENGTH = 128
-NS_PER_S = 1_000_000_000
 MS_PER_S = 1000.0
 TRACEPARENT_VERSION = "00"
 TRACEPARENT_LENGTHS = (2, 32, 16, 2)
-SAMPLED = trace.TraceFlags(trace.TraceFlags.SAMPLED)
 
 AttributeValue = str | int | float | bool
 
@@ -67,7 +62,7 @@
             return None
         if not trace_id or not span_id:
             return None
-        return cls(trace.format_trace_id(trace_id), trace.format_span_id(span_id))
+        return cls(f"{trace_id:032x}", f"{span_id:016x}")
 
 
 class Span:
@@ -178,27 +173,3 @@
 def encode_record(record: SpanRecord) -> str:
     """Return `record` as one line of JSON."""
     return msgspec.json.encode(record).decode()
-
-
-def exportable(record: SpanRecord, resource: Resource) -> ReadableSpan:
-    """Return `record` as OpenTelemetry's exporters take it."""
-    trace_id = int(record.trace_id, 16)
-    parent = None
-    if record.parent_id:
-        parent = _span_context(trace_id, record.parent_id, is_remote=True)
-    code = trace.StatusCode.ERROR if record.failed else trace.StatusCode.UNSET
-    start_ns = int(record.start_s * NS_PER_S)
-    return ReadableSpan(
-        record.name,
-        context=_span_context(trace_id, record.span_id, is_remote=False),
-        parent=parent,
-        resource=resource,
-        attributes=record.attributes,
-        status=trace.Status(code),
-        start_time=start_ns,
-        end_time=start_ns + int(record.duration_ms / MS_PER_S * NS_PER_S),
-    )
-
-
-def _span_context(trace_id: int, span_id: str, *, is_remote: bool) -> trace.SpanContext:
-    return trace.SpanContext(trace_id, int(span_id, 16), is_remote, SAMPLED)
--- a/src/bankrudder/observe/_traces.py
+++ b/src/bankrudder/observe/_traces.py
@@ -1,26 +1,14 @@
-"""Traces: a span for each hop, with parents that are passed explicitly.
+"""Traces: a span for each hop of a request, linked by ``traceparent``.
 
-Spans are never attached to the context of a task: an asynchronous generator
-runs in the context of whoever iterates it, so an attached span would be
-detached in another context than its own. A span is a light record; it becomes
-OpenTelemetry's only when it is exported.
+Spans name their parents themselves and are never attached to a context: a generator
+that is left early runs its last lines in another context than its own. A span is a
+light record; it becomes OpenTelemetry's only when it is exported.
 """
 
 import asyncio
+import random
 from collections import deque
-from typing import Self
-
-import msgspec
-from opentelemetry import trace
-from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
-from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.trace import ReadableSpan
-from opentelemetry.sdk.trace.export import (
-    BatchSpanProcessor,
-    ConsoleSpanExporter,
-    SpanExporter,
-)
-from opentelemetry.sdk.trace.id_generator import RandomIdGenerator
+from typing import TYPE_CHECKING, Self
 
 from bankrudder.observe._spans import (
     AttributeValue,
@@ -28,52 +16,21 @@
     Span,
     SpanRecord,
     encode_record,
-    exportable,
 )
-from bankrudder.world import Address, Clock, HostId, SystemClock
-
-RECENT_SPANS = 4096
-"""Finished spans that a node keeps in memory."""
-
-OTLP_PATH = "/v1/traces"
-OTLP_TIMEOUT_S = 2.0
-
-
-class NoTraceExport(
-    msgspec.Struct,
-    frozen=True,
-    tag="none",
-    tag_field="to",
-    forbid_unknown_fields=True,
-):
-    """Spans stay in the memory of the node."""
-
-
-class FileTraceExport(
-    msgspec.Struct,
-    frozen=True,
-    tag="file",
-    tag_field="to",
-    forbid_unknown_fields=True,
-):
-    """Spans are appended to a file as OpenTelemetry's JSON, one a line."""
-
-    path: str
+from bankrudder.observe._trace_settings import NoTraceExport, TraceExport
+from bankrudder.world import Clock, HostId, SystemClock
 
+if TYPE_CHECKING:
+    from bankrudder.observe._export import SpanExport
 
-class OtlpTraceExport(
-    msgspec.Struct,
-    frozen=True,
-    tag="otlp",
-    tag_field="to",
-    forbid_unknown_fields=True,
-):
-    """Spans are sent to a collector by OTLP over HTTP."""
+RECENT_SPANS = 2048
+"""Finished spans that a node keeps in memory, about a megabyte."""
 
-    address: Address
+ID_ATTRIBUTES = ("request", "batch", "sample")
+"""Attributes by which spans are found, besides the trace's identifier."""
 
-
-TraceExport = NoTraceExport | FileTraceExport | OtlpTraceExport
+TRACE_ID_BITS = 128
+SPAN_ID_BITS = 64
 
 
 class Tracer:
@@ -97,11 +54,9 @@
     def __init__(self, host: HostId, export: TraceExport, clock: Clock | None = None):
         self._host = host
         self._clock = clock or SystemClock()
-        self._ids = RandomIdGenerator()
-        self._resource = Resource({"service.name": "bankrudder", "host.name": host})
+        self._rng = random.Random()
         self._recent: deque[SpanRecord] = deque(maxlen=RECENT_SPANS)
-        exporter = _exporter_of(export)
-        self._processor = BatchSpanProcessor(exporter) if exporter else None
+        self._export = _export_of(host, export)
 
     @classmethod
     def from_config(
@@ -131,7 +86,7 @@
             name,
             self._host,
             origin.trace_id if origin else self._new_trace_id(),
-            trace.format_span_id(self._ids.generate_span_id()),
+            f"{self._rng.getrandbits(SPAN_ID_BITS):016x}",
             origin.span_id if origin else "",
             self._clock,
             self._finish,
@@ -139,49 +94,43 @@
         span.set(**attributes)
         return span
 
-    def spans_of(self, trace_id: str) -> tuple[str, ...]:
+    def spans_of(self, wanted: str) -> tuple[str, ...]:
         """Return the spans of a trace that this node still holds, as JSON.
 
         Each is a `SpanRecord`; they come in the order in which they finished.
+
+        Parameters
+        ----------
+        wanted : str
+            Identifier of a trace, or of a request, batch or sample in it.
         """
-        wanted = trace_id.lower()
-        return tuple(encode_record(r) for r in self._recent if r.trace_id == wanted)
+        traces = {r.trace_id for r in self._recent if _is_about(r, wanted)}
+        return tuple(encode_record(r) for r in self._recent if r.trace_id in traces)
 
     async def stop(self) -> None:
         """Send what waits to be exported; a dead collector delays it by seconds."""
-        if self._processor is not None:
-            await asyncio.to_thread(self._processor.shutdown)
+        if self._export is not None:
+            await asyncio.to_thread(self._export.stop)
 
     def _new_trace_id(self) -> str:
-        return trace.format_trace_id(self._ids.generate_trace_id())
+        return f"{self._rng.getrandbits(TRACE_ID_BITS):032x}"
 
     def _finish(self, record: SpanRecord) -> None:
         self._recent.append(record)
-        if self._processor is not None:
-            self._processor.on_end(exportable(record, self._resource))
-
-
-def _exporter_of(export: TraceExport) -> SpanExporter | None:
-    match export:
-        case NoTraceExport():
-            return None
-        case FileTraceExport(path):
-            return _FileExporter(path)
-        case OtlpTraceExport(address):
-            url = f"http://{address}{OTLP_PATH}"
-            return OTLPSpanExporter(endpoint=url, timeout=OTLP_TIMEOUT_S)
-
+        if self._export is not None:
+            self._export.send(record)
 
-class _FileExporter(ConsoleSpanExporter):
-    """Appends spans to a file of its own."""
 
-    def __init__(self, path: str):
-        self._file = open(path, "a", buffering=1)  # noqa: SIM115 - closed at shutdown
-        super().__init__(out=self._file, formatter=_line)
+def _is_about(record: SpanRecord, wanted: str) -> bool:
+    if record.trace_id == wanted.lower():
+        return True
+    return any(record.attributes.get(name) == wanted for name in ID_ATTRIBUTES)
 
-    def shutdown(self) -> None:
-        self._file.close()
 
+def _export_of(host: HostId, export: TraceExport) -> "SpanExport | None":
+    if isinstance(export, NoTraceExport):
+        return None
+    # Imported late: OpenTelemetry costs some ten megabytes.
+    from bankrudder.observe._export import SpanExport
 
-def _line(span: ReadableSpan) -> str:
-    return str(span.to_json(indent=None)) + "\n"
+    return SpanExport(host, export)
--- a/src/bankrudder/orders/_switching.py
+++ b/src/bankrudder/orders/_switching.py
@@ -275,7 +275,7 @@
 
     def _mode(self, service: ServiceName) -> SwitchMode:
         table = self._routes()
-        for route in table.configuration.routes if table else ():
+        for route in table.routes if table else ():
             serves = any(each.service == service for each in route.services)
             if serves and route.is_single_version:
                 return SwitchMode.FINISH_FIRST
--- a/src/bankrudder/platform/_answers.py
+++ b/src/bankrudder/platform/_answers.py
@@ -9,6 +9,7 @@
 from bankrudder.fleet import (
     Answered,
     Endpoint,
+    Generation,
     Headers,
     LossReason,
     Lost,
@@ -47,6 +48,10 @@
 """Headers that concern one connection only, or that are set anew for each send."""
 
 
+LEAST_URGENT = 9
+"""The last of the priorities that engines know."""
+
+
 def request_headers(endpoint: Endpoint, request: OutgoingRequest) -> CIMultiDict[str]:
     """Return the headers that an endpoint receives."""
     headers = CIMultiDict(
@@ -60,9 +65,19 @@
     headers[names.EXPECTED_ENDPOINT] = endpoint.id
     if request.resume_after >= 0:
         headers[names.LAST_EVENT] = str(request.resume_after)
+    if request.generation is not None:
+        _set_generation(headers, request.generation)
     return headers
 
 
+def _set_generation(headers: CIMultiDict[str], generation: Generation) -> None:
+    headers[names.MODEL] = generation.model
+    headers[names.PRIORITY] = str(min(generation.priority, LEAST_URGENT))
+    if generation.max_tokens:
+        # The prompt's tokens are not known here: engines count them themselves.
+        headers[names.TOKEN_COUNTS] = f"0,{generation.max_tokens}"
+
+
 def is_answer_to(response: aiohttp.ClientResponse, request: OutgoingRequest) -> bool:
     """Whether a response belongs to a request, by the identifier it echoes."""
     # A refusal may come before the endpoint read the identifier.
--- a/src/bankrudder/platform/_batch_documents.py
+++ b/src/bankrudder/platform/_batch_documents.py
@@ -119,7 +119,7 @@
 
 
 def _model_of(wire: _WireBatch) -> str:
-    return wire.items[0].headers.get("X-Model", "") if wire.items else ""
+    return wire.items[0].headers.get(names.MODEL, "") if wire.items else ""
 
 
 def _sample(wire: _WireSample) -> Sample:
--- a/src/bankrudder/platform/_front.py
+++ b/src/bankrudder/platform/_front.py
@@ -43,6 +43,9 @@
 DEFAULT_TIME_LEFT_S = 30.0
 """Time that a caller is taken to wait if it does not say."""
 
+TRACE_HEADER = "traceparent"
+"""W3C's header for traces, which callers may send."""
+
 READ_MARGIN_S = 0.1
 """A held read is answered this long before the caller's time is up."""
 
@@ -134,7 +137,7 @@
         await response.prepare(request)
         try:
             async for event in started.events:
-                await response.write(event)
+                await response.write(event.raw)
         except StreamBrokenError as error:
             _log.warning(
                 "front: stream ends early",
@@ -155,7 +158,7 @@
             )
         except MalformedBatchError as error:
             return _response(Malformed(error.field))
-        reply = await self._gateway.accept(batch, route)
+        reply = await self._gateway.accept(batch)
         return web.Response(status=202) if reply is None else _response(reply)
 
     async def _batch_call(self, request: web.BaseRequest, path: str) -> web.Response:
@@ -246,6 +249,7 @@
         deadline=received_at + left_s,
         received_at=received_at,
         resume_after=int(last_event) if last_event.isdigit() else -1,
+        trace=request.headers.get(TRACE_HEADER, ""),
     )
 
 
--- a/src/bankrudder/platform/_names.py
+++ b/src/bankrudder/platform/_names.py
@@ -30,6 +30,10 @@
 
 LONGEST_WAIT_MS = "X-Max-Wait"
 LAST_EVENT = "Last-Event-Id"
+MODEL = "X-Model"
+TOKEN_COUNTS = "X-Token-Counts"
+"""Tokens of the prompt and most tokens to generate, separated by a comma."""
+
 LENGTH_HINT = "X-Length-Hint"
 PRIORITY = "X-Request-Priority"
 RETRY_AFTER = "Retry-After"
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Collection
 from contextlib import suppress
 from typing import NewType
 
@@ -22,13 +23,17 @@
     TableFollower,
     Transaction,
 )
-from bankrudder.world import Clock, HostId
+from bankrudder.world import Address, Clock, DataCentreName, HostId, Revision
 
 Lifetime = NewType("Lifetime", str)
 """Identifier of one run of a daemon; a restart makes a new one."""
 
 HOSTS_TABLE = "hosts"
 
+NO_DATA_CENTRE = DataCentreName("")
+NO_ADDRESS = Address("")
+"""Where a host is that does not say so, or takes no remote procedure calls."""
+
 HEARTBEAT_S = 0.5
 """Seconds between two heartbeats of a host that others wait for."""
 
@@ -64,7 +69,7 @@
 _log = structlog.get_logger("presence")
 
 
-class Heartbeat(msgspec.Struct, frozen=True):
+class Heartbeat(msgspec.Struct, frozen=True, omit_defaults=True):
     """Value of a host's row.
 
     Attributes
@@ -81,6 +86,10 @@
         Whether others wait for its work on batches.
     holds_lease : bool
         Whether it carries out a duty under a lease.
+    rpc_address : Address
+        Where it takes remote procedure calls, empty if it does not.
+    revision : Revision
+        The project's own configuration that it has in force.
     """
 
     lifetime: Lifetime
@@ -90,6 +99,9 @@
     interval_s: float = HEARTBEAT_S
     is_busy: bool = False
     holds_lease: bool = False
+    data_centre: DataCentreName = NO_DATA_CENTRE
+    rpc_address: Address = NO_ADDRESS
+    revision: Revision = Revision(0)
 
 
 class Presence:
@@ -102,12 +114,17 @@
         lifetime: Lifetime,
         clock: Clock,
         room: float = 1.0,
+        data_centre: DataCentreName = NO_DATA_CENTRE,
+        rpc_address: Address = NO_ADDRESS,
     ):
         self._store = store
         self._host = host
         self._lifetime = lifetime
         self._clock = clock
         self._room = room
+        self._data_centre = data_centre
+        self._rpc_address = rpc_address
+        self._revision = Revision(0)
         self._count = 0
         self._is_leaving = False
         self._is_busy = False
@@ -152,14 +169,40 @@
             self._changed.set()
         self._is_busy = is_busy
 
-    def live_hosts(self) -> list[HostId]:
-        """Return the hosts that are taken for alive and stay, sorted."""
+    def set_revision(self, revision: Revision) -> None:
+        """Tell the others which configuration is in force here."""
+        self._revision = revision
+        self._changed.set()
+
+    def live_hosts(self, data_centres: Collection[DataCentreName] = ()) -> list[HostId]:
+        """Return the hosts that are taken for alive and stay, sorted.
+
+        Parameters
+        ----------
+        data_centres : collection of DataCentreName
+            Where they must be; empty for anywhere.
+        """
         return sorted(
             host
             for host, (beat, _) in self._seen.items()
-            if not beat.is_leaving and self._is_fresh(host)
+            if not beat.is_leaving
+            and self._is_fresh(host)
+            and self.is_in(host, data_centres)
         )
 
+    def is_in(self, host: HostId, data_centres: Collection[DataCentreName]) -> bool:
+        """Whether a host is in one of some data centres; any if there are none."""
+        if not data_centres:
+            return True
+        if host == self._host:
+            return self._data_centre in data_centres
+        seen = self._seen.get(host)
+        return seen is not None and seen[0].data_centre in data_centres
+
+    def heartbeats(self) -> dict[HostId, Heartbeat]:
+        """Return the newest heartbeat of each host that is known."""
+        return {host: beat for host, (beat, _) in self._seen.items()}
+
     def set_holds_lease(self, holds_lease: bool) -> None:
         """Tell the others whether this host carries out a duty under a lease."""
         self._holds_lease = holds_lease
@@ -173,9 +216,13 @@
         live = self.live_hosts()
         return [host for host in live if not self._seen[host][0].is_busy] or live
 
-    def batch_hosts(self) -> list[HostId]:
+    def batch_hosts(
+        self, data_centres: Collection[DataCentreName] = ()
+    ) -> list[HostId]:
         """Return the hosts that should get new batches: those without duties first."""
-        hosts = [host for host in self.live_hosts() if self.takes_new_work(host)]
+        hosts = [
+            host for host in self.live_hosts(data_centres) if self.takes_new_work(host)
+        ]
         free = [host for host in hosts if not self._seen[host][0].holds_lease]
         return free or hosts
 
@@ -219,10 +266,9 @@
             group.create_task(self._follower.run())
             group.create_task(self._beat())
 
-    async def announce(self) -> None:
-        """Send one heartbeat now."""
-        self._count += 1
-        beat = Heartbeat(
+    def own_heartbeat(self) -> Heartbeat:
+        """Return what this host tells the others."""
+        return Heartbeat(
             self._lifetime,
             self._count,
             self._is_leaving,
@@ -230,7 +276,15 @@
             self.interval_s,
             self._is_busy,
             self._holds_lease,
+            self._data_centre,
+            self._rpc_address,
+            self._revision,
         )
+
+    async def announce(self) -> None:
+        """Send one heartbeat now."""
+        self._count += 1
+        beat = self.own_heartbeat()
         key = RowKey(HOSTS_TABLE, "", self._host)
         put = Put(key, msgspec.json.encode(beat))
         outcome = await self._store.commit(Transaction(puts=(put,)))
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -15,6 +15,7 @@
     SendOutcome,
     TrackedEndpoint,
 )
+from bankrudder.observe import Tracer
 from bankrudder.relay._values import (
     IncomingRequest,
     NotRun,
@@ -69,7 +70,9 @@
         directory: EndpointDirectory,
         client: EndpointClient,
         clock: Clock,
+        tracer: Tracer,
     ):
+        self._tracer = tracer
         self._request = request
         self._route = route
         self._service = service
@@ -82,7 +85,7 @@
         self._runs = 0
         self._refusals = 0
         self._failed_answers = 0
-        self._last_answer: Answered | None = None
+        self._last_answer: tuple[Answered, TrackedEndpoint] | None = None
 
     async def reply(self) -> Reply:
         """Send until there is an answer, or none can come any more."""
@@ -110,7 +113,9 @@
     def _send_next(self) -> None:
         if not self._may_send():
             return
-        target = self._directory.choose(self._service, self._tried)
+        target = self._directory.choose(
+            self._service, self._tried, self._route.data_centres
+        )
         if target is None:
             return
         self._tried.append(target.endpoint.id)
@@ -131,9 +136,17 @@
         outgoing = self._request.outgoing(
             self._left_s(), may_reuse_connection=self._may_repeat()
         )
+        span = self._tracer.span(
+            "relay.attempt",
+            self._request.trace,
+            request=self._request.request_id,
+            endpoint=target.endpoint.id,
+        )
         target.in_flight += 1
         try:
-            outcome = await self._client.send(target.endpoint, outgoing)
+            with span:
+                outcome = await self._client.send(target.endpoint, outgoing)
+                span.set(outcome=describe(outcome))
         finally:
             target.in_flight -= 1
         _note_outcome(target, outcome, began, self._clock.monotonic())
@@ -161,11 +174,11 @@
         match outcome:
             case Answered() if outcome.status < 500:
                 self._log_answer(outcome, target)
-                return self._relayed(outcome)
+                return self._relayed(outcome, target)
             case Answered():
                 self._runs += 1
                 self._failed_answers += 1
-                self._last_answer = outcome
+                self._last_answer = (outcome, target)
             case Refused():
                 self._refusals += 1
             case Lost():
@@ -179,18 +192,20 @@
             refusals=self._refusals,
         )
         if isinstance(outcome, Answered) and not self._may_repeat():
-            return self._relayed(outcome)
+            return self._relayed(outcome, target)
         if isinstance(outcome, Refused) and self._were_all_tried():
             await asyncio.sleep(min(FULL_PAUSE_S, self._left_s()))
         return None
 
     def _were_all_tried(self) -> bool:
-        endpoints = self._directory.of_service(self._service)
-        return all(each.endpoint.id in self._tried for each in endpoints)
+        return all(each.endpoint.id in self._tried for each in self._endpoints())
+
+    def _endpoints(self) -> list[TrackedEndpoint]:
+        return self._directory.of_service(self._service, self._route.data_centres)
 
     def _give_up(self) -> Reply:
         if self._last_answer is not None:
-            return self._relayed(self._last_answer)
+            return self._relayed(*self._last_answer)
         reply = self._unanswered() if self._runs else self._not_run()
         _log.warning(
             "relay: request given up",
@@ -208,17 +223,17 @@
         return Unanswered(RejectReason.ENDPOINT_FAILED, False)
 
     def _not_run(self) -> NotRun:
-        has_endpoints = bool(self._directory.of_service(self._service))
-        reason = RejectReason.FULL if has_endpoints else RejectReason.NO_ENDPOINT
+        reason = RejectReason.FULL if self._endpoints() else RejectReason.NO_ENDPOINT
         return NotRun(reason, RETRY_AFTER_S)
 
-    def _relayed(self, answer: Answered) -> Relayed:
+    def _relayed(self, answer: Answered, target: TrackedEndpoint) -> Relayed:
         return Relayed(
             answer.status,
             answer.headers,
             answer.body,
             answer.proof,
             self._failed_answers,
+            target.endpoint.id,
         )
 
     def _log_answer(self, answer: Answered, target: TrackedEndpoint) -> None:
--- a/src/bankrudder/relay/_forwarder.py
+++ b/src/bankrudder/relay/_forwarder.py
@@ -3,6 +3,7 @@
 import random
 
 from bankrudder.fleet import EndpointClient, EndpointDirectory
+from bankrudder.observe import Tracer
 from bankrudder.relay._attempts import Attempts
 from bankrudder.relay._values import IncomingRequest, Reply
 from bankrudder.routing import Route, ServiceName
@@ -17,11 +18,13 @@
         directory: EndpointDirectory,
         client: EndpointClient,
         clock: Clock,
+        tracer: Tracer,
         rng: random.Random | None = None,
     ):
         self._directory = directory
         self._client = client
         self._clock = clock
+        self._tracer = tracer
         self._rng = rng or random.Random()
 
     def pick_service(self, route: Route) -> ServiceName:
@@ -41,5 +44,6 @@
             self._directory,
             self._client,
             self._clock,
+            self._tracer,
         )
         return await attempts.reply()
--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -39,7 +39,7 @@
     Unanswered,
 )
 from bankrudder.routing import Route, ServiceName
-from bankrudder.world import Clock
+from bankrudder.world import Clock, ModelVersion
 
 GAP_TIMEOUT_S = 1.5
 """Longest wait for the next event of a stream that may go on elsewhere: below the
@@ -53,7 +53,8 @@
 
     status: int
     headers: Headers
-    events: AsyncIterator[bytes]
+    version: ModelVersion | None
+    events: AsyncIterator[StreamEvent]
 
 
 class _Run:
@@ -99,7 +100,9 @@
         outcome = await runs.open_first()
         if not isinstance(outcome, OpenedStream):
             return outcome
-        return StreamStarted(outcome.status, outcome.headers, runs.events(outcome))
+        return StreamStarted(
+            outcome.status, outcome.headers, outcome.version, runs.events(outcome)
+        )
 
 
 class _Runs:
@@ -147,7 +150,7 @@
                     return self._given_up()
             await self._close()
 
-    async def events(self, opened: OpenedStream) -> AsyncIterator[bytes]:
+    async def events(self, opened: OpenedStream) -> AsyncIterator[StreamEvent]:
         """Yield the events as they come, from run after run."""
         try:
             while True:
@@ -157,7 +160,7 @@
                             raise StreamBrokenError("event came again")
                         self._last_number = event.number
                         self._deadline = self._request.deadline
-                        yield event.raw
+                        yield event
                     return
                 except (StreamBrokenError, TimeoutError) as error:
                     opened = await self._resume(str(error) or "no event in time")
@@ -195,7 +198,9 @@
 
     async def _open_next(self) -> StreamOutcome | None:
         """Open a run at the next endpoint; None if there is none or no time."""
-        target = self._directory.choose(self._service, self._tried)
+        target = self._directory.choose(
+            self._service, self._tried, self._route.data_centres
+        )
         if target is None or self._left_s() < MIN_SEND_S:
             return None
         if self._refusals >= MAX_REFUSALS:
--- a/src/bankrudder/relay/_values.py
+++ b/src/bankrudder/relay/_values.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bankrudder.fleet import Headers, OutgoingRequest
+from bankrudder.fleet import EndpointId, Generation, Headers, OutgoingRequest
 
 
 class IncomingRequest(msgspec.Struct, frozen=True):
@@ -22,6 +22,8 @@
         Monotonic time at which it was read.
     resume_after : int
         Number of the last event that the caller has, -1 for none.
+    trace : str
+        W3C ``traceparent`` of the span that received it, or empty.
     """
 
     request_id: str
@@ -34,6 +36,8 @@
     deadline: float
     received_at: float
     resume_after: int = -1
+    generation: Generation | None = None
+    trace: str = ""
 
     def outgoing(
         self, timeout_s: float, *, may_reuse_connection: bool, resume_after: int = -1
@@ -49,6 +53,7 @@
             timeout_s=timeout_s,
             may_reuse_connection=may_reuse_connection,
             resume_after=resume_after,
+            generation=self.generation,
         )
 
 
@@ -61,6 +66,8 @@
         The endpoint's receipt, empty without one.
     failed_answers : int
         Endpoints that answered with an error of their own, this one among them.
+    endpoint : EndpointId
+        The endpoint that answered.
     """
 
     status: int
@@ -68,6 +75,7 @@
     body: bytes
     proof: str = ""
     failed_answers: int = 0
+    endpoint: EndpointId = EndpointId("")
 
 
 class RejectReason(Enum):
--- a/src/bankrudder/routing/_table.py
+++ b/src/bankrudder/routing/_table.py
@@ -1,5 +1,7 @@
 """Finding the route of a request."""
 
+from collections.abc import Iterable
+
 from bankrudder.routing._values import (
     Route,
     RoutingConfiguration,
@@ -9,13 +11,22 @@
 
 
 class RoutingTable:
-    """An index of one configuration."""
+    """An index of one configuration.
+
+    Parameters
+    ----------
+    more_routes : iterable of Route
+        Routes beside those of the configuration, under host names of their own.
+    """
 
-    def __init__(self, configuration: RoutingConfiguration):
+    def __init__(
+        self, configuration: RoutingConfiguration, more_routes: Iterable[Route] = ()
+    ):
         self._configuration = configuration
+        self._more_routes = tuple(more_routes)
         self._services = {each.name: each for each in configuration.services}
         self._routes: dict[tuple[str, str], Route] = {
-            (route.host, route.path_prefix): route for route in configuration.routes
+            (route.host, route.path_prefix): route for route in self.routes
         }
 
     @property
@@ -23,6 +34,11 @@
         """The configuration that this is an index of."""
         return self._configuration
 
+    @property
+    def routes(self) -> tuple[Route, ...]:
+        """All routes."""
+        return self._configuration.routes + self._more_routes
+
     def service(self, name: ServiceName) -> Service | None:
         """Return a service, None if it is not configured."""
         return self._services.get(name)
--- a/src/bankrudder/routing/_values.py
+++ b/src/bankrudder/routing/_values.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from bankrudder.world import DataCentreName
+
 ServiceName = NewType("ServiceName", str)
 RouteName = NewType("RouteName", str)
 ModelName = NewType("ModelName", str)
@@ -54,6 +56,8 @@
         Whether a stream may go on at another endpoint.
     is_single_version : bool
         Whether one sample must be made by one version of the weights.
+    data_centres : tuple of DataCentreName
+        Where its requests may be processed; empty for anywhere.
     """
 
     name: RouteName
@@ -69,6 +73,7 @@
     priority: int = 0
     is_resumable: bool = False
     is_single_version: bool = False
+    data_centres: tuple[DataCentreName, ...] = ()
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/src/bankrudder/rpc/__init__.py
+++ b/src/bankrudder/rpc/__init__.py
@@ -2,7 +2,8 @@
 
 from bankrudder.rpc._calls import CallsServicer
 from bankrudder.rpc._context import RpcContext
-from bankrudder.rpc._limits import HeldRequests, RpcLimits
+from bankrudder.rpc._credentials import server_credentials
+from bankrudder.rpc._limits import HeldRequests
 from bankrudder.rpc._operators import OperatorsServicer
 from bankrudder.rpc._server import RpcServer
 from bankrudder.rpc._status import EndpointState, NodeState, StatusBoard
@@ -15,8 +16,8 @@
     "NodeState",
     "OperatorsServicer",
     "RpcContext",
-    "RpcLimits",
     "RpcServer",
     "StatusBoard",
     "TrainersServicer",
+    "server_credentials",
 ]
--- a/src/bankrudder/rpc/_calls.py
+++ b/src/bankrudder/rpc/_calls.py
@@ -4,7 +4,7 @@
 from contextlib import aclosing
 from typing import Self
 
-from bankrudder.calls import AnswerChunk, AnswerEnd, CallEntry, CallOrder
+from bankrudder.calls import AnswerChunk, AnswerEnd, CallOrder, CallService
 from bankrudder.exceptions import ExpiredError, InvalidError
 from bankrudder.failures import FailureReason
 from bankrudder.observe import Metrics, Tracer
@@ -22,27 +22,33 @@
 
 
 class CallsServicer(pb_grpc.CallsServicer):
-    """Turns calls on the wire into orders for the entry."""
+    """Turns calls on the wire into orders."""
 
     def __init__(
-        self, rpc: RpcContext, entry: CallEntry, tracer: Tracer, timer: CallTimer
+        self,
+        rpc: RpcContext,
+        calls: CallService,
+        tracer: Tracer,
+        clock: Clock,
+        timer: CallTimer,
     ):
         self._rpc = rpc
-        self._entry = entry
+        self._calls = calls
         self._tracer = tracer
+        self._clock = clock
         self._timer = timer
 
     @classmethod
     def from_config(
         cls,
         rpc: RpcContext,
-        entry: CallEntry,
+        calls: CallService,
         tracer: Tracer,
         metrics: Metrics,
         clock: Clock,
     ) -> Self:
         """Make a servicer that measures its calls in `metrics`."""
-        return cls(rpc, entry, tracer, CallTimer.from_config(metrics, clock))
+        return cls(rpc, calls, tracer, clock, CallTimer.from_config(metrics, clock))
 
     async def Call(
         self, request: pb.CallRequest, context: ServicerContext
@@ -55,8 +61,9 @@
             self._tracer.span("rpc.call", parent=parent, pool=request.pool) as span,
             self._rpc.admitted(context, size) as caller,
         ):
-            order = _order_from(request, context, caller, span.traceparent)
-            async with aclosing(self._entry.call(order)) as events:
+            deadline = self._clock.monotonic() + _remaining_s(context)
+            order = _order_from(request, context, caller, deadline, span.traceparent)
+            async with aclosing(self._calls.call(order)) as events:
                 async for event in events:
                     yield _event_to_proto(event)
 
@@ -65,7 +72,11 @@
 
 
 def _order_from(
-    request: pb.CallRequest, context: ServicerContext, caller: Caller, trace: str
+    request: pb.CallRequest,
+    context: ServicerContext,
+    caller: Caller,
+    deadline: float,
+    trace: str,
 ) -> CallOrder:
     data_class = data_class_of(context, caller)
     if not request.pool:
@@ -82,7 +93,7 @@
         payload=request.payload,
         key=CallKey(request.key),
         max_tokens=request.max_tokens,
-        deadline_s=_remaining_s(context),
+        deadline=deadline,
         trace=trace,
     )
 
--- a/src/bankrudder/rpc/_context.py
+++ b/src/bankrudder/rpc/_context.py
@@ -7,9 +7,16 @@
 from bankrudder.exceptions import InvalidError, NotRunError
 from bankrudder.failures import FailureReason
 from bankrudder.rpc._identity import authenticate, bearer_hash, require_role
-from bankrudder.rpc._limits import HeldRequests, RpcLimits
+from bankrudder.rpc._limits import HeldRequests
 from bankrudder.rpc._types import ServicerContext
-from bankrudder.world import Caller, CallerClassName, CallerName, CallerRole, PoolName
+from bankrudder.world import (
+    Caller,
+    CallerClassName,
+    CallerName,
+    CallerRole,
+    PoolName,
+    RpcLimits,
+)
 
 RETRY_AFTER_S = 1.0
 
@@ -52,7 +59,7 @@
     def knows_pool(self, name: PoolName) -> bool:
         """Return whether the configuration in force has the pool."""
         try:
-            self.index.pool(name)
+            self._configuration.known_index.pool(name)
         except InvalidError:
             return False
         return True
@@ -75,16 +82,10 @@
         Raises
         ------
         NotRunError
-            If this node has no configuration yet.
+            If this node has no configuration, or one that may be too old.
         InvalidError
             If the token is missing or belongs to nobody.
         """
-        if not self._configuration.revision:
-            raise NotRunError(
-                FailureReason.NO_CONFIGURATION,
-                "no configuration has been applied",
-                retry_after_s=RETRY_AFTER_S,
-            )
         return authenticate(context, self._configuration.index)
 
     @contextmanager
@@ -131,7 +132,7 @@
                 (),
                 (CallerRole.OPERATOR,),
             )
-        caller = authenticate(context, self._configuration.index)
+        caller = authenticate(context, self._configuration.known_index)
         require_role(caller, CallerRole.OPERATOR)
         return caller
 
--- a/src/bankrudder/rpc/_guard.py
+++ b/src/bankrudder/rpc/_guard.py
@@ -10,10 +10,9 @@
 import structlog
 from google.protobuf.message import DecodeError
 
-from bankrudder.exceptions import BankrudderError, InvalidError, NotRunError
+from bankrudder.exceptions import BankrudderError, InvalidError
 from bankrudder.failures import Failure, FailureKind, FailureReason
 from bankrudder.rpc._failures import abort_with
-from bankrudder.rpc._gate import Gate
 from bankrudder.rpc._types import MethodHandler, ServicerContext
 from bankrudder.wire import MAX_REQUEST_BYTES
 
@@ -35,16 +34,8 @@
     A method raises `BankrudderError`; anything else that it raises becomes
     ``OUTCOME_UNKNOWN`` with the reason ``internal``, as it may have run. A
     cancellation passes.
-
-    Parameters
-    ----------
-    gate : Gate
-        Refuses methods until the node has joined.
     """
 
-    def __init__(self, gate: Gate):
-        self._gate = gate
-
     async def intercept_service(
         self,
         continuation: Continuation,
@@ -55,10 +46,6 @@
         handler: Any = await continuation(handler_call_details)
         if handler is None:
             return _unknown_method(method)
-        try:
-            self._gate.check(method)
-        except NotRunError as error:
-            return _refusal(error.failure)
         parse = _lenient(handler.request_deserializer)
         if handler.response_streaming:
             return grpc.unary_stream_rpc_method_handler(
--- a/src/bankrudder/rpc/_limits.py
+++ b/src/bankrudder/rpc/_limits.py
@@ -4,32 +4,13 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-import msgspec
-
 from bankrudder.exceptions import NotRunError
 from bankrudder.failures import FailureReason
-from bankrudder.world import CallerName
+from bankrudder.world import CallerName, RpcLimits
 
 RETRY_AFTER_S = 1.0
 
 
-class RpcLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Bounds on requests of callers and trainers; operators have none.
-
-    Attributes
-    ----------
-    max_requests, max_requests_per_caller : int
-        Requests in progress, of all callers and of one.
-    max_held_bytes, max_held_bytes_per_caller : int
-        Bytes of requests in progress, of all callers and of one.
-    """
-
-    max_requests: int = 8192
-    max_requests_per_caller: int = 4096
-    max_held_bytes: int = 64 * 1024 * 1024
-    max_held_bytes_per_caller: int = 32 * 1024 * 1024
-
-
 class HeldRequests:
     """Counts the requests in progress and refuses what exceeds the bounds."""
 
--- a/src/bankrudder/rpc/_operators.py
+++ b/src/bankrudder/rpc/_operators.py
@@ -1,28 +1,36 @@
 """The gRPC service through which operators configure and look."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
-from bankrudder.membership import Declared
+from bankrudder.observe import Tracer
 from bankrudder.rpc._context import RpcContext
 from bankrudder.rpc._status import NodeState, StatusBoard
 from bankrudder.rpc._types import ServicerContext
 from bankrudder.v1 import bankrudder_pb2 as pb
 from bankrudder.v1 import bankrudder_pb2_grpc as pb_grpc
-from bankrudder.wire import wait_to_proto
-from bankrudder.world import HostId, Revision
-
-DeclareEnded = Callable[[HostId], Awaitable[Declared]]
+from bankrudder.world import Revision
 
 
 class OperatorsServicer(pb_grpc.OperatorsServicer):
-    """Turns what operators ask for into calls of this node's parts."""
+    """Turns what operators ask for into calls of this node's parts.
+
+    Parameters
+    ----------
+    drain : callable
+        Begins this node's planned stop.
+    """
 
     def __init__(
-        self, rpc: RpcContext, board: StatusBoard, declare_ended: DeclareEnded
+        self,
+        rpc: RpcContext,
+        board: StatusBoard,
+        tracer: Tracer,
+        drain: Callable[[], None],
     ):
         self._rpc = rpc
         self._board = board
-        self._declare_ended = declare_ended
+        self._tracer = tracer
+        self._drain = drain
 
     async def Apply(
         self, request: pb.ApplyRequest, context: ServicerContext
@@ -35,7 +43,7 @@
         return pb.ApplyReply(
             revision=outcome.revision,
             accepted=outcome.accepted,
-            pending_members=outcome.pending_members,
+            pending_hosts=outcome.pending_hosts,
         )
 
     async def GetConfiguration(
@@ -52,9 +60,9 @@
     async def Status(
         self, request: pb.StatusRequest, context: ServicerContext
     ) -> pb.StatusReply:
-        """Return what this node, or every member, says of itself."""
+        """Return what this node says of itself, and what it knows of the others."""
         self._rpc.operator_of(context)
-        states = await self._board.states(request.all_members)
+        states = self._board.states(request.all_hosts)
         return pb.StatusReply(nodes=[_state_to_proto(state) for state in states])
 
     async def Drain(
@@ -62,25 +70,17 @@
     ) -> pb.DrainReply:
         """Begin this node's planned stop."""
         self._rpc.operator_of(context)
-        self._board.drain()
+        self._drain()
         return pb.DrainReply()
 
     async def Trace(
         self, request: pb.TraceRequest, context: ServicerContext
     ) -> pb.TraceReply:
-        """Return the finished spans of one trace, of all members."""
+        """Return the finished spans of one trace that this node holds."""
         self._rpc.operator_of(context)
-        spans = await self._board.spans_of(request.trace_id)
+        spans = self._tracer.spans_of(request.trace_id)
         return pb.TraceReply(spans=spans)
 
-    async def DeclareEnded(
-        self, request: pb.DeclareEndedRequest, context: ServicerContext
-    ) -> pb.DeclareEndedReply:
-        """Take the operator's word that a host's process ended for good."""
-        self._rpc.operator_of(context)
-        declared = await self._declare_ended(HostId(request.host))
-        return pb.DeclareEndedReply(incarnation=declared.incarnation)
-
 
 def _state_to_proto(state: NodeState) -> pb.NodeStatus:
     endpoints = [
@@ -88,24 +88,21 @@
             name=endpoint.name,
             state=endpoint.state,
             in_flight=endpoint.in_flight,
-            limit=endpoint.limit,
+            slots=endpoint.slots,
             version=endpoint.version,
         )
         for endpoint in state.endpoints
     ]
     return pb.NodeStatus(
         host=state.host,
-        incarnation=state.incarnation,
+        lifetime=state.lifetime,
         data_centre=state.data_centre,
-        epoch=state.epoch,
+        rpc_address=state.rpc_address,
         revision=state.revision,
-        leased=state.leased,
         stopping=state.stopping,
+        serving=state.serving,
+        unreachable=state.unreachable,
         endpoints=endpoints,
         memory_bytes=state.memory_bytes,
-        unreachable=state.unreachable,
-        serving=state.serving,
-        wait=wait_to_proto(state.wait) if state.wait else None,
         version=state.version,
-        protocol=state.protocol,
     )
--- a/src/bankrudder/rpc/_server.py
+++ b/src/bankrudder/rpc/_server.py
@@ -5,7 +5,6 @@
 import grpc
 import grpc.aio
 
-from bankrudder.rpc._gate import Gate
 from bankrudder.rpc._guard import Guard
 from bankrudder.wire import MAX_RECEIVED_BYTES
 from bankrudder.world import Address
@@ -30,9 +29,7 @@
     def __init__(self, address: Address, credentials: grpc.ServerCredentials | None):
         self.address = address
         self._credentials = credentials
-        self._gate = Gate()
-        guard = Guard(self._gate)
-        self._server = grpc.aio.server(interceptors=(guard,), options=_OPTIONS)
+        self._server = grpc.aio.server(interceptors=(Guard(),), options=_OPTIONS)
 
     @classmethod
     def from_config(
@@ -48,7 +45,7 @@
         return self._server
 
     async def start(self) -> None:
-        """Listen; until `open`, only what needs no member is answered.
+        """Listen.
 
         Raises
         ------
@@ -61,10 +58,6 @@
             self._server.add_secure_port(self.address, self._credentials)
         await self._server.start()
 
-    def open(self) -> None:
-        """Answer everything from now on."""
-        self._gate.open()
-
     async def stop(self, grace_s: float) -> None:
         """Take no new call, and wait up to `grace_s` seconds for the others."""
         await self._server.stop(grace_s)
