--- a/src/bankrudder/rpc/_status.py
+++ b/src/bankrudder/rpc/_status.py
@@ -1,143 +1,146 @@
-"""What a node says of itself, and how one node asks all of them."""
+"""What a node says of itself, and what it knows of the others."""
 
-import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
-from bankrudder.exceptions import BankrudderError
-from bankrudder.homes import Directory, Member
-from bankrudder.observe import Tracer
-from bankrudder.peers import Mailbox, Message, PeerRequest, register_messages
-from bankrudder.waits import MapWait
+from bankrudder import __version__
+from bankrudder.fleet import EndpointDirectory, TrackedEndpoint
+from bankrudder.observe import memory_bytes
+from bankrudder.presence import Heartbeat, Lifetime, Presence
 from bankrudder.world import (
+    Address,
+    Clock,
     DataCentreName,
-    EndpointName,
-    Epoch,
     HostId,
-    Incarnation,
+    ModelVersion,
     Revision,
 )
 
-STATUS_TIMEOUT_S = 2.0
-"""Longest wait for one member's account of itself, in seconds."""
+SILENT = "its heartbeats stopped"
 
 
 class EndpointState(msgspec.Struct, frozen=True):
-    """An endpoint as its pool home sees it."""
+    """An endpoint as a node sees it.
 
-    name: EndpointName
+    Attributes
+    ----------
+    in_flight : int
+        Requests of this node that are in progress on it.
+    version : ModelVersion
+        Newest weights that it is known to serve, 0 for a plain service.
+    """
+
+    name: str
     state: str
     in_flight: int
-    limit: int
-    version: int
+    slots: int
+    version: ModelVersion = ModelVersion(0)
 
 
-class NodeState(Message, frozen=True):
-    """A node's account of itself; `unreachable` says why there is none."""
+class NodeState(msgspec.Struct, frozen=True):
+    """A node's account of itself, or what its heartbeats tell of it.
+
+    Attributes
+    ----------
+    unreachable : str
+        Why it is taken for dead, empty if it is not.
+    serving : bool
+        Whether it takes calls.
+    endpoints, memory_bytes, version
+        Known only of the node that is asked.
+    """
 
     host: HostId
-    incarnation: Incarnation
+    lifetime: Lifetime
     data_centre: DataCentreName
-    epoch: Epoch = Epoch(0)
-    revision: Revision = Revision(0)
-    leased: bool = False
+    rpc_address: Address
+    revision: Revision
     stopping: bool = False
+    serving: bool = True
+    unreachable: str = ""
     endpoints: tuple[EndpointState, ...] = ()
     memory_bytes: int = 0
-    unreachable: str = ""
-    serving: bool = False
-    wait: MapWait | None = None
     version: str = ""
-    protocol: int = 0
-
-
-class AskState(Message, frozen=True):
-    """Asks a node for its `NodeState`."""
-
-
-class AskSpans(Message, frozen=True):
-    """Asks a node for the finished spans of a trace."""
-
-    trace_id: str
-
-
-class Spans(Message, frozen=True):
-    """Finished spans as JSON, one each."""
-
-    spans: tuple[str, ...]
-
-
-register_messages(NodeState, AskState, AskSpans, Spans)
 
 
 class StatusBoard:
-    """Answers for this node and asks the others.
+    """Answers for this node, and for the others from their heartbeats.
 
     Parameters
     ----------
-    own_state : callable
-        Returns this node's state.
-    drain : callable
-        Begins this node's planned stop.
+    own_heartbeat : callable
+        What this node tells the others.
+    is_serving : callable
+        Whether this node takes calls.
     """
 
     def __init__(
         self,
-        directory: Directory,
-        mailbox: Mailbox,
-        tracer: Tracer,
-        own_state: Callable[[], NodeState],
-        drain: Callable[[], None],
+        presence: Presence,
+        directory: EndpointDirectory,
+        is_serving: Callable[[], bool],
+        clock: Clock,
     ):
+        self._presence = presence
         self._directory = directory
-        self._mailbox = mailbox
-        self._tracer = tracer
-        self._own_state = own_state
-        self.drain = drain
-        mailbox.on(AskState, self._on_ask_state)
-        mailbox.on(AskSpans, self._on_ask_spans)
-
-    async def states(self, all_members: bool) -> tuple[NodeState, ...]:
-        """Return this node's state, or that of every member."""
-        if not all_members:
-            return (self._own_state(),)
-        others = [m for m in self._directory.members if m != self._directory.me]
-        asked = await asyncio.gather(*map(self._state_of, others))
-        return (self._own_state(), *asked)
-
-    async def spans_of(self, trace_id: str) -> tuple[str, ...]:
-        """Return the spans of a trace that the members still hold."""
-        others = [m for m in self._directory.members if m != self._directory.me]
-        asked = await asyncio.gather(*(self._spans_at(m, trace_id) for m in others))
-        own = self._tracer.spans_of(trace_id)
-        return own + tuple(span for spans in asked for span in spans)
-
-    async def _state_of(self, member: Member) -> NodeState:
-        try:
-            state: NodeState = await self._mailbox.request(
-                member.peer_address, AskState(), STATUS_TIMEOUT_S
+        self._is_serving = is_serving
+        self._clock = clock
+
+    def states(self, all_hosts: bool) -> tuple[NodeState, ...]:
+        """Return this node's state, or that of every host that is known."""
+        if not all_hosts:
+            return (self._own(),)
+        beats = self._presence.heartbeats()
+        beats.pop(self._presence.host, None)
+        live = set(self._presence.live_hosts())
+        others = (
+            _state(host, beat, is_live=host in live or beat.is_leaving)
+            for host, beat in sorted(beats.items())
+        )
+        return (self._own(), *others)
+
+    def _own(self) -> NodeState:
+        beat = self._presence.own_heartbeat()
+        return msgspec.structs.replace(
+            _state(self._presence.host, beat, is_live=True),
+            serving=self._is_serving(),
+            endpoints=tuple(self._endpoints()),
+            memory_bytes=memory_bytes(),
+            version=__version__,
+        )
+
+    def _endpoints(self) -> Iterable[EndpointState]:
+        now = self._clock.monotonic()
+        for each in self._directory.all():
+            yield EndpointState(
+                each.endpoint.id,
+                _endpoint_state(each, now),
+                each.in_flight,
+                each.endpoint.slots,
+                _newest_version(each),
             )
-        except BankrudderError as error:
-            return NodeState(
-                member.host,
-                member.incarnation,
-                member.data_centre,
-                unreachable=str(error),
-            )
-        return state
 
-    async def _spans_at(self, member: Member, trace_id: str) -> tuple[str, ...]:
-        try:
-            reply: Spans = await self._mailbox.request(
-                member.peer_address, AskSpans(trace_id), STATUS_TIMEOUT_S
-            )
-        except BankrudderError:
-            return ()
-        return reply.spans
 
-    async def _on_ask_state(self, message: AskState, request: PeerRequest) -> NodeState:
-        return self._own_state()
+def _state(host: HostId, beat: Heartbeat, *, is_live: bool) -> NodeState:
+    return NodeState(
+        host,
+        beat.lifetime,
+        beat.data_centre,
+        beat.rpc_address,
+        beat.revision,
+        stopping=beat.is_leaving,
+        serving=is_live and not beat.is_leaving,
+        unreachable="" if is_live else SILENT,
+    )
+
+
+def _newest_version(each: TrackedEndpoint) -> ModelVersion:
+    known = (each.version_of(state.model) for state in each.endpoint.models)
+    return max((version for version in known if version), default=ModelVersion(0))
+
 
-    async def _on_ask_spans(self, message: AskSpans, request: PeerRequest) -> Spans:
-        return Spans(self._tracer.spans_of(message.trace_id))
+def _endpoint_state(each: TrackedEndpoint, now: float) -> str:
+    if each.is_suspended(now):
+        return "suspended"
+    return each.endpoint.readiness.value
--- a/src/bankrudder/rpc/_trainers.py
+++ b/src/bankrudder/rpc/_trainers.py
@@ -11,34 +11,36 @@
 from bankrudder.rpc._context import RpcContext
 from bankrudder.rpc._identity import metadata_value
 from bankrudder.rpc._types import ServicerContext
-from bankrudder.steps import (
-    Sample,
+from bankrudder.steps import StepOrder, StepService, VersionRegistry
+from bankrudder.v1 import bankrudder_pb2 as pb
+from bankrudder.v1 import bankrudder_pb2_grpc as pb_grpc
+from bankrudder.wire import TRACE_KEY
+from bankrudder.world import (
+    Caller,
+    CallerRole,
+    JobName,
+    ModelVersion,
     SampleSlot,
     StepEnd,
-    StepEntry,
-    StepOrder,
+    StepNumber,
+    StepSample,
     StepShape,
 )
-from bankrudder.v1 import bankrudder_pb2 as pb
-from bankrudder.v1 import bankrudder_pb2_grpc as pb_grpc
-from bankrudder.weights import WeightsService
-from bankrudder.wire import TRACE_KEY
-from bankrudder.world import Caller, CallerRole, JobName, ModelVersion, StepNumber
 
 
 class TrainersServicer(pb_grpc.TrainersServicer):
-    """Turns what trainers ask for into orders for the step entry."""
+    """Turns what trainers ask for into orders for steps and versions."""
 
     def __init__(
         self,
         rpc: RpcContext,
-        entry: StepEntry,
-        weights: WeightsService,
+        steps: StepService,
+        versions: VersionRegistry,
         tracer: Tracer,
     ):
         self._rpc = rpc
-        self._entry = entry
-        self._weights = weights
+        self._steps = steps
+        self._versions = versions
         self._tracer = tracer
 
     async def OpenStep(
@@ -51,7 +53,7 @@
             self._trainer_of(context, request) as trainer,
         ):
             order = _order_from(request, span.traceparent)
-            async with aclosing(self._entry.open(trainer, order)) as events:
+            async with aclosing(self._steps.open(trainer, order)) as events:
                 async for event in events:
                     yield _event_to_proto(event)
 
@@ -60,12 +62,13 @@
     ) -> pb.AckReply:
         """Note what the trainer holds, also of the open steps of a stopping node."""
         with self._trainer_of(context, request, is_new=False) as trainer:
-            await self._entry.ack(
+            await self._steps.ack(
                 trainer,
                 JobName(request.job),
                 StepNumber(request.step),
                 _slots_from(request.slots),
                 StepShape(request.groups, request.samples_per_group),
+                [ModelVersion(version) for version in request.opened_versions],
             )
         return pb.AckReply()
 
@@ -73,24 +76,12 @@
         self, request: pb.PublishRequest, context: ServicerContext
     ) -> pb.PublishReply:
         """Make a version of the job's weights the newest one."""
+        _check_not_negative(request, "version")
         with self._trainer_of(context, request) as trainer:
-            version = await self._publish(trainer, request)
+            model = self._steps.model_of(trainer, JobName(request.job))
+            version = await self._versions.publish(model, ModelVersion(request.version))
         return pb.PublishReply(version=version)
 
-    async def _publish(
-        self, trainer: Caller, request: pb.PublishRequest
-    ) -> ModelVersion:
-        job = self._rpc.index.job(JobName(request.job))
-        if job.trainer != trainer.name:
-            raise InvalidError(
-                FailureReason.NOT_ALLOWED, f"{trainer.name} does not train {job.name}"
-            )
-        _check_not_negative(request, "version")
-        version = ModelVersion(request.version)
-        return await self._weights.publish(
-            job.pool, job.adapter, version, request.source
-        )
-
     def _trainer_of(
         self, context: ServicerContext, request: Message, *, is_new: bool = True
     ) -> AbstractContextManager[Caller]:
@@ -119,26 +110,23 @@
         prompts=tuple(group.prompt for group in request.groups),
         samples_per_group=request.samples_per_group,
         current_version=ModelVersion(request.current_version),
-        held=_slots_from(request.held),
+        held=frozenset(_slots_from(request.held)),
         max_tokens=request.max_tokens,
         trace=trace,
     )
 
 
-def _event_to_proto(event: Sample | StepEnd) -> pb.StepEvent:
+def _event_to_proto(event: StepSample | StepEnd) -> pb.StepEvent:
     match event:
-        case Sample():
+        case StepSample():
             spans = [
-                pb.VersionSpan(version=span.version, tokens=span.tokens)
+                pb.VersionSpan(version=span.version, events=span.events)
                 for span in event.versions
             ]
             sample = pb.Sample(
                 slot=pb.SampleSlot(group=event.slot.group, index=event.slot.index),
                 text=event.text,
                 versions=spans,
-                endpoint=event.endpoint,
-                epoch=event.epoch,
-                shard=event.shard,
                 sample_id=event.sample_id,
             )
             return pb.StepEvent(sample=sample)
--- a/src/bankrudder/steps/__init__.py
+++ b/src/bankrudder/steps/__init__.py
@@ -1,66 +1,17 @@
-"""Steps: samples made once, delivered once, on versions that are fresh."""
+"""Steps of the project's own interface: batches of samples for trainers' jobs."""
 
-from bankrudder.steps._checkpoint import Checkpoint, CheckpointRow
-from bankrudder.steps._entry import StepEntry
-from bankrudder.steps._home import StepHome
-from bankrudder.steps._messages import (
-    AckStepSlots,
-    CloseStepShard,
-    OpenStepShard,
-    ShardKey,
-    ShardRecord,
-    StepSample,
-    StepShardAlive,
-    StepShardEnd,
-    StepSlotsAcked,
-)
-from bankrudder.steps._plan import SHARD_SLOTS, ShardPlan, step_subject
-from bankrudder.steps._ports import (
-    ConfigurationView,
-    Engines,
-    Grants,
-    NewestVersions,
-    StepIndex,
-    StepMailbox,
-)
-from bankrudder.steps._shard import ShardCounters
-from bankrudder.steps._values import (
-    Sample,
-    SampleSlot,
-    StepEnd,
-    StepOrder,
-    StepSettings,
-    StepShape,
+from bankrudder.steps._publishing import (
+    NAMED_VERSIONS_TABLE,
+    VersionRegistry,
+    decode_named_version,
 )
+from bankrudder.steps._service import StepService
+from bankrudder.steps._values import StepOrder
 
 __all__ = [
-    "SHARD_SLOTS",
-    "AckStepSlots",
-    "Checkpoint",
-    "CheckpointRow",
-    "CloseStepShard",
-    "ConfigurationView",
-    "Engines",
-    "Grants",
-    "NewestVersions",
-    "OpenStepShard",
-    "Sample",
-    "SampleSlot",
-    "ShardCounters",
-    "ShardKey",
-    "ShardPlan",
-    "ShardRecord",
-    "StepEnd",
-    "StepEntry",
-    "StepHome",
-    "StepIndex",
-    "StepMailbox",
+    "NAMED_VERSIONS_TABLE",
     "StepOrder",
-    "StepSample",
-    "StepSettings",
-    "StepShape",
-    "StepShardAlive",
-    "StepShardEnd",
-    "StepSlotsAcked",
-    "step_subject",
+    "StepService",
+    "VersionRegistry",
+    "decode_named_version",
 ]
--- a/src/bankrudder/tls/__init__.py
+++ b/src/bankrudder/tls/__init__.py
@@ -1,20 +1,13 @@
-"""TLS as settings, and what each kind of link needs of it."""
+"""TLS as settings; the credentials of gRPC are made where gRPC is used."""
 
-from bankrudder.tls._links import (
-    grpc_channel_credentials,
-    grpc_server_credentials,
-    http_client_context,
-    http_server_context,
-    peer_tls,
-)
+from bankrudder.tls._contexts import http_server_context
+from bankrudder.tls._files import SECTION, read_pem
 from bankrudder.tls._settings import ClientTlsSettings, TlsSettings
 
 __all__ = [
     "ClientTlsSettings",
+    "SECTION",
     "TlsSettings",
-    "grpc_channel_credentials",
-    "grpc_server_credentials",
-    "http_client_context",
     "http_server_context",
-    "peer_tls",
+    "read_pem",
 ]
--- /dev/null
+++ b/src/bankrudder/tls/_contexts.py
@@ -0,0 +1,36 @@
+"""The context of the listener that monitoring asks."""
+
+import ssl
+
+from bankrudder.tls._files import SECTION, read_pem, wrong_setting
+from bankrudder.tls._settings import TlsSettings
+
+
+def http_server_context(settings: TlsSettings) -> ssl.SSLContext:
+    """Return the context for the listener that monitoring asks.
+
+    Raises
+    ------
+    InvalidError
+        If a file cannot be read or used.
+    """
+    ca = read_pem(settings, "ca").decode("ascii", "replace")
+    try:
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cadata=ca)
+    except ssl.SSLError as error:
+        raise wrong_setting(SECTION, "ca", "is not a PEM certificate") from error
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    _load_identity(context, settings)
+    if settings.mutual:
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def _load_identity(context: ssl.SSLContext, settings: TlsSettings) -> None:
+    read_pem(settings, "certificate")
+    read_pem(settings, "key")
+    try:
+        context.load_cert_chain(settings.certificate, settings.key)
+    except ssl.SSLError as error:
+        detail = "does not fit its key"
+        raise wrong_setting(SECTION, "certificate", detail) from error
--- a/src/bankrudder/tls/_settings.py
+++ b/src/bankrudder/tls/_settings.py
@@ -4,7 +4,7 @@
 
 
 class TlsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A node's identity, towards callers, operators, monitoring and peers.
+    """A node's identity, towards callers, operators and monitoring.
 
     Attributes
     ----------
@@ -13,18 +13,13 @@
     ca : str
         Path of the certificates that the other side must be signed by.
     mutual : bool
-        Whether callers, operators and monitoring must show certificates; peers
-        always must.
-    peer_name : str
-        Name that the certificate of every peer carries; peers are addressed by
-        IP number, so the name in the certificate is not their address.
+        Whether callers, operators and monitoring must show certificates.
     """
 
     certificate: str
     key: str
     ca: str
     mutual: bool = False
-    peer_name: str = "bankrudder"
 
 
 class ClientTlsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/bankrudder/wire/__init__.py
+++ b/src/bankrudder/wire/__init__.py
@@ -15,7 +15,6 @@
     TRACE_KEY,
     caller_metadata,
 )
-from bankrudder.wire._waits import wait_from_proto, wait_to_proto
 
 __all__ = [
     "AUTHORIZATION_KEY",
@@ -29,6 +28,4 @@
     "failure_from_proto",
     "failure_in",
     "failure_to_proto",
-    "wait_from_proto",
-    "wait_to_proto",
 ]
--- /dev/null
+++ b/tests/rpc/conftest.py
@@ -0,0 +1,18 @@
+"""A site whose hosts offer the project's own interface."""
+
+import pytest
+
+from outside.own_interface import DATA_CENTRES, RPC, apply
+from outside.site import Site
+
+
+@pytest.fixture
+async def site(tmp_path):
+    """Three hosts in two data centres, with a configuration in force."""
+    site = Site(tmp_path, data_centres=DATA_CENTRES, rpc=RPC)
+    try:
+        await site.start()
+        assert (await apply(site)).accepted
+        yield site
+    finally:
+        await site.stop()
--- a/tests/tls/certificates.py
+++ b/tests/tls/certificates.py
@@ -2,6 +2,7 @@
 
 import datetime
 import ipaddress
+import ssl
 
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
@@ -69,3 +70,10 @@
     if not settings.mutual:
         return ClientTlsSettings(settings.ca)
     return ClientTlsSettings(settings.ca, settings.certificate, settings.key)
+
+
+def client_context(settings):
+    """The context of an HTTP client with the same identity."""
+    context = ssl.create_default_context(cafile=settings.ca)
+    context.load_cert_chain(settings.certificate, settings.key)
+    return context
