Let one host of a data centre read for the others, and bound all reads by the fleet

Ruled out: longer pauses alone (the reads fit, the bytes do not: each host reads each heartbeat of each server, 140 KB a second at 860 servers, bound 4); a member map. From 100 hosts on the first live host of each data centre, in an order drawn from its name, publishes what its reads bring, without heartbeats that change nothing; the others answer their followers from that, and read by themselves when it is silent for 0.7 s, its reads are older than 1.1 s, or a message is missing. A model gets no more engines than two batches of its samples fill, and two.

--- a/src/bankrudder/batches/_ownership.py
+++ b/src/bankrudder/batches/_ownership.py
@@ -34,6 +34,7 @@
         self._ownerless_since: dict[BatchId, float] = {}
         self._last_owner: dict[ModelName, HostId] = {}
         self._mean_work: dict[ModelName, float] = {}
+        self._most_samples: dict[ModelName, int] = {}
 
     def get(self, batch_id: BatchId) -> Owner | None:
         """Return the owner's row of a batch, None if the batch is not open."""
@@ -61,6 +62,10 @@
         """Return the mean size of a model's latest batches in tokens, 0 if unknown."""
         return self._mean_work.get(model, 0.0)
 
+    def samples_of(self, model: ModelName) -> int:
+        """Return the samples of a model's largest batch so far, 0 if none is known."""
+        return self._most_samples.get(model, 0)
+
     def needed_version(self, model: ModelName) -> ModelVersion:
         """Return the newest of the oldest versions that open batches allow."""
         needed = (
@@ -92,6 +97,7 @@
             work=_expected_tokens(batch),
             min_version=batch.min_version,
             data_centres=batch.data_centres,
+            samples=len(batch.samples),
         )
 
     def mine(self, before: Owner) -> Owner:
@@ -149,6 +155,8 @@
         )
 
     def _note_work(self, owner: Owner) -> None:
+        samples = max(owner.samples, self.samples_of(owner.model))
+        self._most_samples[owner.model] = samples
         mean = self._mean_work.get(owner.model, owner.work)
         self._mean_work[owner.model] = mean + WORK_WEIGHT * (owner.work - mean)
 
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -30,6 +30,7 @@
 from bankrudder.store import (
     ABSENT,
     NotSettledError,
+    ReadPace,
     Row,
     RowKey,
     RowVersion,
@@ -39,6 +40,11 @@
 )
 from bankrudder.world import Clock
 
+OWNERS_SHARE = 0.2
+OWNERS_WAIT_S = 0.8
+"""Share of the reads of the store that the owners' rows may take, and the shortest time
+for which these reads may be held."""
+
 LOOK_S = 0.15
 """How often batches without an owner are looked for."""
 
@@ -66,6 +72,7 @@
         routes: Callable[[], RoutingTable | None],
         clock: Clock,
         tracer: Tracer,
+        pace: ReadPace,
         loaded: TableFollower | None = None,
     ):
         self._tracer = tracer
@@ -92,6 +99,7 @@
             clock,
             on_row=self._on_owner,
             on_removed=self._on_ended,
+            wait_s=pace.pause(OWNERS_SHARE, OWNERS_WAIT_S),
         )
 
     @property
--- a/src/bankrudder/batches/_values.py
+++ b/src/bankrudder/batches/_values.py
@@ -98,6 +98,8 @@
         has not told its time yet.
     work : int
         Tokens that the batch is expected to generate.
+    samples : int
+        Number of its samples.
     min_version : ModelVersion
         Oldest weights that may generate any of its text.
     data_centres : tuple of DataCentreName
@@ -111,6 +113,7 @@
     work: int = 0
     min_version: ModelVersion = ModelVersion(0)
     data_centres: tuple[DataCentreName, ...] = ()
+    samples: int = 0
 
 
 class ResultState(Enum):
--- a/src/bankrudder/node/__init__.py
+++ b/src/bankrudder/node/__init__.py
@@ -5,6 +5,7 @@
 from bankrudder.node._main import run_daemon
 from bankrudder.node._node import Node
 from bankrudder.node._settings import (
+    FeedSettings,
     NodeSettings,
     RpcSettings,
     StoreSettings,
@@ -17,6 +18,7 @@
     "Adapter",
     "CallerListening",
     "Documents",
+    "FeedSettings",
     "Gateway",
     "Listener",
     "Node",
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -7,6 +7,7 @@
 import msgspec
 import structlog
 
+from bankrudder.feeds import FeedRole
 from bankrudder.logs import LineLimit
 from bankrudder.node._adapter import Adapter
 from bankrudder.node._parts import Parts
@@ -112,6 +113,9 @@
         self._start("lease", self._parts.lease.run)
         self._start("orders", self._parts.switcher.run)
         self._start("cleaning", self._parts.cleaner.run)
+        if self._settings.feeds is not None:
+            election = self._parts.make_election(self._settings.feeds)
+            self._start("feeds", election.run)
         if self._interface is not None:
             self._start("interface", self._interface.run)
         await self._stop_asked.wait()
@@ -146,6 +150,9 @@
             "bankrudder_orders_lease_held": int(self._parts.lease.is_valid),
             "bankrudder_hosts_alive": len(self._parts.presence.live_hosts()),
             "bankrudder_ready": int(self._parts.gateway.is_ready),
+            "bankrudder_reads_for_others": int(
+                self._parts.store.role is FeedRole.READER
+            ),
             "bankrudder_configuration_revision": (
                 routes.configuration.revision if routes else 0
             ),
--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -1,5 +1,7 @@
 """The parts of a node, and how they are put together."""
 
+from collections.abc import Callable
+
 import uuid_utils
 
 from bankrudder.batches import (
@@ -10,20 +12,29 @@
     ProgressStore,
     Scorer,
 )
+from bankrudder.feeds import (
+    FeedCache,
+    FeedMessage,
+    FeedPublisher,
+    FeedRole,
+    ReaderElection,
+    RelayedStore,
+)
 from bankrudder.fleet import EndpointDirectory
 from bankrudder.leases import Lease
 from bankrudder.logs import LineLimit
 from bankrudder.node._adapter import Adapter
+from bankrudder.node._feeds import RowMeanings
 from bankrudder.node._gateway import Gateway
 from bankrudder.node._instruments import Instruments
-from bankrudder.node._settings import NodeSettings
+from bankrudder.node._settings import FeedSettings, NodeSettings
 from bankrudder.node._world_view import WorldView
 from bankrudder.observe import Tracer
 from bankrudder.orders import LOADED_TABLE, LoadAnnouncer, VersionSwitcher
 from bankrudder.presence import NO_ADDRESS, Lifetime, Presence
 from bankrudder.relay import Forwarder, StreamForwarder
 from bankrudder.routing import RoutingTable
-from bankrudder.store import MeasuredStore, TableFollower
+from bankrudder.store import MeasuredStore, ReadPace, TableFollower
 from bankrudder.world import Clock
 
 ORDERS_LEASE = "orders"
@@ -42,14 +53,20 @@
         self._settings = settings
         self._clock = clock
         self._endpoints = adapter.endpoints
+        self._documents = adapter.documents
         self.lifetime = Lifetime(str(uuid_utils.uuid4()))
         self.instruments = Instruments.from_config(settings.host, lines)
         self.tracer = Tracer.from_config(settings.host, settings.traces, clock)
-        self.store = MeasuredStore(
-            adapter.store, clock, self.instruments.note_store_call
+        measured = MeasuredStore(adapter.store, clock, self.instruments.note_store_call)
+        self._feed_cache = FeedCache(clock)
+        self.store = RelayedStore(measured, self._feed_cache)
+        self.pace = ReadPace(
+            self._host_count, settings.store.reads_per_s, self._are_reads_few
         )
         self.directory = EndpointDirectory(settings.data_centre, clock)
-        self.view = WorldView(self.store, adapter.documents, self.directory, clock)
+        self.view = WorldView(
+            self.store, adapter.documents, self.directory, clock, self.pace
+        )
         self.presence = self._make_presence()
         self.forwarder = Forwarder(self.directory, self._endpoints, clock, self.tracer)
         self.streams = StreamForwarder(self.directory, self._endpoints, clock)
@@ -63,6 +80,25 @@
         )
         self.gateway = self._make_gateway()
 
+    def make_election(self, feeds: FeedSettings) -> ReaderElection:
+        """Make what decides whether this host reads the store for others."""
+        meanings = RowMeanings(self._documents)
+
+        def make_publisher(send: Callable[[FeedMessage], None]) -> FeedPublisher:
+            return FeedPublisher(
+                send, meanings.meaning_of, meanings.heartbeats_matter, self._clock
+            )
+
+        return ReaderElection(
+            self.store,
+            self._feed_cache,
+            self.presence,
+            self._settings.data_centre,
+            feeds.address,
+            feeds.min_hosts,
+            make_publisher,
+        )
+
     def _make_presence(self) -> Presence:
         settings = self._settings
         room = settings.processor_share * settings.processor_speed
@@ -74,6 +110,8 @@
             room,
             settings.data_centre,
             settings.rpc.address if settings.rpc is not None else NO_ADDRESS,
+            settings.feeds.address if settings.feeds is not None else NO_ADDRESS,
+            self.pace,
         )
 
     def _make_batches(self) -> BatchService:
@@ -88,6 +126,7 @@
             self._routes,
             self._clock,
             self.tracer,
+            self.pace,
             self._make_loads_follower(),
         )
 
@@ -120,6 +159,7 @@
             self._endpoints,
             self.view.named_versions,
             self.batches.owners.work_of,
+            self.batches.owners.samples_of,
             self.batches.owners.needed_version,
             self._announcer,
             self._routes,
@@ -140,5 +180,12 @@
             self._clock,
         )
 
+    def _host_count(self) -> int:
+        return self.presence.host_count()
+
+    def _are_reads_few(self) -> bool:
+        """Whether one host of each data centre reads for all."""
+        return self.store.role is not FeedRole.DIRECT
+
     def _routes(self) -> RoutingTable | None:
         return self.view.routes
--- a/src/bankrudder/node/_settings.py
+++ b/src/bankrudder/node/_settings.py
@@ -31,10 +31,29 @@
     ----------
     row_bytes : int
         Largest value of a row.
+    reads_per_s : float
+        Reads that it takes from all hosts together, a second.
     """
 
     address: Address
     row_bytes: int = 65536
+    reads_per_s: float = 2000.0
+
+
+class FeedSettings(_Part, frozen=True):
+    """Reading of the store by one host of each data centre for all others.
+
+    Attributes
+    ----------
+    address : Address
+        Where this host sends to its subscribers if it reads.
+    min_hosts : int
+        Smallest fleet in which this is done: below it, each host's own reads are few
+        enough, and the library for it costs twelve megabytes.
+    """
+
+    address: Address
+    min_hosts: int = 100
 
 
 class RpcSettings(_Part, frozen=True):
@@ -72,6 +91,8 @@
         Length of a lease on a duty.
     grace_s : float
         Time between the request to stop and the end by force.
+    feeds : FeedSettings or None
+        Reading of the store for other hosts; None to read for this host alone.
     rpc : RpcSettings or None
         The project's own interface; None for none.
     traces : TraceExport
@@ -89,6 +110,7 @@
     status_retention_s: float = 120.0
     lease_ms: float = 3000.0
     grace_s: float = 8.0
+    feeds: FeedSettings | None = None
     rpc: RpcSettings | None = None
     traces: TraceExport = NoTraceExport()
 
@@ -167,6 +189,8 @@
     yield "readiness_address", settings.readiness_address
     if settings.metrics_address is not None:
         yield "metrics_address", settings.metrics_address
+    if settings.feeds is not None:
+        yield "feeds.address", settings.feeds.address
     if settings.rpc is not None:
         yield "rpc.address", settings.rpc.address
 
@@ -174,12 +198,15 @@
 def _not_positive(settings: NodeSettings) -> Iterator[_WrongValue]:
     values = {
         "store.row_bytes": settings.store.row_bytes,
+        "store.reads_per_s": settings.store.reads_per_s,
         "processor_share": settings.processor_share,
         "processor_speed": settings.processor_speed,
         "status_retention_s": settings.status_retention_s,
         "lease_ms": settings.lease_ms,
         "grace_s": settings.grace_s,
     }
+    if settings.feeds is not None:
+        values["feeds.min_hosts"] = settings.feeds.min_hosts
     if settings.rpc is not None:
         limits = msgspec.structs.asdict(settings.rpc.limits)
         values |= {f"rpc.limits.{name}": value for name, value in limits.items()}
--- a/src/bankrudder/node/_world_view.py
+++ b/src/bankrudder/node/_world_view.py
@@ -15,12 +15,22 @@
     ModelState,
 )
 from bankrudder.routing import ModelName, Route, RoutingConfiguration, RoutingTable
-from bankrudder.store import Row, RowKey, Store, TableFollower
+from bankrudder.store import ReadPace, Row, RowKey, Store, TableFollower
 from bankrudder.world import Clock, ModelVersion
 
 ENDPOINTS_PAUSE_S = 0.25
-"""Pause between reads of the endpoints' list, whose heartbeats come many times a
-second: a delay of an eighth of the time in which a draining endpoint must be left."""
+"""Shortest pause between reads of the endpoints' list, whose heartbeats come many times
+a second: a delay of an eighth of the time in which a draining endpoint must be left."""
+
+ENDPOINTS_SHARE = 0.4
+"""Share of the reads of the store that the endpoints' list may take: the largest, as it
+has to be read the most often."""
+
+CONFIGURATION_SHARE = 0.2
+CONFIGURATION_WAIT_S = 0.8
+"""The same for the configuration, and the shortest time for which its reads may be
+held: together with the time in which a connection that fell silent is noticed it stays
+under the two seconds in which a configuration must be in force."""
 
 OVERDUE_LOOK_S = 0.2
 """How often it is looked for endpoints that did not come back in time: a tenth of that
@@ -62,6 +72,7 @@
         documents: Documents,
         directory: EndpointDirectory,
         clock: Clock,
+        pace: ReadPace,
     ):
         self._documents = documents
         self._directory = directory
@@ -75,6 +86,7 @@
             clock,
             on_row=self._on_document,
             on_removed=self._on_document_removed,
+            wait_s=pace.pause(CONFIGURATION_SHARE, CONFIGURATION_WAIT_S),
         )
         self._endpoints = TableFollower(
             store,
@@ -82,7 +94,7 @@
             clock,
             on_row=self._on_endpoint,
             on_removed=self._on_endpoint_removed,
-            pause_s=ENDPOINTS_PAUSE_S,
+            pause_s=pace.pause(ENDPOINTS_SHARE, ENDPOINTS_PAUSE_S),
         )
 
     @property
--- a/src/bankrudder/orders/_assignment.py
+++ b/src/bankrudder/orders/_assignment.py
@@ -1,7 +1,8 @@
 """Which engine serves which model, where several are trained on the same engines.
 
 Each load of weights stops an engine for about a second and costs. So an engine
-follows the versions of one model, and models get engines by their share of the work.
+follows the versions of one model, and models get engines by their share of the work, no
+more than their samples can use.
 """
 
 from collections.abc import Collection, Mapping, Sequence
@@ -14,12 +15,18 @@
 engines: a change costs a load, and shares vary a little from batch to batch."""
 
 
+USELESS_FACTOR = 1.25
+"""How many times as many engines as a model can use it keeps: the number of samples
+varies a little from batch to batch."""
+
+
 def assign_engines(
     engines: Sequence[EndpointId],
     shares: Mapping[ModelName, float],
     before: Mapping[EndpointId, ModelName],
+    most: Mapping[ModelName, int] | None = None,
 ) -> dict[EndpointId, ModelName]:
-    """Return the model of each engine.
+    """Return the model of each engine; one that no model can use is left out.
 
     Parameters
     ----------
@@ -29,18 +36,37 @@
         Work of each model, in any unit; equal if all are zero.
     before : mapping
         The last assignment; engines keep their model where they can.
+    most : mapping, optional
+        Most engines that a model can use; a model that is not in it can use all.
     """
     if not shares:
         return {}
-    wanted = _wanted(len(engines), shares)
+    bounds = most or {}
+    wanted = {
+        model: min(count, bounds.get(model, len(engines)))
+        for model, count in _wanted(len(engines), shares).items()
+    }
     assigned = {key: before[key] for key in engines if before.get(key) in shares}
+    _release_useless(bounds, assigned)
     for engine in engines:
-        if engine not in assigned:
-            assigned[engine] = _neediest(wanted, assigned)
+        neediest = _neediest(wanted, assigned)
+        if engine not in assigned and _lack(neediest, wanted, assigned) > 0:
+            assigned[engine] = neediest
     _move_surplus(wanted, assigned)
     return assigned
 
 
+def _release_useless(
+    most: Mapping[ModelName, int], assigned: dict[EndpointId, ModelName]
+) -> None:
+    """Leave out engines of models that have far more than they can use."""
+    for model, bound in most.items():
+        engines = sorted(key for key, each in assigned.items() if each == model)
+        if len(engines) > USELESS_FACTOR * bound:
+            for engine in engines[bound:]:
+                del assigned[engine]
+
+
 def _wanted(count: int, shares: Mapping[ModelName, float]) -> dict[ModelName, float]:
     """Return how many engines each model should have, one at least if there are."""
     total = sum(shares.values())
--- a/src/bankrudder/orders/_switching.py
+++ b/src/bankrudder/orders/_switching.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping, Sequence
 from functools import partial
 
 import structlog
@@ -41,6 +41,13 @@
 LOOK_S = 0.05
 """How often it is looked for engines with an old version."""
 
+OPEN_BATCHES = 2
+"""Batches of a model that are open at once: a trainer asks for the next one while the
+last samples of the one before are still generated."""
+
+SPARE_ENGINES = 2
+"""Engines beyond those that a model's samples fill: one may be lost, one loads."""
+
 STATE_PAUSE_S = 0.2
 """Pause between two questions whether an engine has loaded: a fifth of a load."""
 
@@ -62,6 +69,8 @@
         Newest version that was named for each model; read anew each time.
     work : callable
         Size of a model's latest batches, in tokens, 0 if none is known.
+    samples : callable
+        Samples of a model's largest batch, 0 if none is known.
     needed : callable
         Oldest version of a model that every open batch may be generated with.
     """
@@ -74,6 +83,7 @@
         client: EndpointClient,
         named: Mapping[ModelName, ModelVersion],
         work: Callable[[ModelName], float],
+        samples: Callable[[ModelName], int],
         needed: Callable[[ModelName], ModelVersion],
         announcer: LoadAnnouncer,
         routes: Callable[[], RoutingTable | None],
@@ -87,6 +97,7 @@
         self._client = client
         self._named = named
         self._work = work
+        self._samples = samples
         self._assigned: dict[ServiceName, dict[EndpointId, ModelName]] = {}
         self._routes = routes
         self._clock = clock
@@ -152,7 +163,9 @@
         models = {state.model for each in engines for state in each.endpoint.models}
         shares = {model: self._work(model) for model in models}
         before = self._assigned.get(service, {})
-        after = assign_engines([each.endpoint.id for each in engines], shares, before)
+        most = self._most_engines(models, engines)
+        names = [each.endpoint.id for each in engines]
+        after = assign_engines(names, shares, before, most)
         if after != before:
             self._assigned[service] = after
             _log.info(
@@ -162,6 +175,18 @@
                 work={model: round(work) for model, work in shares.items()},
             )
 
+    def _most_engines(
+        self, models: Collection[ModelName], engines: Sequence[TrackedEndpoint]
+    ) -> dict[ModelName, int]:
+        """Return how many engines each model's samples can use, where that is known."""
+        slots = min((each.endpoint.slots for each in engines), default=1)
+        return {
+            model: math.ceil(OPEN_BATCHES * self._samples(model) / slots)
+            + SPARE_ENGINES
+            for model in models
+            if self._samples(model)
+        }
+
     def _outdated_model(
         self, engine: TrackedEndpoint, service: ServiceName
     ) -> ModelName | None:
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -17,6 +17,7 @@
 from bankrudder.store import (
     Committed,
     Put,
+    ReadPace,
     Row,
     RowKey,
     Store,
@@ -64,7 +65,13 @@
 which far fewer hosts restart."""
 
 FOLLOW_PAUSE_S = 0.25
-"""Pause between reads of the heartbeats: half of their interval."""
+"""Shortest pause between reads of the heartbeats: half of their interval."""
+
+READ_SHARE = 0.2
+"""Share of the reads of the store that the heartbeats may take."""
+
+READS_PER_S = 2000.0
+"""Reads that the store serves if nobody says more: the rate of the small sites."""
 
 _log = structlog.get_logger("presence")
 
@@ -90,6 +97,9 @@
         Where it takes remote procedure calls, empty if it does not.
     revision : Revision
         The project's own configuration that it has in force.
+    feed_address : Address
+        Where it passes changes of the store on if it reads for others, empty if it
+        cannot.
     """
 
     lifetime: Lifetime
@@ -102,6 +112,7 @@
     data_centre: DataCentreName = NO_DATA_CENTRE
     rpc_address: Address = NO_ADDRESS
     revision: Revision = Revision(0)
+    feed_address: Address = NO_ADDRESS
 
 
 class Presence:
@@ -116,7 +127,13 @@
         room: float = 1.0,
         data_centre: DataCentreName = NO_DATA_CENTRE,
         rpc_address: Address = NO_ADDRESS,
+        feed_address: Address = NO_ADDRESS,
+        pace: ReadPace | None = None,
     ):
+        pace = pace or ReadPace(lambda: 1, READS_PER_S)
+        self._pause_s = pace.pause(READ_SHARE, FOLLOW_PAUSE_S)
+        self._feed_address = feed_address
+        self._reads_for_others = False
         self._store = store
         self._host = host
         self._lifetime = lifetime
@@ -141,7 +158,7 @@
             clock,
             on_row=self._on_row,
             on_removed=self._on_removed,
-            pause_s=FOLLOW_PAUSE_S,
+            pause_s=self._pause_s,
         )
 
     @property
@@ -158,7 +175,7 @@
     def interval_s(self) -> float:
         """Seconds between two heartbeats of this host."""
         idle_s = max(HEARTBEAT_S, len(self._seen) / IDLE_HEARTBEATS_PER_S)
-        if not self._is_busy:
+        if not (self._is_busy or self._reads_for_others):
             return idle_s
         busy = sum(beat.interval_s < idle_s for beat, _ in self._seen.values())
         return max(HEARTBEAT_S, busy / BUSY_HEARTBEATS_PER_S)
@@ -169,6 +186,12 @@
             self._changed.set()
         self._is_busy = is_busy
 
+    def set_reads_for_others(self, reads_for_others: bool) -> None:
+        """Beat more often while others wait for this host's reads of the store."""
+        if reads_for_others and not self._reads_for_others:
+            self._changed.set()
+        self._reads_for_others = reads_for_others
+
     def set_revision(self, revision: Revision) -> None:
         """Tell the others which configuration is in force here."""
         self._revision = revision
@@ -199,6 +222,10 @@
         seen = self._seen.get(host)
         return seen is not None and seen[0].data_centre in data_centres
 
+    def host_count(self) -> int:
+        """Return the number of hosts that are known."""
+        return len(self._seen)
+
     def heartbeats(self) -> dict[HostId, Heartbeat]:
         """Return the newest heartbeat of each host that is known."""
         return {host: beat for host, (beat, _) in self._seen.items()}
@@ -234,7 +261,8 @@
         if host == self._host:
             return True
         age_s = self._clock.monotonic() - seen[1]
-        return age_s < FRESH_INTERVALS * seen[0].interval_s + FRESH_SLACK_S
+        slack_s = FRESH_SLACK_S + self._pause_s() - FOLLOW_PAUSE_S
+        return age_s < FRESH_INTERVALS * seen[0].interval_s + slack_s
 
     def is_alive(self, host: HostId, lifetime: Lifetime) -> bool:
         """Whether a run of a host is taken for alive, also one that is leaving."""
@@ -279,6 +307,7 @@
             self._data_centre,
             self._rpc_address,
             self._revision,
+            self._feed_address,
         )
 
     async def announce(self) -> None:
--- a/src/bankrudder/store/__init__.py
+++ b/src/bankrudder/store/__init__.py
@@ -7,6 +7,7 @@
 )
 from bankrudder.store._following import TableFollower
 from bankrudder.store._measured import MeasuredStore
+from bankrudder.store._pace import ReadPace
 from bankrudder.store._port import Store
 from bankrudder.store._settling import commit_settled
 from bankrudder.store._values import (
@@ -42,6 +43,7 @@
     "NotSettledError",
     "Page",
     "Put",
+    "ReadPace",
     "RemovedRow",
     "Row",
     "RowKey",
--- a/src/bankrudder/store/_following.py
+++ b/src/bankrudder/store/_following.py
@@ -31,9 +31,11 @@
         first whole read.
     on_current : callable, optional
         Called after each successful read, with nothing.
-    pause_s : float
+    pause_s : callable
         Pause between two reads: what it costs in delay, it saves in calls when
         rows change often.
+    wait_s : callable
+        Time for which the store may hold a read while nothing changes.
     """
 
     def __init__(
@@ -44,8 +46,8 @@
         *,
         on_row: Callable[[Row], None],
         on_removed: Callable[[RowKey], None],
-        pause_s: float = 0.0,
-        wait_s: float = WAIT_S,
+        pause_s: Callable[[], float] = lambda: 0.0,
+        wait_s: Callable[[], float] = lambda: WAIT_S,
     ):
         self._store = store
         self._table = table
@@ -97,8 +99,8 @@
                 self._note_failure(error)
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
-            if self._pause_s:
-                await asyncio.sleep(self._pause_s)
+            if pause_s := self._pause_s():
+                await asyncio.sleep(pause_s)
 
     async def _read_all(self) -> RowVersion:
         # The version is read first: what changes during the reads comes again.
@@ -119,7 +121,7 @@
         return version
 
     async def _read_changes(self, version: RowVersion) -> RowVersion:
-        changes = await self._store.follow(self._table, version, self._wait_s)
+        changes = await self._store.follow(self._table, version, self._wait_s())
         for change in changes.changes:
             match change:
                 case Row():
--- a/tests/orders/test_assignment.py
+++ b/tests/orders/test_assignment.py
@@ -49,3 +49,22 @@
 
 def test_fewer_engines_than_models_serve_the_busiest():
     assert counts(assign_engines(["e1"], {"a": 1.0, "b": 5.0}, {})) == {"b": 1}
+
+
+def test_engines_that_no_model_can_use_are_left_out():
+    engines = [f"e{number}" for number in range(20)]
+    assigned = assign_engines(engines, {"a": 1.0, "b": 1.0}, {}, {"a": 4, "b": 6})
+    assert counts(assigned) == {"a": 4, "b": 6}
+
+
+def test_engines_are_given_up_once_there_are_far_too_many():
+    before = {f"e{number}": "a" for number in range(20)}
+    after = assign_engines(list(before), {"a": 1.0}, before, {"a": 8})
+    assert counts(after) == {"a": 8}
+    assert assign_engines(list(before), {"a": 1.0}, after, {"a": 7}) == after
+
+
+def test_a_model_that_grows_gets_more_engines():
+    before = {"e1": "a", "e2": "a"}
+    after = assign_engines(ENGINES, {"a": 1.0}, before, {"a": 4})
+    assert counts(after) == {"a": 4}
--- a/tests/orders/test_switching.py
+++ b/tests/orders/test_switching.py
@@ -61,7 +61,7 @@
 
 @pytest.fixture
 def switch():
-    async def switch(count, named, needed=0, lose=None):
+    async def switch(count, named, needed=0, lose=None, samples=0):
         clock = SystemClock()
         directory = EndpointDirectory("north", clock)
         engines = Engines()
@@ -72,7 +72,7 @@
             engines.versions[engine.id] = dict.fromkeys(named, 1)
         switcher = VersionSwitcher(
             HeldLease(), "h", directory, engines, named, lambda model: 1.0,
-            lambda model: needed, engines, lambda: None, clock,
+            lambda model: samples, lambda model: needed, engines, lambda: None, clock,
         )  # fmt: skip
         task = asyncio.ensure_future(switcher.run())
         await asyncio.sleep(10 * LOAD_S)
@@ -111,3 +111,8 @@
 async def test_the_row_of_an_engine_that_is_gone_is_removed(switch):
     engines = await switch(2, {"m": 2}, lose="e1")
     assert engines.forgotten == ["e1"]
+
+
+async def test_no_more_engines_load_than_samples_can_use(switch):
+    engines = await switch(30, {"m": 2}, samples=16)
+    assert len(engines.taken) == 2 * 16 // 8 + 2
--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -29,9 +29,10 @@
 class HostProcess:
     """One daemon and its own gate to the store."""
 
-    def __init__(self, name, data_centre, gate, folder, rpc=None):
+    def __init__(self, name, data_centre, gate, folder, rpc=None, min_readers=0):
         self.name = name
         self._rpc = rpc
+        self._min_readers = min_readers
         self.gate = gate
         self.store_proxy = None
         self._data_centre = data_centre
@@ -42,6 +43,7 @@
         self._readiness = own_address()
         self.metrics_address = own_address()
         self.rpc_address = own_address()
+        self._feed_address = own_address()
 
     @property
     def log_path(self):
@@ -77,6 +79,14 @@
 
     def write_settings(self, **changes):
         """Write the daemon's settings."""
+        more = {}
+        if self._rpc:
+            more["rpc"] = {"address": self.rpc_address, **self._rpc}
+        if self._min_readers:
+            more["feeds"] = {
+                "address": self._feed_address,
+                "min_hosts": self._min_readers,
+            }
         settings = {
             "host": self.name,
             "data_centre": self._data_centre,
@@ -86,9 +96,7 @@
             "store": {"address": self._store_address},
             "lease_ms": 1000,
             "grace_s": 8,
-            **(
-                {"rpc": {"address": self.rpc_address, **self._rpc}} if self._rpc else {}
-            ),
+            **more,
             **changes,
         }
         self.settings_path.write_text(json.dumps(settings))
@@ -147,7 +155,8 @@
     """Hosts, engines and scorers, and what callers do.
 
     ``data_centres`` are taken in turn by the hosts, the engines and the scorers;
-    ``rpc`` holds the settings of the project's own interface beside its address.
+    ``rpc`` holds the settings of the project's own interface beside its address;
+    from ``min_readers`` hosts on, one reads the store for the others.
     """
 
     def __init__(
@@ -158,7 +167,9 @@
         events=4,
         data_centres=("north",),
         rpc=None,
+        min_readers=0,
     ):
+        self._min_readers = min_readers
         self._data_centres = data_centres
         self._rpc = rpc
         self.rows = StoreRows()
@@ -197,6 +208,7 @@
                 gate,
                 self._folder,
                 self._rpc,
+                self._min_readers,
             )
             if behind is not None:
                 host.store_proxy = await behind(gate.address).start()
--- a/tests/platform/test_words.py
+++ b/tests/platform/test_words.py
@@ -13,6 +13,7 @@
     "cli",
     "client",
     "config",
+    "feeds",
     "fleet",
     "leases",
     "logs",
