Start whole groups, the longest first, and those beyond the trainer's need last

Cause: samples of all groups were started by their own length, so that the short samples of nearly every group waited for the last slots, and the longest groups, which the trainer does not wait for, took slots first. Steps of 31 groups of which 28 are needed ended with their longest sample after 7.5 s, and the next one began late. Change: groups are ranked whole by their longest estimate; the longest ones beyond the trainer's target go last. Those carried over still go first.

--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -7,6 +7,7 @@
 
 from bankrudder.batches._dispatcher import Dispatcher
 from bankrudder.batches._progress import ProgressStore
+from bankrudder.batches._ranking import sample_ranks
 from bankrudder.batches._repository import (
     MAX_TRANSACTION_BYTES,
     BatchRepository,
@@ -16,7 +17,6 @@
 from bankrudder.batches._scoring import ScoreFailedError, Scorer
 from bankrudder.batches._values import (
     Batch,
-    GroupId,
     Progress,
     ResultState,
     Sample,
@@ -88,7 +88,7 @@
         self._give_up_at = clock.monotonic() + retention_left_s
         self._results: asyncio.Queue[SampleResult] = asyncio.Queue()
         done = {result.id for result in listed}
-        ranks = _ranks(batch, progress, float(fence))
+        ranks = sample_ranks(batch, progress, float(fence))
         self._generators = [
             SampleGenerator(
                 batch,
@@ -271,24 +271,3 @@
             results.append(self._results.get_nowait())
             size += len(results[-1].text)
         return results
-
-
-def _ranks(
-    batch: Batch, progress: Mapping[SampleId, Progress], order: float
-) -> dict[SampleId, tuple[float, ...]]:
-    """Return the order of the samples: the longest first, carried groups before.
-
-    The batch that came first is due first. A step ends with its last groups, and a
-    long sample that starts late ends last.
-    """
-    carried: set[GroupId] = {
-        sample.group for sample in batch.samples if sample.id in progress
-    }
-    return {
-        sample.id: (
-            order,
-            0.0 if sample.group in carried else 1.0,
-            -float(sample.length_hint),
-        )
-        for sample in batch.samples
-    }
