Soak the own interface and readers; end what nobody ends; forget hosts that are gone

Cause: the soak knew neither keyed calls nor readers. Batches that a trainer never ends, and rows of hosts that were replaced, stayed in the store for ever; the latter slow the heartbeats of idle hosts. Change: two callers of the own interface ask keys again through several hosts; the soak checks that a key runs once, that NOT_RUN is true, and that answers are whole. Its hosts have readers. The cleaner ends batches after an hour; rows of hosts that stood still for ten minutes go, on the version that was seen. The level of logs is a setting. Texts of samples and heartbeats' values are modules of their own; no change of behaviour there. Tests: bad histories of keys, the removal of rows (a host that comes back keeps its row), batches ended after an hour, texts.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,10 +16,12 @@
 ROOT = Path(__file__).parents[1]
 sys.path[:0] = [str(ROOT), str(ROOT / "src"), str(ROOT / "tests")]
 
+from outside.own_interface import RPC, apply  # noqa: E402
 from outside.site import ENGINES, Site  # noqa: E402
 from soak.clients import Caller, Trainer  # noqa: E402
 from soak.faults import HEAL_S, KINDS, draw  # noqa: E402
 from soak.history import History, violations  # noqa: E402
+from soak.keyed import KeyedCaller  # noqa: E402
 from soak.proxy import Proxy  # noqa: E402
 
 EVENTS = 12
@@ -28,6 +30,9 @@
 SERVED_SHARE = 0.9
 """Share of the requests made after the faults have healed that must be served."""
 
+MIN_READERS = 3
+"""Hosts from which on one reads the store for the others, so that runs have both."""
+
 PLOT_COLUMNS = 60
 
 
@@ -37,7 +42,9 @@
     def __init__(self, seed, seconds, hosts, engines, strikes, folder):
         self.seed = seed
         self.history = History()
-        self.site = Site(folder, hosts, engines, EVENTS)
+        self.site = Site(
+            folder, hosts, engines, EVENTS, rpc=RPC, min_readers=MIN_READERS
+        )
         self.engine_proxies = []
         self.revision = 1
         self._rng = random.Random(seed)
@@ -105,6 +112,7 @@
             self.engine_proxies.append(proxy)
             document = {**engine.document(ENGINES), "address": proxy.address}
             self.site.rows.put("servers", engine.id, document)
+        await apply(self.site)
         await asyncio.sleep(0.5)
 
     def _clients(self):
@@ -119,6 +127,7 @@
             Caller(self.site, self.history, rng(), f"caller{number}")
             for number in range(3)
         ]
+        callers += [KeyedCaller(self.site, self.history, rng()) for _ in range(2)]
         return trainers, callers
 
     async def _strike(self, strike):
--- a/soak/history.py
+++ b/soak/history.py
@@ -5,6 +5,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass, field
+from enum import Enum
 from itertools import pairwise
 
 ORDER_LEASE_S = 1.0
@@ -47,6 +48,23 @@
     body: bytes
 
 
+class KeyedOutcome(Enum):
+    """What a caller of the own interface was told."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclass
+class KeyedSeen:
+    """One key, and what each call under it was told, in order."""
+
+    key: str
+    outcomes: list = field(default_factory=list)
+
+
 @dataclass
 class History:
     """Everything that was seen in one run."""
@@ -62,6 +80,9 @@
     runs: dict = field(default_factory=dict)
     """Number of runs by request id, over all endpoints."""
 
+    keyed: list = field(default_factory=list)
+    """Keys of the own interface."""
+
     revisions: list = field(default_factory=list)
     """``(host, its start, revision that an answer showed)`` in the order of time."""
 
@@ -78,6 +99,7 @@
     for batch in history.batches.values():
         found += _of_batch(batch, events)
     found += _of_calls(history)
+    found += _of_keyed(history)
     found += _of_orders(history)
     found += _of_late_arrivals(history)
     found += _of_revisions(history)
@@ -133,6 +155,22 @@
     return call.request_id.encode()
 
 
+def _of_keyed(history):
+    for seen in history.keyed:
+        runs = history.runs.get(seen.key, 0)
+        told = [outcome for outcome, _ in seen.outcomes]
+        if runs > 1:
+            yield f"key {seen.key} ran {runs} times"
+        if runs and told and set(told) == {KeyedOutcome.NOT_RUN}:
+            yield f"key {seen.key} was told not to have run and ran"
+        if KeyedOutcome.ANSWERED in told and not runs:
+            yield f"key {seen.key} was answered and never ran"
+        for outcome, body in seen.outcomes:
+            whole = b"answer to " + seen.key.encode()
+            if outcome is KeyedOutcome.ANSWERED and body != whole:
+                yield f"key {seen.key} got another answer: {body!r}"
+
+
 def _of_orders(history):
     by_engine = defaultdict(list)
     for at, engine, holder, fence in sorted(history.orders):
--- a/src/bankrudder/batches/_cleaning.py
+++ b/src/bankrudder/batches/_cleaning.py
@@ -21,6 +21,7 @@
 from bankrudder.leases import Lease
 from bankrudder.store import (
     Committed,
+    NotSettledError,
     Put,
     RowKey,
     Store,
@@ -31,12 +32,16 @@
 LOOK_S = 20.0
 """How often the store is looked through: a sixth of the usual retention."""
 
+MAX_OPEN_S = 3600.0
+"""Time after which a batch that its trainer never ended is ended for it: nine times as
+long as the largest steps may take."""
+
 MARGIN_S = 30.0
 """Time beyond the retention for which a batch is kept, for late readers."""
 
 SEEN_TABLE = "cleaning"
-"""Part: batch or ``progress/MODEL``; one row that tells when it was first found to be
-ended, in seconds of the store's clock."""
+"""Part: batch, ``open/BATCH`` or ``progress/MODEL``; one row that tells when it was
+first found to be ended, or open, in seconds of the store's clock."""
 
 _SEEN_KEY = "ended"
 
@@ -50,7 +55,10 @@
 
 
 class Cleaner:
-    """Removes ended batches after their retention, and progress nobody took up."""
+    """Removes ended batches after their retention, and progress nobody took up.
+
+    Batches that nobody ends are ended after an hour.
+    """
 
     def __init__(
         self,
@@ -87,10 +95,25 @@
             if self._lease.is_valid and await self._is_due(name, now_s):
                 await self._repository.forget(BatchId(name))
                 await self._forget_seen(name)
+                await self._forget_seen(f"open/{name}")
                 _log.info("batches: removed after retention", batch=name)
+        for name in sorted(open_batches):
+            await self._clean_open(name, now_s)
         for model in await self._store.parts(PROGRESS_TABLE):
             await self._clean_progress(model, now_s)
 
+    async def _clean_open(self, name: str, now_s: float) -> None:
+        """End a batch that has been open for too long; its trainer must be gone."""
+        mark = f"open/{name}"
+        if not self._lease.is_valid or not await self._is_due(mark, now_s, MAX_OPEN_S):
+            return
+        try:
+            await self._repository.end(BatchId(name))
+        except NotSettledError:
+            return  # looked at again next time
+        await self._forget_seen(mark)
+        _log.warning("batches: ended for a trainer that did not", batch=name)
+
     async def _store_time(self) -> float | None:
         key = RowKey(SEEN_TABLE, "clock", "clock")
         outcome = await self._store.commit(Transaction(puts=(Put(key, b"{}"),)))
@@ -100,12 +123,15 @@
             case _:
                 return None
 
-    async def _is_due(self, name: str, now_s: float) -> bool:
-        """Whether something has been ended for long enough; notes it at first."""
+    async def _is_due(
+        self, name: str, now_s: float, kept_s: float | None = None
+    ) -> bool:
+        """Whether something has been so for long enough; notes it at first."""
+        kept_s = self._kept_s if kept_s is None else kept_s
         page = await self._store.read(SEEN_TABLE, name)
         if page.rows:
             seen = msgspec.json.decode(page.rows[0].value, type=FirstSeen)
-            return now_s - seen.store_time_s >= self._kept_s
+            return now_s - seen.store_time_s >= kept_s
         value = msgspec.json.encode(FirstSeen(now_s))
         put = Put(RowKey(SEEN_TABLE, name, _SEEN_KEY), value)
         await self._store.commit(Transaction(puts=(put,)))
--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -133,9 +133,9 @@
             if each.sample.id not in self._listed_now
         }
         return [
-            (each.sample.id, each.progress)
+            (each.sample.id, each.text.progress)
             for each in self._generators
-            if each.sample.group in open_groups and each.progress.texts
+            if each.sample.group in open_groups and len(each.text)
         ]
 
     async def run(self) -> None:
@@ -164,7 +164,7 @@
         while True:
             await asyncio.sleep(SAVE_PAUSE_S)
             due = [
-                (each.sample.id, each.progress)
+                (each.sample.id, each.text.progress)
                 for each in self._generators
                 if self._is_due(each)
             ]
@@ -177,7 +177,7 @@
         if sample_id in self._listed_now:
             return False
         saved = self._saved_events.get(sample_id, 0)
-        return generator.progress.next_number - saved >= MIN_NEW_EVENTS
+        return generator.text.next_number - saved >= MIN_NEW_EVENTS
 
     async def _finish(self, generator: SampleGenerator) -> None:
         sample = generator.sample
@@ -211,7 +211,7 @@
                 batch=self._batch.id,
                 sample=sample.id,
                 group=sample.group,
-                events=generator.progress.next_number,
+                events=generator.text.next_number,
                 runs=generator.run_count,
                 waited_s=round(generator.waited_s, 3),
                 longest_gap_s=round(generator.longest_gap_s, 3),
@@ -221,10 +221,10 @@
             result = SampleResult(
                 sample.id,
                 ResultState.SUCCEEDED,
-                generator.text,
-                generator.versions,
+                generator.text.text,
+                generator.text.versions,
                 score,
-                generator.version_events,
+                generator.text.version_events,
             )
         self._results.put_nowait(result)
 
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -6,6 +6,7 @@
 import structlog
 
 from bankrudder.batches._dispatcher import Dispatcher
+from bankrudder.batches._text import SampleText, fits
 from bankrudder.batches._values import Batch, Progress, Sample
 from bankrudder.fleet import (
     Answered,
@@ -95,21 +96,15 @@
         self._client = client
         self._clock = clock
         self._give_up_at = give_up_at
-        self._texts: list[str] = []
-        self._versions: list[ModelVersion] = []
-        self._version_events: list[int] = []
-        self._next_number = -1
-        self._is_whole = False
+        self._text = SampleText()
         self._failures = 0
         self._run_count = 0
         self._waited_s = 0.0
         self._longest_gap_s = 0.0
-        if progress is not None and self._fits(progress):
-            self._texts = list(progress.texts)
-            self._versions = list(progress.versions)
-            self._version_events = list(progress.version_events)
-            self._next_number = progress.next_number
-            self._is_whole = progress.is_whole
+        if progress is not None and fits(
+            progress, batch.min_version, single=self._is_single_version
+        ):
+            self._text.resume(progress)
 
     @property
     def sample(self) -> Sample:
@@ -117,19 +112,9 @@
         return self._sample
 
     @property
-    def text(self) -> str:
-        """The data of all events so far."""
-        return "\n".join(self._texts)
-
-    @property
-    def versions(self) -> tuple[ModelVersion, ...]:
-        """The versions that generated it, in the order of their first events."""
-        return tuple(self._versions)
-
-    @property
-    def version_events(self) -> tuple[int, ...]:
-        """The number of events that each of the versions made."""
-        return tuple(self._version_events)
+    def text(self) -> SampleText:
+        """What has been generated so far."""
+        return self._text
 
     @property
     def run_count(self) -> int:
@@ -146,17 +131,6 @@
         """Longest time between two events of one run so far, in seconds."""
         return self._longest_gap_s
 
-    @property
-    def progress(self) -> Progress:
-        """What has been generated so far."""
-        return Progress(
-            tuple(self._texts),
-            self.versions,
-            self._next_number,
-            self._is_whole,
-            self.version_events,
-        )
-
     async def run(self, trace: str = "") -> None:
         """Generate until the text is whole.
 
@@ -170,7 +144,7 @@
         SampleFailedError
             If it cannot be, or failed as often as the route allows.
         """
-        while not self._is_whole:
+        while not self._text.is_whole:
             asked_at = self._clock.monotonic()
             route = self._current_route()
             target = await self._dispatcher.acquire(
@@ -188,12 +162,12 @@
                 trace,
                 sample=self._sample.id,
                 endpoint=target.endpoint.id,
-                first_event=self._next_number,
+                first_event=self._text.next_number,
             )
             try:
                 with span:
                     await self._run_on(target)
-                    span.set(events=len(self._texts), is_whole=self._is_whole)
+                    span.set(events=len(self._text), is_whole=self._text.is_whole)
             finally:
                 self._dispatcher.release(target, self._sample.group)
 
@@ -234,7 +208,7 @@
             headers=self._sample.headers,
             body=self._sample.body,
             timeout_s=max(left_s, MIN_RUN_TIMEOUT_S),
-            resume_after=self._next_number - 1 if self._texts else -1,
+            resume_after=self._text.last_number,
             generation=self._sample.generation,
         )
 
@@ -268,7 +242,7 @@
             self._log_break(target, "weights too old")
             self._dispatcher.pause(target, self._batch.model)
             return
-        self._is_whole = True
+        self._text.is_whole = True
         target.note_answer(self._clock.monotonic() - began)
 
     def _take_event(
@@ -278,44 +252,23 @@
         if version is not None:
             target.note_version(self._batch.model, version)
             self._check_version(version)
-        if self._texts and event.number != self._next_number:
-            raise StreamBrokenError(
-                f"event {event.number} in place of {self._next_number}"
-            )
-        if version is not None:
-            self._count_event(version)
-        self._texts.append(event.data)
-        self._next_number = event.number + 1
-
-    def _count_event(self, version: ModelVersion) -> None:
-        if version not in self._versions:
-            self._versions.append(version)
-            self._version_events.append(0)
-        self._version_events[self._versions.index(version)] += 1
+        self._text.add(event, version)
 
     def _check_version(self, version: ModelVersion) -> None:
         if version < self._batch.min_version:
             raise _StaleWeightsError
-        is_other = bool(self._versions) and version not in self._versions
-        if is_other and self._is_single_version:
-            self._discard()
+        known = self._text.versions
+        if known and version not in known and self._is_single_version:
+            self._text.discard()
             raise StreamBrokenError("version changed within a sample")
 
-    def _discard(self) -> None:
-        self._texts = []
-        self._versions = []
-        self._version_events = []
-        self._next_number = -1
-
     def _should_move(self, target: TrackedEndpoint) -> bool:
         return self._dispatcher.quicker_than(
             target,
             target.endpoint.service,
             self._batch.model,
             self._batch.min_version,
-            LONG_SLOWNESS_FACTOR
-            if len(self._texts) >= LONG_EVENTS
-            else SLOWNESS_FACTOR,
+            LONG_SLOWNESS_FACTOR if len(self._text) >= LONG_EVENTS else SLOWNESS_FACTOR,
             self._route.data_centres if self._route is not None else (),
         )
 
@@ -337,19 +290,10 @@
             batch=self._batch.id,
             sample=self._sample.id,
             endpoint=target.endpoint.id,
-            events=len(self._texts),
+            events=len(self._text),
             reason=reason,
         )
 
-    def _fits(self, progress: Progress) -> bool:
-        if self._is_single_version and len(progress.versions) > 1:
-            return False
-        if len(progress.version_events) != len(progress.versions):
-            return False  # saved by a program that did not count them
-        return bool(progress.versions) and (
-            min(progress.versions) >= self._batch.min_version
-        )
-
 
 async def _timed(events: AsyncIterator[StreamEvent]) -> AsyncIterator[StreamEvent]:
     """Yield events; raises `TimeoutError` if the next one is not there in time."""
--- a/src/bankrudder/node/_main.py
+++ b/src/bankrudder/node/_main.py
@@ -52,7 +52,7 @@
         settings = load_settings(path)
         configure_logging(
             LogFormat.JSON,
-            LogLevel.INFO,
+            settings.log_level,
             stream=sink,
             limit=lines,
             host=settings.host,
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -113,6 +113,7 @@
         self._start("lease", self._parts.lease.run)
         self._start("orders", self._parts.switcher.run)
         self._start("cleaning", self._parts.cleaner.run)
+        self._start("hosts", self._parts.host_cleaner.run)
         if self._settings.feeds is not None:
             election = self._parts.make_election(self._settings.feeds)
             self._start("feeds", election.run)
--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -31,7 +31,7 @@
 from bankrudder.node._world_view import WorldView
 from bankrudder.observe import Tracer
 from bankrudder.orders import LOADED_TABLE, LoadAnnouncer, VersionSwitcher
-from bankrudder.presence import NO_ADDRESS, Lifetime, Presence
+from bankrudder.presence import NO_ADDRESS, HostCleaner, Lifetime, Presence
 from bankrudder.relay import Forwarder, StreamForwarder
 from bankrudder.routing import RoutingTable
 from bankrudder.store import MeasuredStore, ReadPace, TableFollower
@@ -78,6 +78,9 @@
         self.cleaner = Cleaner(
             self.store, self.repository, self.lease, settings.status_retention_s
         )
+        self.host_cleaner = HostCleaner(
+            self.store, self.presence, lambda: self.lease.is_valid
+        )
         self.gateway = self._make_gateway()
 
     def make_election(self, feeds: FeedSettings) -> ReaderElection:
--- a/src/bankrudder/node/_settings.py
+++ b/src/bankrudder/node/_settings.py
@@ -13,6 +13,7 @@
 from bankrudder.config import address_error, decode_document, shown
 from bankrudder.exceptions import InvalidError
 from bankrudder.failures import FailureReason
+from bankrudder.logs import LogLevel
 from bankrudder.observe import NoTraceExport, OtlpTraceExport, TraceExport
 from bankrudder.tls import TlsSettings
 from bankrudder.world import Address, DataCentreName, HostId, RpcLimits
@@ -93,6 +94,8 @@
         Time between the request to stop and the end by force.
     feeds : FeedSettings or None
         Reading of the store for other hosts; None to read for this host alone.
+    log_level : LogLevel
+        Least severe lines that are written; a reload changes it.
     rpc : RpcSettings or None
         The project's own interface; None for none.
     traces : TraceExport
@@ -111,6 +114,7 @@
     lease_ms: float = 3000.0
     grace_s: float = 8.0
     feeds: FeedSettings | None = None
+    log_level: LogLevel = LogLevel.INFO
     rpc: RpcSettings | None = None
     traces: TraceExport = NoTraceExport()
 
--- a/src/bankrudder/presence/__init__.py
+++ b/src/bankrudder/presence/__init__.py
@@ -1,11 +1,14 @@
 """Which hosts of the system run."""
 
-from bankrudder.presence._hosts import (
-    HOSTS_TABLE,
-    NO_ADDRESS,
-    Heartbeat,
-    Lifetime,
-    Presence,
-)
+from bankrudder.presence._cleaning import HostCleaner
+from bankrudder.presence._hosts import Presence
+from bankrudder.presence._values import HOSTS_TABLE, NO_ADDRESS, Heartbeat, Lifetime
 
-__all__ = ["HOSTS_TABLE", "Heartbeat", "Lifetime", "NO_ADDRESS", "Presence"]
+__all__ = [
+    "HOSTS_TABLE",
+    "Heartbeat",
+    "HostCleaner",
+    "Lifetime",
+    "NO_ADDRESS",
+    "Presence",
+]
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -9,35 +9,31 @@
 from collections import deque
 from collections.abc import Collection
 from contextlib import suppress
-from typing import NewType
 
 import msgspec
 import structlog
 
+from bankrudder.presence._values import (
+    HEARTBEAT_S,
+    HOSTS_TABLE,
+    NO_ADDRESS,
+    NO_DATA_CENTRE,
+    Heartbeat,
+    Lifetime,
+)
 from bankrudder.store import (
     Committed,
     Put,
     ReadPace,
     Row,
     RowKey,
+    RowVersion,
     Store,
     TableFollower,
     Transaction,
 )
 from bankrudder.world import Address, Clock, DataCentreName, HostId, Revision
 
-Lifetime = NewType("Lifetime", str)
-"""Identifier of one run of a daemon; a restart makes a new one."""
-
-HOSTS_TABLE = "hosts"
-
-NO_DATA_CENTRE = DataCentreName("")
-NO_ADDRESS = Address("")
-"""Where a host is that does not say so, or takes no remote procedure calls."""
-
-HEARTBEAT_S = 0.5
-"""Seconds between two heartbeats of a host that others wait for."""
-
 IDLE_HEARTBEATS_PER_S = 30.0
 BUSY_HEARTBEATS_PER_S = 60.0
 """Most heartbeats a second of all hosts without work, and of all with work: together
@@ -76,45 +72,6 @@
 _log = structlog.get_logger("presence")
 
 
-class Heartbeat(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Value of a host's row.
-
-    Attributes
-    ----------
-    count : int
-        Grows with each heartbeat.
-    is_leaving : bool
-        Whether the host is about to stop as planned.
-    room : float
-        What the host can carry, in cores of usual speed.
-    interval_s : float
-        Seconds until the next heartbeat.
-    is_busy : bool
-        Whether others wait for its work on batches.
-    holds_lease : bool
-        Whether it carries out a duty under a lease.
-    rpc_address : Address
-        Where it takes remote procedure calls, empty if it does not.
-    revision : Revision
-        The project's own configuration that it has in force.
-    feed_address : Address
-        Where it passes changes of the store on if it reads for others, empty if it
-        cannot.
-    """
-
-    lifetime: Lifetime
-    count: int
-    is_leaving: bool = False
-    room: float = 1.0
-    interval_s: float = HEARTBEAT_S
-    is_busy: bool = False
-    holds_lease: bool = False
-    data_centre: DataCentreName = NO_DATA_CENTRE
-    rpc_address: Address = NO_ADDRESS
-    revision: Revision = Revision(0)
-    feed_address: Address = NO_ADDRESS
-
-
 class Presence:
     """The heartbeat of this host, and the view of all others."""
 
@@ -150,6 +107,7 @@
         self._writes_fail = False
         self._writes_since = 0.0
         self._seen: dict[HostId, tuple[Heartbeat, float]] = {}
+        self._versions: dict[HostId, RowVersion] = {}
         self._ended: deque[Lifetime] = deque(maxlen=KEPT_ENDED)
         self._unanswered: set[asyncio.Task[None]] = set()
         self._follower = TableFollower(
@@ -222,6 +180,21 @@
         seen = self._seen.get(host)
         return seen is not None and seen[0].data_centre in data_centres
 
+    def silent_hosts(self, seconds: float) -> list[tuple[HostId, RowVersion]]:
+        """Return the hosts whose rows stood still for so long, and the rows' versions.
+
+        None while this host cannot read the rows.
+        """
+        if self._follower.lost_since is not None:
+            return []
+        since = self._clock.monotonic() - seconds
+        regained_at = self._follower.regained_at or 0.0
+        return [
+            (host, self._versions[host])
+            for host, (_, seen_at) in self._seen.items()
+            if max(seen_at, regained_at) < since and host != self._host
+        ]
+
     def host_count(self) -> int:
         """Return the number of hosts that are known."""
         return len(self._seen)
@@ -371,6 +344,7 @@
         if before is None or before[0].lifetime != beat.lifetime:
             _log.info("presence: host runs", host=host, lifetime=beat.lifetime)
         self._seen[host] = (beat, self._clock.monotonic())
+        self._versions[host] = row.version
 
     def _on_removed(self, key: RowKey) -> None:
         self._seen.pop(HostId(key.key), None)
--- a/tests/batches/test_cleaning.py
+++ b/tests/batches/test_cleaning.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bankrudder.batches import Cleaner
-from bankrudder.batches._cleaning import MARGIN_S
+from bankrudder.batches._cleaning import MARGIN_S, MAX_OPEN_S
 from bankrudder.batches._values import Progress
 from batches.test_repository import ME, batch
 
@@ -71,3 +71,16 @@
     timed.now_s += RETENTION_S + MARGIN_S
     await cleaner.clean()
     assert await progress_store.of_model("m") == {}
+
+
+async def test_a_batch_that_nobody_ends_is_ended_after_an_hour(
+    cleaner, timed, repository
+):
+    await repository.accept(batch(), ME)
+    await cleaner.clean()
+    timed.now_s += MAX_OPEN_S - 1
+    await cleaner.clean()
+    assert await repository.owner("b1") is not None
+    timed.now_s += 1
+    await cleaner.clean()
+    assert await repository.owner("b1") is None
--- /dev/null
+++ b/tests/batches/test_text.py
@@ -0,0 +1,55 @@
+"""Texts of samples: each event once, and what kept text may be used for."""
+
+import pytest
+
+from bankrudder.batches._text import SampleText, fits
+from bankrudder.batches._values import Progress
+from bankrudder.fleet import StreamBrokenError, StreamEvent
+
+
+def event(number):
+    return StreamEvent(number, f"e{number}", None, b"")
+
+
+def test_events_are_counted_by_version():
+    text = SampleText()
+    for number, version in enumerate([3, 3, 4]):
+        text.add(event(number), version)
+    assert (text.text, len(text)) == ("e0\ne1\ne2", 3)
+    assert (text.versions, text.version_events) == ((3, 4), (2, 1))
+    assert (text.last_number, text.next_number) == (2, 3)
+
+
+@pytest.mark.parametrize("number", [0, 1, 3])
+def test_an_event_out_of_turn_breaks_the_text(number):
+    text = SampleText()
+    text.add(event(0), 1)
+    text.add(event(1), 1)
+    with pytest.raises(StreamBrokenError):
+        text.add(event(number), 1)
+    assert len(text) == 2
+
+
+def test_text_goes_on_from_what_was_kept():
+    text = SampleText()
+    text.add(event(0), 2)
+    later = SampleText()
+    later.resume(text.progress)
+    later.add(event(1), 3)
+    assert (later.versions, later.version_events) == ((2, 3), (1, 1))
+
+
+@pytest.mark.parametrize(
+    ("versions", "events", "single", "expected"),
+    [
+        ((3,), (1,), False, True),
+        ((2, 3), (1, 1), False, False),
+        ((3, 4), (1, 1), False, True),
+        ((3, 4), (1, 1), True, False),
+        ((3,), (), False, False),
+        ((), (), False, False),
+    ],
+)
+def test_kept_text_fits_by_its_versions(versions, events, single, expected):
+    progress = Progress(("e0",), versions, 1, False, events)
+    assert fits(progress, 3, single=single) is expected
--- a/tests/soak/test_history.py
+++ b/tests/soak/test_history.py
@@ -1,7 +1,14 @@
 """Each checker of the soak finds a bad history, and none a good one."""
 
 import pytest
-from soak.history import BatchSeen, CallSeen, History, violations
+from soak.history import (
+    BatchSeen,
+    CallSeen,
+    History,
+    KeyedOutcome,
+    KeyedSeen,
+    violations,
+)
 
 EVENTS = 2
 
@@ -38,7 +45,9 @@
         orders=[(1.0, "e1", "a", 5), (9.0, "e1", "b", 7)],
         arrivals=[(1.0, "b1-s0")],
         revisions=[("h", 1, 3), ("h", 1, 4), ("h", 2, 3)],
+        keyed=[KeyedSeen("k1", [NOT_RUN, WHOLE, WHOLE]), KeyedSeen("k2", [NOT_RUN])],
     )
+    good.runs["k1"] = 1
     good.batches["b1"].ended_at = 2.0
     assert violations(good, EVENTS) == []
 
@@ -61,7 +70,22 @@
     return seen
 
 
+def keyed(*outcomes, runs=1):
+    seen = KeyedSeen("k1", list(outcomes))
+    return history(result(), keyed=[seen], runs={"k1": runs})
+
+
+WHOLE = (KeyedOutcome.ANSWERED, b"answer to k1")
+NOT_RUN = (KeyedOutcome.NOT_RUN, b"")
+
 BAD = {
+    "a key runs twice": (keyed(WHOLE, runs=2), "ran 2 times"),
+    "a key that was told not to have run": (keyed(NOT_RUN), "told not to have run"),
+    "a key that never ran is answered": (keyed(WHOLE, runs=0), "never ran"),
+    "a key gets another answer": (
+        keyed((KeyedOutcome.ANSWERED, b"no")),
+        "another answer",
+    ),
     "a position changes": (changed_position(), "position 0 changed"),
     "a batch is lost": (lost(), "not found"),
     "a sample stands twice": (history(result(), result()), "two positions"),
