--- a/src/bankrudder/batches/__init__.py
+++ b/src/bankrudder/batches/__init__.py
@@ -1,6 +1,6 @@
 """Batches of samples: acceptance, work on them, results."""
 
-from bankrudder.batches._cleaning import Cleaner
+from bankrudder.batches._cleaning import CLEANING_PAUSE_S, Cleaner
 from bankrudder.batches._progress import ProgressStore
 from bankrudder.batches._reading import BatchReader
 from bankrudder.batches._repository import BatchRepository, UnknownBatchError
@@ -24,6 +24,7 @@
     "BatchReader",
     "BatchRepository",
     "BatchService",
+    "CLEANING_PAUSE_S",
     "Cleaner",
     "GroupId",
     "ProgressStore",
--- a/src/bankrudder/batches/_cleaning.py
+++ b/src/bankrudder/batches/_cleaning.py
@@ -4,8 +4,6 @@
 row of its own tells, so that a restart forgets no batch.
 """
 
-import asyncio
-
 import msgspec
 import structlog
 
@@ -15,7 +13,6 @@
     MAX_TRANSACTION_ROWS,
     OWNERS_TABLE,
     BatchRepository,
-    row_trouble,
 )
 from bankrudder.batches._values import BatchId
 from bankrudder.leases import Lease
@@ -25,11 +22,10 @@
     Put,
     RowKey,
     Store,
-    StoreUnavailableError,
     Transaction,
 )
 
-LOOK_S = 20.0
+CLEANING_PAUSE_S = 20.0
 """How often the store is looked through: a sixth of the usual retention."""
 
 MAX_OPEN_S = 3600.0
@@ -72,17 +68,6 @@
         self._lease = lease
         self._kept_s = retention_s + MARGIN_S
 
-    async def run(self) -> None:
-        """Remove what is due while this host holds the lease, until cancelled."""
-        while True:
-            await asyncio.sleep(LOOK_S)
-            if not self._lease.is_valid:
-                continue
-            try:
-                await self.clean()
-            except StoreUnavailableError as error:
-                _log.warning("batches: not cleaned", reason=row_trouble(error))
-
     async def clean(self) -> None:
         """Look through the store once."""
         now_s = await self._store_time()
--- a/src/bankrudder/calls/__init__.py
+++ b/src/bankrudder/calls/__init__.py
@@ -1,7 +1,7 @@
 """Calls of the project's own interface: places, classes of callers, keys."""
 
 from bankrudder.calls._admission import ClassAdmission, ClassTerms
-from bankrudder.calls._cleaning import CallCleaner
+from bankrudder.calls._cleaning import CLEANING_PAUSE_S, CallCleaner
 from bankrudder.calls._once import OnceRunner
 from bankrudder.calls._records import CALLS_TABLE, CallRecords
 from bankrudder.calls._service import CallService
@@ -11,6 +11,7 @@
     "AnswerChunk",
     "AnswerEnd",
     "CALLS_TABLE",
+    "CLEANING_PAUSE_S",
     "CallCleaner",
     "CallOrder",
     "CallRecords",
--- a/src/bankrudder/calls/_cleaning.py
+++ b/src/bankrudder/calls/_cleaning.py
@@ -1,6 +1,5 @@
 """Removal of records whose keys may no longer be used."""
 
-import asyncio
 from collections.abc import Callable
 
 import structlog
@@ -8,10 +7,9 @@
 from bankrudder.calls._keys import CLOCK_BOUND_S, minted_in
 from bankrudder.calls._records import CallRecords
 from bankrudder.leases import Lease
-from bankrudder.store import StoreUnavailableError
 from bankrudder.world import Clock
 
-LOOK_S = 30.0
+CLEANING_PAUSE_S = 30.0
 """How often the records are looked through: a thirtieth of the usual retry window."""
 
 MARGIN_S = 60.0
@@ -42,17 +40,6 @@
         self._longest_window_s = longest_window_s
         self._clock = clock
 
-    async def run(self) -> None:
-        """Remove what is due from time to time, until cancelled."""
-        while True:
-            await asyncio.sleep(LOOK_S)
-            if not self._lease.is_valid:
-                continue
-            try:
-                await self.clean()
-            except StoreUnavailableError as error:
-                _log.warning("calls: not cleaned", reason=error.trouble.value)
-
     async def clean(self) -> None:
         """Look through all records once."""
         kept_s = self._longest_window_s() + MARGIN_S + CLOCK_BOUND_S
--- a/src/bankrudder/config/_service.py
+++ b/src/bankrudder/config/_service.py
@@ -15,7 +15,7 @@
 
 from bankrudder.config._check import check
 from bankrudder.config._index import ConfigurationIndex
-from bankrudder.exceptions import InvalidError, NotRunError, OutcomeUnknownError
+from bankrudder.exceptions import InvalidError, NotRunError
 from bankrudder.failures import FailureReason
 from bankrudder.presence import Presence
 from bankrudder.store import (
@@ -24,7 +24,6 @@
     Conflict,
     Expectation,
     NotCommitted,
-    NotSettledError,
     Put,
     Row,
     RowKey,
@@ -34,6 +33,7 @@
     TableFollower,
     Transaction,
     commit_settled,
+    told_as_failures,
 )
 from bankrudder.world import Clock, Configuration, HostId, Revision
 
@@ -184,20 +184,9 @@
         check(document)
         revision = Revision(base + 1)
         row = ConfigurationRow(revision, _object_name(revision, document))
-        try:
+        unsettled = "the store gave no reply; the same document may be applied again"
+        with told_as_failures(unsettled, RETRY_AFTER_S):
             await self._write(row, document, base)
-        except StoreUnavailableError as error:
-            raise NotRunError(
-                FailureReason.STORE_UNAVAILABLE,
-                error.trouble.value,
-                retry_after_s=RETRY_AFTER_S,
-            ) from None
-        except NotSettledError:
-            raise OutcomeUnknownError(
-                FailureReason.STORE_UNAVAILABLE,
-                "the store gave no reply; the same document may be applied again",
-                retry_after_s=RETRY_AFTER_S,
-            ) from None
         _log.info("config: applied", revision=revision, bytes=len(document))
         return await self._accepted(revision)
 
--- a/src/bankrudder/feeds/_links.py
+++ b/src/bankrudder/feeds/_links.py
@@ -17,6 +17,9 @@
 QUEUE_MESSAGES = 64
 """Messages that wait for a slow subscriber before some are lost: several seconds."""
 
+RETRY_PAUSE_S = 0.2
+"""Pause after a failed receive."""
+
 _log = structlog.get_logger("feeds")
 
 
@@ -62,4 +65,9 @@
                 continue
             except pynng.Closed:
                 return
+            except pynng.NNGException as error:
+                # Until it works again this host reads the store itself.
+                _log.warning("feeds: nothing received", reason=type(error).__name__)
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
             self._take(message)
--- a/src/bankrudder/node/_interface.py
+++ b/src/bankrudder/node/_interface.py
@@ -9,6 +9,7 @@
 
 from bankrudder.batches import BatchReader, BatchRepository
 from bankrudder.calls import (
+    CLEANING_PAUSE_S,
     CallCleaner,
     CallRecords,
     CallService,
@@ -102,7 +103,12 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._configuration.run())
             group.create_task(self._versions.run())
-            group.create_task(self._cleaner.run())
+            group.create_task(self._clean())
+
+    async def _clean(self) -> None:
+        await self._parts.on_duty(
+            "cleaning of calls", CLEANING_PAUSE_S, self._cleaner.clean
+        )()
 
     def leave(self) -> None:
         """Refuse new calls and steps from now on."""
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -112,8 +112,8 @@
         self._start("batches", self._parts.batches.run)
         self._start("lease", self._parts.lease.run)
         self._start("orders", self._parts.switcher.run)
-        self._start("cleaning", self._parts.cleaner.run)
-        self._start("hosts", self._parts.host_cleaner.run)
+        for name, clean in self._parts.cleaning().items():
+            self._start(f"cleaning {name}", clean)
         if self._settings.feeds is not None:
             election = self._parts.make_election(self._settings.feeds)
             self._start("feeds", election.run)
--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -1,9 +1,10 @@
 """The parts of a node, and how they are put together."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import uuid_utils
 
+from bankrudder import batches, presence
 from bankrudder.batches import (
     BatchReader,
     BatchRepository,
@@ -21,7 +22,7 @@
     RelayedStore,
 )
 from bankrudder.fleet import EndpointDirectory
-from bankrudder.leases import Lease
+from bankrudder.leases import Lease, repeat_on_duty
 from bankrudder.logs import LineLimit
 from bankrudder.node._adapter import Adapter
 from bankrudder.node._feeds import RowMeanings
@@ -39,6 +40,8 @@
 
 ORDERS_LEASE = "orders"
 
+Work = Callable[[], Awaitable[None]]
+
 
 class Parts:
     """All parts of one node; none of them runs yet."""
@@ -75,14 +78,31 @@
         self.batches = self._make_batches()
         self.lease = self._make_lease()
         self.switcher = self._make_switcher()
-        self.cleaner = Cleaner(
+        self._batch_cleaner = Cleaner(
             self.store, self.repository, self.lease, settings.status_retention_s
         )
-        self.host_cleaner = HostCleaner(
-            self.store, self.presence, lambda: self.lease.is_valid
-        )
+        self._host_cleaner = HostCleaner(self.store, self.presence)
         self.gateway = self._make_gateway()
 
+    def on_duty(self, duty: str, pause_s: float, work: Work) -> Work:
+        """Return work that is done after each pause while this host holds the lease."""
+
+        async def repeat() -> None:
+            await repeat_on_duty(duty, lambda: self.lease.is_valid, pause_s, work)
+
+        return repeat
+
+    def cleaning(self) -> dict[str, Work]:
+        """Return what removes old rows, by what it removes."""
+        cleaners = {
+            "batches": (batches.CLEANING_PAUSE_S, self._batch_cleaner.clean),
+            "hosts": (presence.CLEANING_PAUSE_S, self._host_cleaner.clean),
+        }
+        return {
+            name: self.on_duty(f"cleaning of {name}", pause_s, clean)
+            for name, (pause_s, clean) in cleaners.items()
+        }
+
     def make_election(self, feeds: FeedSettings) -> ReaderElection:
         """Make what decides whether this host reads the store for others."""
         meanings = RowMeanings(self._documents)
--- a/src/bankrudder/presence/_cleaning.py
+++ b/src/bankrudder/presence/_cleaning.py
@@ -4,9 +4,6 @@
 the heartbeats of all others down.
 """
 
-import asyncio
-from collections.abc import Callable
-
 import structlog
 
 from bankrudder.presence._hosts import Presence
@@ -19,7 +16,7 @@
     Transaction,
 )
 
-LOOK_S = 60.0
+CLEANING_PAUSE_S = 60.0
 """How often it is looked for such rows."""
 
 GONE_S = 600.0
@@ -31,27 +28,11 @@
 
 
 class HostCleaner:
-    """Removes rows while this host holds a duty.
-
-    Parameters
-    ----------
-    is_on_duty : callable
-        Whether this host holds the lease under which rows are removed.
-    """
+    """Removes rows; one host at a time is enough."""
 
-    def __init__(
-        self, store: Store, presence: Presence, is_on_duty: Callable[[], bool]
-    ):
+    def __init__(self, store: Store, presence: Presence):
         self._store = store
         self._presence = presence
-        self._is_on_duty = is_on_duty
-
-    async def run(self) -> None:
-        """Remove what is due from time to time, until cancelled."""
-        while True:
-            await asyncio.sleep(LOOK_S)
-            if self._is_on_duty():
-                await self.clean()
 
     async def clean(self) -> None:
         """Remove each row that has stood still for long."""
--- a/src/bankrudder/steps/_publishing.py
+++ b/src/bankrudder/steps/_publishing.py
@@ -3,7 +3,7 @@
 import msgspec
 import structlog
 
-from bankrudder.exceptions import InvalidError, NotRunError, OutcomeUnknownError
+from bankrudder.exceptions import InvalidError
 from bankrudder.failures import FailureReason
 from bankrudder.fleet import ModelState
 from bankrudder.routing import ModelName
@@ -12,7 +12,6 @@
     Conflict,
     Expectation,
     NotCommitted,
-    NotSettledError,
     Put,
     RowKey,
     RowVersion,
@@ -20,6 +19,7 @@
     StoreUnavailableError,
     Transaction,
     commit_settled,
+    told_as_failures,
 )
 from bankrudder.world import Clock, ModelVersion
 
@@ -57,20 +57,8 @@
             raise InvalidError(
                 FailureReason.BAD_REQUEST, "allowed is 1 or more", field="version"
             )
-        try:
+        with told_as_failures("the store gave no reply", RETRY_AFTER_S):
             newest = await self._raise_to(model, version)
-        except StoreUnavailableError as error:
-            raise NotRunError(
-                FailureReason.STORE_UNAVAILABLE,
-                error.trouble.value,
-                retry_after_s=RETRY_AFTER_S,
-            ) from None
-        except NotSettledError:
-            raise OutcomeUnknownError(
-                FailureReason.STORE_UNAVAILABLE,
-                "the store gave no reply",
-                retry_after_s=RETRY_AFTER_S,
-            ) from None
         _log.info("steps: version published", model=model, version=newest)
         return newest
 
--- a/src/bankrudder/steps/_service.py
+++ b/src/bankrudder/steps/_service.py
@@ -40,7 +40,7 @@
 from bankrudder.fleet import Generation
 from bankrudder.routing import ModelName
 from bankrudder.steps._values import StepOrder
-from bankrudder.store import NotSettledError, StoreUnavailableError
+from bankrudder.store import StoreUnavailableError, told_as_failures
 from bankrudder.world import (
     Caller,
     Clock,
@@ -154,17 +154,9 @@
             _batch_id(job_name, step, _min_version(job, version))
             for version in opened_versions
         }
-        try:
+        with told_as_failures("no reply", RETRY_AFTER_S):
             for name in sorted(names):
                 await self._repository.end(name)
-        except StoreUnavailableError as error:
-            raise _unavailable(error) from None
-        except NotSettledError:
-            raise OutcomeUnknownError(
-                FailureReason.STORE_UNAVAILABLE,
-                "no reply",
-                retry_after_s=RETRY_AFTER_S,
-            ) from None
 
     def model_of(self, trainer: Caller, job_name: JobName) -> ModelName:
         """Return the model whose versions a trainer publishes for a job."""
@@ -215,22 +207,16 @@
         )
 
     async def _accept(self, batch: Batch, order: StepOrder) -> None:
-        try:
+        unsettled = "the step may be open; it may be opened again"
+        with told_as_failures(unsettled, RETRY_AFTER_S):
             is_same = await self._batches.accept(batch)
-            if not is_same and not await self._has_prompts_of(batch):
-                raise InvalidError(
-                    FailureReason.STEP_CONFLICT,
-                    f"step {order.step} of {order.job} has other prompts",
-                    field="groups",
-                )
-        except StoreUnavailableError as error:
-            raise _unavailable(error) from None
-        except NotSettledError:
-            raise OutcomeUnknownError(
-                FailureReason.STORE_UNAVAILABLE,
-                "the step may be open; it may be opened again",
-                retry_after_s=RETRY_AFTER_S,
-            ) from None
+            if is_same or await self._has_prompts_of(batch):
+                return
+        raise InvalidError(
+            FailureReason.STEP_CONFLICT,
+            f"step {order.step} of {order.job} has other prompts",
+            field="groups",
+        )
 
     async def _has_prompts_of(self, batch: Batch) -> bool:
         """Whether the step that is kept asks for the same samples.
@@ -321,11 +307,3 @@
     )
     slot = SampleSlot(int(group), int(index))
     return StepSample(slot, result.text.encode(), spans, result.id)
-
-
-def _unavailable(error: StoreUnavailableError) -> NotRunError:
-    return NotRunError(
-        FailureReason.STORE_UNAVAILABLE,
-        error.trouble.value,
-        retry_after_s=RETRY_AFTER_S,
-    )
--- a/src/bankrudder/store/__init__.py
+++ b/src/bankrudder/store/__init__.py
@@ -5,6 +5,7 @@
     NotSettledError,
     StoreUnavailableError,
 )
+from bankrudder.store._failures import told_as_failures
 from bankrudder.store._following import TableFollower
 from bankrudder.store._measured import MeasuredStore
 from bankrudder.store._pace import ReadPace
@@ -54,4 +55,5 @@
     "TableFollower",
     "Transaction",
     "commit_settled",
+    "told_as_failures",
 ]
--- a/tests/presence/test_cleaning.py
+++ b/tests/presence/test_cleaning.py
@@ -26,7 +26,7 @@
 async def test_a_row_that_stood_still_for_long_is_removed(
     store, rows, presence, hand_clock
 ):
-    cleaner = HostCleaner(store, presence, lambda: True)
+    cleaner = HostCleaner(store, presence)
     for host in ("gone", "back"):
         beat(rows, host)
     await until(lambda: presence.host_count() == 3)
