--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -123,7 +123,7 @@
             Trainer(self.site, self.history, rng(), "first", SAMPLES, True),
             Trainer(self.site, self.history, rng(), "second", SAMPLES, False),
         ]
-        callers = [
+        callers: list[Caller | KeyedCaller] = [
             Caller(self.site, self.history, rng(), f"caller{number}")
             for number in range(3)
         ]
