--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,6 +27,10 @@
 EVENTS = 12
 SAMPLES = 8
 EVENT_GAP_S = 0.03
+SLOW_EVENT_GAP_S = 0.15
+"""Time between two events, for even and for odd seeds: short batches are many, long
+ones are more often in the middle when a fault strikes."""
+
 SERVED_SHARE = 0.9
 """Share of the requests made after the faults have healed that must be served."""
 
@@ -41,6 +45,7 @@
 
     def __init__(self, seed, seconds, hosts, engines, strikes, folder):
         self.seed = seed
+        self._event_gap_s = SLOW_EVENT_GAP_S if seed % 2 else EVENT_GAP_S
         self.history = History()
         self.site = Site(
             folder, hosts, engines, EVENTS, rpc=RPC, min_readers=MIN_READERS
@@ -106,7 +111,7 @@
     async def _start(self):
         await self.site.start(behind=Proxy)
         for engine in self.site.engines:
-            engine.event_gap_s = EVENT_GAP_S
+            engine.event_gap_s = self._event_gap_s
             engine.tells_version = True
             proxy = await Proxy(engine.address).start()
             self.engine_proxies.append(proxy)
