Presence: heartbeats are sent by an object of their own

Cause: one module held both the sending of heartbeats and the view of all others, and had grown past 350 lines. The sender has its own state (answers awaited, whether writes work) and is tested by itself now: only a busy host sends again, six at most are on their way, a change is told at once, failing writes are known until they work again. Conclusion: nothing changes but where the code stands.

--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -8,11 +8,11 @@
 import asyncio
 from collections import deque
 from collections.abc import Collection
-from contextlib import suppress
 
 import msgspec
 import structlog
 
+from bankrudder.presence._sending import HeartbeatSender, Rhythm
 from bankrudder.presence._values import (
     HEARTBEAT_S,
     HOSTS_TABLE,
@@ -22,15 +22,12 @@
     Lifetime,
 )
 from bankrudder.store import (
-    Committed,
-    Put,
     ReadPace,
     Row,
     RowKey,
     RowVersion,
     Store,
     TableFollower,
-    Transaction,
 )
 from bankrudder.world import Address, Clock, DataCentreName, HostId, Revision
 
@@ -39,14 +36,6 @@
 """Most heartbeats a second of all hosts without work, and of all with work: together
 well under what one part of the store takes. In a large fleet they come less often."""
 
-RESEND_S = 0.2
-"""A busy host whose heartbeat is not answered within this time sends another: one that
-the store carries out late would be missed. Forty times a usual answer."""
-
-MAX_UNANSWERED = 6
-"""Heartbeats that may be on their way at once: one whose reply is lost must not hold
-up the next, and an outage must not pile them up."""
-
 FRESH_INTERVALS = 2.0
 FRESH_SLACK_S = 0.4
 """A host whose last heartbeat is older than so many intervals, and the time in which
@@ -91,7 +80,6 @@
         self._pause_s = pace.pause(READ_SHARE, FOLLOW_PAUSE_S)
         self._feed_address = feed_address
         self._reads_for_others = False
-        self._store = store
         self._host = host
         self._lifetime = lifetime
         self._clock = clock
@@ -99,17 +87,15 @@
         self._data_centre = data_centre
         self._rpc_address = rpc_address
         self._revision = Revision(0)
-        self._count = 0
         self._is_leaving = False
         self._is_busy = False
         self._holds_lease = False
-        self._changed = asyncio.Event()
-        self._writes_fail = False
-        self._writes_since = 0.0
         self._seen: dict[HostId, tuple[Heartbeat, float]] = {}
         self._versions: dict[HostId, RowVersion] = {}
         self._ended: deque[Lifetime] = deque(maxlen=KEPT_ENDED)
-        self._unanswered: set[asyncio.Task[None]] = set()
+        self._sender = HeartbeatSender(
+            store, host, clock, compose=self._compose, rhythm=self._rhythm
+        )
         self._follower = TableFollower(
             store,
             HOSTS_TABLE,
@@ -141,19 +127,19 @@
     def set_busy(self, is_busy: bool) -> None:
         """Beat more often while others wait for what this host does."""
         if is_busy and not self._is_busy:
-            self._changed.set()
+            self._sender.hurry()
         self._is_busy = is_busy
 
     def set_reads_for_others(self, reads_for_others: bool) -> None:
         """Beat more often while others wait for this host's reads of the store."""
         if reads_for_others and not self._reads_for_others:
-            self._changed.set()
+            self._sender.hurry()
         self._reads_for_others = reads_for_others
 
     def set_revision(self, revision: Revision) -> None:
         """Tell the others which configuration is in force here."""
         self._revision = revision
-        self._changed.set()
+        self._sender.hurry()
 
     def live_hosts(self, data_centres: Collection[DataCentreName] = ()) -> list[HostId]:
         """Return the hosts that are taken for alive and stay, sorted.
@@ -265,13 +251,23 @@
         """Send heartbeats and watch the others until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._follower.run())
-            group.create_task(self._beat())
+            group.create_task(self._sender.run())
 
     def own_heartbeat(self) -> Heartbeat:
-        """Return what this host tells the others."""
+        """Return what this host told the others last, as it is now."""
+        return self._compose(self._sender.count)
+
+    async def announce(self) -> None:
+        """Send one heartbeat now."""
+        await self._sender.send()
+
+    def _rhythm(self) -> Rhythm:
+        return Rhythm(self.interval_s, is_resent=self._is_busy)
+
+    def _compose(self, count: int) -> Heartbeat:
         return Heartbeat(
             self._lifetime,
-            self._count,
+            count,
             self._is_leaving,
             self._room,
             self.interval_s,
@@ -283,56 +279,18 @@
             self._feed_address,
         )
 
-    async def announce(self) -> None:
-        """Send one heartbeat now."""
-        self._count += 1
-        beat = self.own_heartbeat()
-        key = RowKey(HOSTS_TABLE, "", self._host)
-        put = Put(key, msgspec.json.encode(beat))
-        outcome = await self._store.commit(Transaction(puts=(put,)))
-        self._note_write(isinstance(outcome, Committed))
-
-    async def _beat(self) -> None:
-        try:
-            while True:
-                self._changed.clear()
-                if not await self._was_answered() and self._is_busy:
-                    continue
-                with suppress(TimeoutError):
-                    async with asyncio.timeout(self.interval_s):
-                        await self._changed.wait()
-        finally:
-            for task in self._unanswered:
-                task.cancel()
-
-    async def _was_answered(self) -> bool:
-        """Send a heartbeat; return whether it was answered soon."""
-        if len(self._unanswered) >= MAX_UNANSWERED:
-            await asyncio.sleep(RESEND_S)
-            return False
-        task = asyncio.ensure_future(self.announce())
-        self._unanswered.add(task)
-        task.add_done_callback(self._unanswered.discard)
-        done, _ = await asyncio.wait({task}, timeout=RESEND_S)
-        return bool(done)
-
     def _is_fresh(self, host: HostId) -> bool:
         if host == self._host:
             return True
-        if self._writes_fail:
+        if self._sender.fails:
             # The rows of the heartbeats take no writes: nobody's can arrive.
             return True
         read_at = self._follower.last_read_at or 0.0
         regained_at = self._follower.regained_at or 0.0
-        since = max(self._seen[host][1], regained_at, self._writes_since)
+        since = max(self._seen[host][1], regained_at, self._sender.works_since)
         silence_s = MISSED_HEARTBEATS * self._seen[host][0].interval_s
         return read_at - since < silence_s
 
-    def _note_write(self, was_committed: bool) -> None:
-        if self._writes_fail and was_committed:
-            self._writes_since = self._clock.monotonic()
-        self._writes_fail = not was_committed
-
     def _on_row(self, row: Row) -> None:
         host = HostId(row.key.key)
         beat = msgspec.json.decode(row.value, type=Heartbeat)
--- /dev/null
+++ b/src/bankrudder/presence/_sending.py
@@ -0,0 +1,125 @@
+"""Sends the heartbeats of this host, and notes whether the store takes them."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+
+import msgspec
+
+from bankrudder.presence._values import HOSTS_TABLE, Heartbeat
+from bankrudder.store import Committed, Put, RowKey, Store, Transaction
+from bankrudder.world import Clock, HostId
+
+RESEND_S = 0.2
+"""A busy host whose heartbeat is not answered within this time sends another: one that
+the store carries out late would be missed. Forty times a usual answer."""
+
+MAX_UNANSWERED = 6
+"""Heartbeats that may be on their way at once: one whose reply is lost must not hold
+up the next, and an outage must not pile them up."""
+
+
+@dataclass(frozen=True)
+class Rhythm:
+    """How often a host sends heartbeats just now."""
+
+    interval_s: float
+    """Seconds from one to the next."""
+
+    is_resent: bool
+    """Whether one that is not answered soon is followed by another at once."""
+
+
+class HeartbeatSender:
+    """Writes the heartbeats of one host to its row.
+
+    Parameters
+    ----------
+    store : Store
+        Where the row is.
+    host : HostId
+        Key of the row.
+    clock : Clock
+        Steady clock for `works_since`.
+    compose : callable
+        Returns the heartbeat of a number, counted from one in each run.
+    rhythm : callable
+        Returns how often heartbeats are sent; asked before each wait.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        host: HostId,
+        clock: Clock,
+        compose: Callable[[int], Heartbeat],
+        rhythm: Callable[[], Rhythm],
+    ):
+        self._store = store
+        self._host = host
+        self._clock = clock
+        self._compose = compose
+        self._rhythm = rhythm
+        self._count = 0
+        self._fails = False
+        self._works_since = 0.0
+        self._hurried = asyncio.Event()
+        self._unanswered: set[asyncio.Task[None]] = set()
+
+    @property
+    def count(self) -> int:
+        """Heartbeats that were sent in this run."""
+        return self._count
+
+    @property
+    def fails(self) -> bool:
+        """Whether the last answer was that the heartbeat was not written."""
+        return self._fails
+
+    @property
+    def works_since(self) -> float:
+        """Steady time at which writes worked again; zero if they never failed."""
+        return self._works_since
+
+    def hurry(self) -> None:
+        """Send the next heartbeat at once."""
+        self._hurried.set()
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled."""
+        try:
+            while True:
+                self._hurried.clear()
+                was_answered = await self._send_and_wait()
+                rhythm = self._rhythm()
+                if rhythm.is_resent and not was_answered:
+                    continue
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(rhythm.interval_s):
+                        await self._hurried.wait()
+        finally:
+            for task in self._unanswered:
+                task.cancel()
+
+    async def send(self) -> None:
+        """Send one heartbeat now, and wait for the answer."""
+        self._count += 1
+        key = RowKey(HOSTS_TABLE, "", self._host)
+        put = Put(key, msgspec.json.encode(self._compose(self._count)))
+        outcome = await self._store.commit(Transaction(puts=(put,)))
+        was_written = isinstance(outcome, Committed)
+        if self._fails and was_written:
+            self._works_since = self._clock.monotonic()
+        self._fails = not was_written
+
+    async def _send_and_wait(self) -> bool:
+        """Send a heartbeat; return whether it was answered soon."""
+        if len(self._unanswered) >= MAX_UNANSWERED:
+            await asyncio.sleep(RESEND_S)
+            return False
+        task = asyncio.ensure_future(self.send())
+        self._unanswered.add(task)
+        task.add_done_callback(self._unanswered.discard)
+        done, _ = await asyncio.wait({task}, timeout=RESEND_S)
+        return bool(done)
--- /dev/null
+++ b/tests/presence/test_sending.py
@@ -0,0 +1,85 @@
+"""Heartbeats are written in time, whatever becomes of the answers."""
+
+import asyncio
+from contextlib import asynccontextmanager, suppress
+
+import msgspec
+import pytest
+
+from bankrudder.presence._sending import MAX_UNANSWERED, HeartbeatSender, Rhythm
+from bankrudder.presence._values import HOSTS_TABLE, Heartbeat, Lifetime
+from bankrudder.world import HostId, SystemClock
+from outside.site import until
+from outside.store import GateMode
+
+HOST = HostId("a")
+LONG = Rhythm(interval_s=60.0, is_resent=False)
+
+
+def compose(count):
+    return Heartbeat(Lifetime("life"), count)
+
+
+def sender_of(store, rhythm):
+    return HeartbeatSender(store, HOST, SystemClock(), compose, lambda: rhythm)
+
+
+@asynccontextmanager
+async def running(sender):
+    task = asyncio.ensure_future(sender.run())
+    yield sender
+    task.cancel()
+    with suppress(asyncio.CancelledError):
+        await task
+
+
+def written(rows):
+    """Return the number of the heartbeat in the row, zero if there is none."""
+    _, value = rows.rows.get((HOSTS_TABLE, "", HOST), (0, b""))
+    return msgspec.json.decode(value, type=Heartbeat).count if value else 0
+
+
+async def test_a_change_is_told_at_once(rows, store):
+    async with running(sender_of(store, LONG)) as sender:
+        await until(lambda: written(rows) == 1)
+        sender.hurry()
+        await until(lambda: written(rows) == 2)
+
+
+async def test_heartbeats_follow_each_other_by_the_interval(rows, store):
+    async with running(sender_of(store, Rhythm(interval_s=0.1, is_resent=False))):
+        await until(lambda: written(rows) >= 5, 5.0)
+
+
+class StuckStore:
+    """A store whose commits are never answered."""
+
+    def __init__(self):
+        self.commits = 0
+
+    async def commit(self, transaction):
+        self.commits += 1
+        await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize(
+    ("is_resent", "sent"), [(True, MAX_UNANSWERED), (False, 1)], ids=["busy", "idle"]
+)
+async def test_only_a_busy_host_sends_again_without_an_answer(is_resent, sent):
+    store = StuckStore()
+    rhythm = Rhythm(interval_s=60.0, is_resent=is_resent)
+    async with running(sender_of(store, rhythm)):
+        await until(lambda: store.commits >= sent, 5.0)
+        await asyncio.sleep(0.5)
+        assert store.commits == sent
+
+
+async def test_writes_that_fail_are_known_until_they_work_again(gate, store):
+    sender = sender_of(store, LONG)
+    gate.mode = GateMode.BUSY
+    await sender.send()
+    assert sender.fails
+    gate.mode = GateMode.OPEN
+    await sender.send()
+    assert not sender.fails
+    assert sender.works_since > 0
