--- a/src/bankrudder/config/_service.py
+++ b/src/bankrudder/config/_service.py
@@ -226,12 +226,27 @@
 
     async def _accepted(self, revision: Revision) -> ApplyOutcome:
         until = self._clock.monotonic() + ACCEPT_WAIT_S
+        await self._know_ready_hosts()
         while True:
             pending = self._pending(revision)
             if not pending or self._clock.monotonic() >= until:
                 return ApplyOutcome(revision, pending)
             await asyncio.sleep(POLL_S)
 
+    async def _know_ready_hosts(self) -> None:
+        """Learn of hosts that became ready since the last read of the heartbeats.
+
+        A host is ready only after its first heartbeat, so the store names all that may
+        have begun with an older configuration.
+        """
+        try:
+            await self._presence.refresh()
+        except StoreUnavailableError as error:
+            _log.warning(
+                "config: hosts not read, known ones counted",
+                reason=error.trouble.value,
+            )
+
     def _pending(self, revision: Revision) -> tuple[HostId, ...]:
         beats = self._presence.heartbeats()
         return tuple(
--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -193,7 +193,7 @@
     def _make_gateway(self) -> Gateway:
         return Gateway(
             self._routes,
-            lambda: self.view.is_complete,
+            lambda: self.view.is_complete and self.presence.is_announced,
             self.forwarder,
             self.streams,
             self.batches,
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -115,6 +115,11 @@
         """Identifier of this run."""
         return self._lifetime
 
+    @property
+    def is_announced(self) -> bool:
+        """Whether the other hosts can know of this run, unless the store fails."""
+        return self._sender.was_answered
+
     @property
     def interval_s(self) -> float:
         """Seconds between two heartbeats of this host."""
@@ -261,6 +266,16 @@
         """Send one heartbeat now."""
         await self._sender.send()
 
+    async def refresh(self) -> None:
+        """Read the heartbeats that are in the store now, beside the following.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If they cannot be read.
+        """
+        await self._follower.refresh()
+
     def _rhythm(self) -> Rhythm:
         return Rhythm(self.interval_s, is_resent=self._is_busy)
 
--- a/src/bankrudder/presence/_sending.py
+++ b/src/bankrudder/presence/_sending.py
@@ -15,6 +15,11 @@
 """A busy host whose heartbeat is not answered within this time sends another: one that
 the store carries out late would be missed. Forty times a usual answer."""
 
+FIRST_RETRY_S = 0.5
+"""Pause after a heartbeat that was not written; doubled up to the usual interval. Until
+one is written this host takes nobody for dead, so in a fleet whose idle hosts send one
+each three seconds a single failure would hide a lost owner for as long."""
+
 MAX_UNANSWERED = 6
 """Heartbeats that may be on their way at once: one whose reply is lost must not hold
 up the next, and an outage must not pile them up."""
@@ -62,7 +67,8 @@
         self._compose = compose
         self._rhythm = rhythm
         self._count = 0
-        self._fails = False
+        self._was_answered = False
+        self._failures = 0
         self._works_since = 0.0
         self._hurried = asyncio.Event()
         self._unanswered: set[asyncio.Task[None]] = set()
@@ -75,7 +81,12 @@
     @property
     def fails(self) -> bool:
         """Whether the last answer was that the heartbeat was not written."""
-        return self._fails
+        return self._failures > 0
+
+    @property
+    def was_answered(self) -> bool:
+        """Whether the store took a heartbeat of this run, or said that it did not."""
+        return self._was_answered
 
     @property
     def works_since(self) -> float:
@@ -96,7 +107,7 @@
                 if rhythm.is_resent and not was_answered:
                     continue
                 with suppress(TimeoutError):
-                    async with asyncio.timeout(rhythm.interval_s):
+                    async with asyncio.timeout(self._pause_s(rhythm)):
                         await self._hurried.wait()
         finally:
             for task in self._unanswered:
@@ -109,9 +120,17 @@
         put = Put(key, msgspec.json.encode(self._compose(self._count)))
         outcome = await self._store.commit(Transaction(puts=(put,)))
         was_written = isinstance(outcome, Committed)
-        if self._fails and was_written:
+        self._was_answered = True
+        if self._failures and was_written:
             self._works_since = self._clock.monotonic()
-        self._fails = not was_written
+        self._failures = 0 if was_written else self._failures + 1
+
+    def _pause_s(self, rhythm: Rhythm) -> float:
+        """Return the seconds until the next heartbeat."""
+        if not self._failures:
+            return rhythm.interval_s
+        retry_s: float = FIRST_RETRY_S * 2 ** (self._failures - 1)
+        return min(rhythm.interval_s, retry_s)
 
     async def _send_and_wait(self) -> bool:
         """Send a heartbeat; return whether it was answered soon."""
--- a/src/bankrudder/store/_following.py
+++ b/src/bankrudder/store/_following.py
@@ -102,9 +102,26 @@
             if pause_s := self._pause_s():
                 await asyncio.sleep(pause_s)
 
+    async def refresh(self) -> None:
+        """Take the rows that are in the store now; removals come with the following.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If they cannot be read.
+        """
+        await self._take_all()
+
     async def _read_all(self) -> RowVersion:
         # The version is read first: what changes during the reads comes again.
         version = (await self._store.read(self._table, "", limit=1)).version
+        found = await self._take_all()
+        for key in [key for key in self._known if key not in found]:
+            self._drop(key)
+        return version
+
+    async def _take_all(self) -> set[RowKey]:
+        """Take all rows; return their keys."""
         found: set[RowKey] = set()
         for part in await self._store.parts(self._table):
             start = ""
@@ -116,9 +133,7 @@
                 if not page.has_more:
                     break
                 start = page.rows[-1].key.key + "\0"
-        for key in [key for key in self._known if key not in found]:
-            self._drop(key)
-        return version
+        return found
 
     async def _read_changes(self, version: RowVersion) -> RowVersion:
         changes = await self._store.follow(self._table, version, self._wait_s())
--- a/tests/config/test_service.py
+++ b/tests/config/test_service.py
@@ -90,3 +90,18 @@
     await asyncio.sleep(0.3)
     assert service.revision == 1
     assert service.index.pool("quotes")
+
+
+async def test_an_apply_waits_for_hosts_that_became_ready_just_before(
+    store, document, rows, monkeypatch
+):
+    monkeypatch.setattr("bankrudder.config._service.ACCEPT_WAIT_S", 0.3)
+    # This host has not read the heartbeats since the other one became ready.
+    presence = Presence(store, "host", "life", SystemClock())
+    service = ConfigurationService(store, presence, SystemClock())
+    beat = {"lifetime": "other-life", "count": 1, "rpc_address": "127.0.0.1:1"}
+    rows.put("hosts", "other", beat)
+    outcome = await service.apply(document(), 0)
+    assert outcome.pending_hosts == ("other",)
+    rows.put("hosts", "other", {**beat, "count": 2, "revision": 1})
+    assert (await service.apply(document(), 0)).accepted
--- a/tests/node/test_observing.py
+++ b/tests/node/test_observing.py
@@ -94,3 +94,25 @@
     assert process.returncode == 2
     [line] = output.decode().splitlines()
     assert json.loads(line)["field"] == field
+
+
+async def test_a_host_is_ready_only_once_the_others_can_know_of_it(site):
+    host = site.hosts[2]
+    await host.kill()
+    host.gate.hold("hosts")
+    await host.start()
+    headers = {"X-Request-Id": "q8", "X-Request-Deadline": "1500"}
+
+    async def is_serving():
+        try:
+            status, _, _ = await site.call(
+                host, "POST", "/score/1", body=b"x", headers=headers
+            )
+        except aiohttp.ClientError:
+            return False
+        return status == 200
+
+    await until(is_serving)
+    assert not await host.is_ready()
+    host.gate.release()
+    await until(host.is_ready)
--- a/tests/outside/store.py
+++ b/tests/outside/store.py
@@ -77,7 +77,8 @@
 class StoreGate:
     """One listener of the store, with faults of its own.
 
-    ``refuses_table`` is a table that takes no writes. ``lose_replies`` and
+    ``refuses_table`` is a table that takes no writes, and those to a
+    table that was given to `hold` wait for `release`. ``lose_replies`` and
     ``delay_commits`` count the next commits that are carried out without a reply,
     at once or only by `carry_out_delayed`. With ``hang_replies`` commits are carried
     out and their connections say nothing any more; a ``late_share`` of all commits is
@@ -94,6 +95,8 @@
         self.garbled = b""
         self.late_share = 0.0
         self.refuses_table = ""
+        self._held_table = ""
+        self._released = asyncio.Event()
         self.calls = []
         self.address = ""
         self._delayed = []
@@ -116,6 +119,16 @@
         """Stop listening."""
         await self._runner.cleanup()
 
+    def hold(self, table):
+        """Let the writes to a table wait."""
+        self._held_table = table
+        self._released.clear()
+
+    def release(self):
+        """Carry out what waits, and let writes wait no more."""
+        self._held_table = ""
+        self._released.set()
+
     def carry_out_delayed(self):
         """Carry out the commits that were delayed; tell how many were applied."""
         delayed, self._delayed = self._delayed, []
@@ -157,6 +170,8 @@
         removals = [_key(each) for each in document["remove"]]
         if any(key[0] == self.refuses_table for key, _ in puts):
             return web.Response(status=503)
+        if any(key[0] == self._held_table for key, _ in puts):
+            await self._released.wait()
         if self._rng.random() < self.late_share:
             self._delayed.append((expectations, puts, removals))
             await asyncio.sleep(60)
--- a/tests/presence/test_hosts.py
+++ b/tests/presence/test_hosts.py
@@ -100,6 +100,23 @@
     await until(lambda: hosts[2].presence.live_hosts() == ["b", "c"], 3.0)
 
 
+async def test_one_failed_heartbeat_of_the_watcher_hides_no_lost_host(
+    hosts, monkeypatch
+):
+    # The watcher is idle in a fleet so large that it beats every three seconds.
+    monkeypatch.setattr("bankrudder.presence._hosts.IDLE_HEARTBEATS_PER_S", 1.0)
+    hosts[0].presence.set_busy(True)
+    await all_known(hosts)
+    await asyncio.sleep(1.0)
+    hosts[2].gate.refuses_table = "hosts"
+    hosts[2].presence.set_revision(1)  # sends a heartbeat at once
+    await until(lambda: ("POST", "/bankrudder/rows-tx", {}) in hosts[2].gate.calls)
+    await asyncio.sleep(0.1)
+    hosts[2].gate.refuses_table = ""
+    hosts[0].task.cancel()
+    await until(lambda: hosts[2].presence.live_hosts() == ["b", "c"], 3.0)
+
+
 async def test_duties_and_batches_go_to_different_hosts(hosts):
     await all_known(hosts)
     hosts[0].presence.set_busy(True)
--- a/tests/presence/test_sending.py
+++ b/tests/presence/test_sending.py
@@ -1,11 +1,13 @@
 """Heartbeats are written in time, whatever becomes of the answers."""
 
 import asyncio
+import time
 from contextlib import asynccontextmanager, suppress
 
 import msgspec
 import pytest
 
+from bankrudder.platform._store import PlatformStore
 from bankrudder.presence._sending import MAX_UNANSWERED, HeartbeatSender, Rhythm
 from bankrudder.presence._values import HOSTS_TABLE, Heartbeat, Lifetime
 from bankrudder.world import HostId, SystemClock
@@ -74,6 +76,38 @@
         assert store.commits == sent
 
 
+async def test_a_heartbeat_that_was_not_written_is_soon_sent_again(gate, rows, store):
+    gate.mode = GateMode.BUSY
+    async with running(sender_of(store, LONG)) as sender:
+        await until(lambda: sender.fails)
+        gate.mode = GateMode.OPEN
+        await until(lambda: not sender.fails, 5.0)
+        assert written(rows) > 0
+
+
+async def test_heartbeats_that_are_not_written_come_no_more_often_than_usual(gate):
+    store = PlatformStore.from_config(gate.address)
+    gate.mode = GateMode.BUSY
+    rhythm = Rhythm(interval_s=1.0, is_resent=False)
+    try:
+        async with running(sender_of(store, rhythm)) as sender:
+            # One at once, one after half a second, and then one each second.
+            await until(lambda: sender.count >= 3, 5.0)
+            started = time.monotonic()
+            await until(lambda: sender.count >= 5, 5.0)
+            assert time.monotonic() - started > 1.5
+    finally:
+        await store.close()
+
+
+async def test_a_run_is_announced_once_the_store_answered(gate, store):
+    sender = sender_of(store, LONG)
+    assert not sender.was_answered
+    gate.mode = GateMode.BUSY
+    await sender.send()
+    assert sender.was_answered
+
+
 async def test_writes_that_fail_are_known_until_they_work_again(gate, store):
     sender = sender_of(store, LONG)
     gate.mode = GateMode.BUSY
