Calls go on in the moment in which the store returns

Cause: after an outage of the store each call found its end alone. Calls hung up to 0.8 s on silent connections and then paused up to 0.4 s, the lease 0.75 s. Change: the outcomes of all calls of a host tell an outage; calls then wait for its end instead of being sent, a small read asks each 0.1 s, the first answer lets all go on and gives up what still hangs. Reads that wait for results are answered at the return.

--- a/src/bankrudder/batches/_reading.py
+++ b/src/bankrudder/batches/_reading.py
@@ -12,6 +12,7 @@
     Sample,
     SampleId,
 )
+from bankrudder.store import StoreUnavailableError
 from bankrudder.world import Clock
 
 Kept = TypeVar("Kept")
@@ -45,15 +46,25 @@
             If that cannot be told now.
         """
         until = self._clock.monotonic() + wait_s
+        while True:
+            try:
+                page = await self._page(batch_id, after)
+            except StoreUnavailableError:
+                # A reader that waits is answered when the store returns.
+                if self._clock.monotonic() + POLL_S >= until:
+                    raise
+            else:
+                left_s = until - self._clock.monotonic()
+                if page is None or page.is_enough or left_s <= POLL_S:
+                    return page
+            await asyncio.sleep(POLL_S)
+
+    async def _page(self, batch_id: BatchId, after: int) -> ResultPage | None:
         head = await self._head(batch_id)
         if head is None:
             return None
-        while True:
-            results = await self._repository.results(batch_id, after)
-            left_s = until - self._clock.monotonic()
-            if results or left_s <= POLL_S or after >= head.sample_count:
-                return ResultPage(head.sample_count, results, after + len(results))
-            await asyncio.sleep(POLL_S)
+        results = await self._repository.results(batch_id, after)
+        return ResultPage(head.sample_count, results, after + len(results))
 
     async def sample(self, batch_id: BatchId, sample_id: SampleId) -> Sample | None:
         """Return a sample, None if there is no such batch or sample."""
--- a/src/bankrudder/batches/_values.py
+++ b/src/bankrudder/batches/_values.py
@@ -160,3 +160,8 @@
     sample_count: int
     results: tuple[SampleResult, ...]
     next_position: int
+
+    @property
+    def is_enough(self) -> bool:
+        """Whether a reader gains nothing by waiting for more."""
+        return bool(self.results) or self.next_position >= self.sample_count
--- a/src/bankrudder/leases/_lease.py
+++ b/src/bankrudder/leases/_lease.py
@@ -23,6 +23,7 @@
     Committed,
     Conflict,
     Expectation,
+    NotCommitted,
     NotSettledError,
     Put,
     Row,
@@ -44,6 +45,10 @@
 """Share of the lease, at its end, in which the holder no longer acts: what it sent
 before has then arrived when another host begins."""
 
+RETRY_PAUSE_S = 0.1
+"""Pause after a call without an answer. The call itself waits for the store's return,
+so a lease that lapsed in an outage is taken again a tenth of a second after it."""
+
 CANDIDATES = 3
 """Hosts that watch a lease; more would only cost reads."""
 
@@ -131,6 +136,7 @@
     async def run(self) -> None:
         """Renew the lease, or watch it and take it over, until cancelled."""
         while True:
+            pause_s = self._duration_s / RENEWALS
             try:
                 if self._fence:
                     await self._renew()
@@ -138,9 +144,10 @@
                     await self._watch()
             except (StoreUnavailableError, NotSettledError):
                 _log.warning("leases: store not reached", lease=self._name)
+                pause_s = RETRY_PAUSE_S
             if self._fence and self._clock.monotonic() >= self._valid_until:
                 self._drop("lapsed")
-            await asyncio.sleep(self._duration_s / RENEWALS)
+            await asyncio.sleep(pause_s)
 
     async def release(self) -> None:
         """Give the lease up before a planned stop."""
@@ -198,8 +205,11 @@
                 self._extend(began)
                 self._on_change(True)
                 _log.info("leases: taken", lease=self._name, fence=taken)
-            case _:
+            case Conflict():
+                self._seen = None
+            case NotCommitted(trouble=trouble):
                 self._seen = None
+                raise StoreUnavailableError(trouble)
 
     async def _renew(self) -> None:
         began = self._clock.monotonic()
@@ -212,15 +222,15 @@
                 self._extend(began)
             case Conflict():
                 self._drop("taken by another host")
-            case _:
-                _log.warning("leases: not renewed", lease=self._name)
+            case NotCommitted(trouble=trouble):
+                raise StoreUnavailableError(trouble)
 
     def _row(self, count: int, fence: RowVersion) -> LeaseRow:
         return LeaseRow(self._host, self._lifetime, count, fence, self._address)
 
     async def _write(
         self, row: LeaseRow, version: RowVersion
-    ) -> Committed | Conflict | object:
+    ) -> Committed | Conflict | NotCommitted:
         value = msgspec.json.encode(row)
         transaction = Transaction(
             (Expectation(self._key, version),), (Put(self._key, value),)
--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -35,7 +35,14 @@
 from bankrudder.presence import NO_ADDRESS, HostCleaner, Lifetime, Presence
 from bankrudder.relay import Forwarder, StreamForwarder
 from bankrudder.routing import RoutingTable
-from bankrudder.store import MeasuredStore, ReadPace, TableFollower
+from bankrudder.store import (
+    PROBE_PAUSE_S,
+    PROBE_SHARE,
+    MeasuredStore,
+    ReadPace,
+    RecoveringStore,
+    TableFollower,
+)
 from bankrudder.world import Clock
 
 ORDERS_LEASE = "orders"
@@ -62,10 +69,12 @@
         self.tracer = Tracer.from_config(settings.host, settings.traces, clock)
         measured = MeasuredStore(adapter.store, clock, self.instruments.note_store_call)
         self._feed_cache = FeedCache(clock)
-        self.store = RelayedStore(measured, self._feed_cache)
         self.pace = ReadPace(
             self._host_count, settings.store.reads_per_s, self._are_reads_few
         )
+        probe_pause_s = self._probe_pace().pause(PROBE_SHARE, PROBE_PAUSE_S)
+        recovering = RecoveringStore(measured, clock, probe_pause_s)
+        self.store = RelayedStore(recovering, self._feed_cache)
         self.directory = EndpointDirectory(settings.data_centre, clock)
         self.view = WorldView(
             self.store, adapter.documents, self.directory, clock, self.pace
@@ -204,6 +213,10 @@
             self._clock,
         )
 
+    def _probe_pace(self) -> ReadPace:
+        """Every host probes for itself, also where one reads for the others."""
+        return ReadPace(self._host_count, self._settings.store.reads_per_s)
+
     def _host_count(self) -> int:
         return self.presence.host_count()
 
--- a/src/bankrudder/store/__init__.py
+++ b/src/bankrudder/store/__init__.py
@@ -10,6 +10,11 @@
 from bankrudder.store._measured import MeasuredStore
 from bankrudder.store._pace import ReadPace
 from bankrudder.store._port import Store
+from bankrudder.store._recovering import (
+    PROBE_PAUSE_S,
+    PROBE_SHARE,
+    RecoveringStore,
+)
 from bankrudder.store._settling import commit_settled
 from bankrudder.store._values import (
     ABSENT,
@@ -43,8 +48,11 @@
     "NotCommitted",
     "NotSettledError",
     "Page",
+    "PROBE_PAUSE_S",
+    "PROBE_SHARE",
     "Put",
     "ReadPace",
+    "RecoveringStore",
     "RemovedRow",
     "Row",
     "RowKey",
--- a/src/bankrudder/store/_following.py
+++ b/src/bankrudder/store/_following.py
@@ -15,8 +15,9 @@
 fell silent is noticed this long and the read's own time later; together they stay
 under the two seconds in which a configuration must be in force."""
 
-RETRY_PAUSE_S = 0.2
-"""Pause after a failed read: keeps an outage at five calls a second for a table."""
+RETRY_PAUSE_S = 0.1
+"""Pause after a failed read. Calls wait by themselves while the store is away, so this
+paces only reads that are refused or lost one by one."""
 
 _log = structlog.get_logger("store")
 
--- a/src/bankrudder/store/_settling.py
+++ b/src/bankrudder/store/_settling.py
@@ -26,8 +26,9 @@
 FIRST_PAUSE_S = 0.05
 """Pause before a second try: some ten times the store's usual answer."""
 
-MAX_PAUSE_S = 0.4
-"""Longest pause, so that work goes on within half a second of the store's return."""
+MAX_PAUSE_S = 0.1
+"""Longest pause. Calls wait by themselves while the store is away, so this paces only
+those that are refused or lost one by one."""
 
 _log = structlog.get_logger("store")
 
