Engines follow quick pairs of versions in turn

Ruled out: loads that slow each other (two at once at most); refused orders (none). Change: choose_loads, a pure decision: engines of no use first, the oldest first; half of the rest follows at once, the other half once the version has settled for one and a half of the loads that were seen. The assignment moves to the same package, unchanged.

--- a/src/bankrudder/orders/_switching.py
+++ b/src/bankrudder/orders/_switching.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Collection, Mapping, Sequence
+from datetime import timedelta
 from functools import partial
 
 import structlog
@@ -23,8 +24,13 @@
 )
 from bankrudder.leases import Lease
 from bankrudder.orders._announcing import LoadAnnouncer, LoadedVersion
-from bankrudder.orders._assignment import assign_engines
 from bankrudder.routing import ModelName, RoutingTable, ServiceName
+from bankrudder.scheduling import (
+    EngineLoad,
+    ModelDemand,
+    assign_engines,
+    choose_loads,
+)
 from bankrudder.world import Clock, HostId, ModelVersion
 
 LOADING_SHARE = 0.4
@@ -33,11 +39,6 @@
 so many. The platform's sheets name two of five or six, and nine of 22 or 23, as the
 number from which loads slow each other down."""
 
-MODEL_LOADING_SHARE = 0.34
-"""Engines of one model that load at once, at most this share and at least one: an
-engine that loads takes no new samples for a second, and a step starts when a version
-is named."""
-
 LOOK_S = 0.05
 """How often it is looked for engines with an old version."""
 
@@ -57,6 +58,11 @@
 
 RETRY_PAUSE_S = 0.3
 
+FIRST_LOAD = timedelta(seconds=1)
+LOAD_WEIGHT = 0.3
+"""How long a load is taken to last before the first one was seen, and the weight of the
+newest one in the mean."""
+
 _log = structlog.get_logger("orders")
 
 
@@ -105,6 +111,8 @@
         self._orders_taken: dict[EndpointId, int] = {}
         self._fence = 0
         self._announced: set[EndpointId] = set()
+        self._named_since: dict[ModelName, tuple[ModelVersion, float]] = {}
+        self._usual_load = FIRST_LOAD
 
     async def run(self) -> None:
         """Give orders until cancelled."""
@@ -146,18 +154,39 @@
             )
             self._assign(service, engines)
             most = max(MIN_LOADING, math.floor(LOADING_SHARE * len(engines)))
-            loading = sum(each.endpoint.id in self._switching for each in engines)
+            followed = self._followed(service, engines)
+            chosen = choose_loads(followed, self._demands(), most, self._usual_load)
             for engine in engines:
-                if loading >= most:
-                    break
-                if engine.endpoint.id in self._switching:
-                    continue
-                model = self._outdated_model(engine, service)
-                if model is not None and (
-                    self._is_of_no_use(engine, model) or self._may_load(service, model)
-                ):
-                    self._start(engine, service, model)
-                    loading += 1
+                if engine.endpoint.id in chosen:
+                    self._start(engine, service)
+
+    def _followed(
+        self, service: ServiceName, engines: Sequence[TrackedEndpoint]
+    ) -> list[EngineLoad]:
+        """Return the engines that follow a model, and how far they are."""
+        assigned = self._assigned[service]
+        return [
+            EngineLoad(
+                each.endpoint.id,
+                assigned[each.endpoint.id],
+                each.version_of(assigned[each.endpoint.id]) or ModelVersion(0),
+                each.endpoint.id in self._switching,
+            )
+            for each in engines
+            if each.endpoint.id in assigned
+        ]
+
+    def _demands(self) -> dict[ModelName, ModelDemand]:
+        now = self._clock.monotonic()
+        demands = {}
+        for model, version in self._named.items():
+            known = self._named_since.get(model)
+            if known is None or known[0] != version:
+                known = (version, now)
+                self._named_since[model] = known
+            named_for = timedelta(seconds=now - known[1])
+            demands[model] = ModelDemand(version, self._needed(model), named_for)
+        return demands
 
     def _assign(self, service: ServiceName, engines: list[TrackedEndpoint]) -> None:
         models = {state.model for each in engines for state in each.endpoint.models}
@@ -187,32 +216,8 @@
             if self._samples(model)
         }
 
-    def _outdated_model(
-        self, engine: TrackedEndpoint, service: ServiceName
-    ) -> ModelName | None:
-        model = self._assigned[service].get(engine.endpoint.id)
-        named = self._named.get(model) if model is not None else None
-        if model is None or named is None:
-            return None
-        return model if (engine.version_of(model) or 0) < named else None
-
-    def _is_of_no_use(self, engine: TrackedEndpoint, model: ModelName) -> bool:
-        """Whether an open batch cannot be generated with an engine's version."""
-        return (engine.version_of(model) or 0) < self._needed(model)
-
-    def _may_load(self, service: ServiceName, model: ModelName) -> bool:
-        """Whether one more engine of a model may load now."""
-        engines = [
-            engine
-            for engine, served in self._assigned[service].items()
-            if served == model
-        ]
-        loading = sum(engine in self._switching for engine in engines)
-        return loading < max(1, math.floor(MODEL_LOADING_SHARE * len(engines)))
-
-    def _start(
-        self, engine: TrackedEndpoint, service: ServiceName, model: ModelName
-    ) -> None:
+    def _start(self, engine: TrackedEndpoint, service: ServiceName) -> None:
+        model = self._assigned[service][engine.endpoint.id]
         task = asyncio.ensure_future(self._switch(engine, service, model))
         self._switching[engine.endpoint.id] = task
         task.add_done_callback(partial(self._end, engine.endpoint.id))
@@ -269,7 +274,8 @@
     async def _wait_loaded(
         self, engine: TrackedEndpoint, model: ModelName, version: ModelVersion
     ) -> None:
-        until = self._clock.monotonic() + LOAD_TIMEOUT_S
+        began = self._clock.monotonic()
+        until = began + LOAD_TIMEOUT_S
         while self._clock.monotonic() < until:
             await asyncio.sleep(STATE_PAUSE_S)
             if not engine.takes_work:
@@ -278,6 +284,7 @@
             if state is not None:
                 self._note_versions(engine, state.versions)
             if (engine.version_of(model) or 0) >= version:
+                self._note_load(timedelta(seconds=self._clock.monotonic() - began))
                 await self._announce(engine, model, version)
                 return
         _log.warning(
@@ -285,6 +292,9 @@
         )
         self._orders_taken.pop(engine.endpoint.id, None)
 
+    def _note_load(self, lasted: timedelta) -> None:
+        self._usual_load += LOAD_WEIGHT * (lasted - self._usual_load)
+
     async def _announce(
         self, engine: TrackedEndpoint, model: ModelName, version: ModelVersion
     ) -> None:
--- /dev/null
+++ b/src/bankrudder/scheduling/__init__.py
@@ -0,0 +1,10 @@
+"""The policies by which work and weights are given out: values in, decision out.
+
+Each module names the load that it answers and what it buys. None of them does I/O; the
+parts that carry the decisions out stand beside it.
+"""
+
+from bankrudder.scheduling._assignment import assign_engines
+from bankrudder.scheduling._loads import EngineLoad, ModelDemand, choose_loads
+
+__all__ = ["EngineLoad", "ModelDemand", "assign_engines", "choose_loads"]
--- /dev/null
+++ b/src/bankrudder/scheduling/_loads.py
@@ -0,0 +1,127 @@
+"""Which engines load the newest version of their model's weights, and which wait.
+
+Pattern: a trainer that fell behind names two versions within a second and then none
+for several seconds, as two of its steps are in progress at once. An engine takes no new
+samples of its model for about a second while it loads. If engines follow each version
+in the same order, the first one loads twice while the last one keeps weights that no
+step may use any more, and the second step finds no engine at all.
+
+Answer: engines whose weights no open batch may use load first, the oldest first, and
+those of a model without any usable engine before others. Of the rest, half follow at
+once, so that the next step, which may still use the version before, finds the other
+half; these follow when the version has settled. So each engine follows every second
+version of a quick pair, and never all of them at once.
+"""
+
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from bankrudder.fleet import EndpointId
+from bankrudder.routing import ModelName
+from bankrudder.world import ModelVersion
+
+FOLLOWING_SHARE = 0.5
+"""Share of a model's engines that follow a new version at once while the version
+before may still be used; rounded down, so that a single engine waits."""
+
+SETTLED_LOADS = 1.5
+"""A version has settled after this many times an engine's usual load: a newer one that
+was about to be named would by then have made the load useless."""
+
+MODEL_LOADING_SHARE = 0.34
+"""Engines of one model that load at once while they are still of use, at most this
+share and at least one: they take no new samples meanwhile."""
+
+
+@dataclass(frozen=True)
+class EngineLoad:
+    """One engine and the model whose weights it follows."""
+
+    id: EndpointId
+    model: ModelName
+    version: ModelVersion
+    """The newest that it has."""
+
+    is_loading: bool
+
+
+@dataclass(frozen=True)
+class ModelDemand:
+    """What trainers ask of a model's engines."""
+
+    named: ModelVersion
+    """The newest version that was named."""
+
+    needed: ModelVersion
+    """The oldest version that every open batch may be generated with."""
+
+    named_for: timedelta
+    """Time since it was named."""
+
+
+def choose_loads(
+    engines: Sequence[EngineLoad],
+    demands: Mapping[ModelName, ModelDemand],
+    most: int,
+    usual_load: timedelta,
+) -> list[EndpointId]:
+    """Return the engines that shall begin to load now, the most urgent first.
+
+    Parameters
+    ----------
+    engines : sequence of EngineLoad
+        All engines of a service that follow a model.
+    demands : mapping
+        Models of which no version was named are left out.
+    most : int
+        Engines that may load at once, those that do included.
+    usual_load : timedelta
+        How long a load takes.
+    """
+    room = most - sum(engine.is_loading for engine in engines)
+    if room <= 0:
+        return []
+    useless: list[tuple[bool, ModelVersion, EndpointId]] = []
+    useful: list[tuple[ModelVersion, EndpointId]] = []
+    for model, demand in demands.items():
+        own = [engine for engine in engines if engine.model == model]
+        behind = [
+            engine
+            for engine in own
+            if engine.version < demand.named and not engine.is_loading
+        ]
+        has_usable = any(engine.version >= demand.needed for engine in own)
+        useless += [
+            (has_usable, engine.version, engine.id)
+            for engine in behind
+            if engine.version < demand.needed
+        ]
+        useful += _useful(own, behind, demand, usual_load)
+    chosen = [engine for *_, engine in sorted(useless)]
+    chosen += [engine for _, engine in sorted(useful)]
+    return chosen[:room]
+
+
+def _useful(
+    own: Sequence[EngineLoad],
+    behind: Collection[EngineLoad],
+    demand: ModelDemand,
+    usual_load: timedelta,
+) -> list[tuple[ModelVersion, EndpointId]]:
+    """Return the engines of one model that load although they are still of use."""
+    candidates = sorted(
+        (engine.version, engine.id)
+        for engine in behind
+        if engine.version >= demand.needed
+    )
+    loading = sum(engine.is_loading for engine in own)
+    room = max(1, int(MODEL_LOADING_SHARE * len(own))) - loading
+    if demand.named_for < SETTLED_LOADS * usual_load:
+        following = sum(
+            engine.is_loading or engine.version >= demand.named for engine in own
+        )
+        # Those that are of no use follow anyway, and count among the half.
+        following += len(behind) - len(candidates)
+        room = min(room, int(FOLLOWING_SHARE * len(own)) - following)
+    return candidates[: max(room, 0)]
--- a/tests/orders/test_assignment.py
+++ b/tests/scheduling/test_assignment.py
@@ -1,6 +1,6 @@
 """Engines are shared among models by work, and seldom change hands."""
 
-from bankrudder.orders._assignment import assign_engines
+from bankrudder.scheduling._assignment import assign_engines
 
 ENGINES = ["e1", "e2", "e3", "e4", "e5"]
 
