--- a/src/bankrudder/scheduling/_assignment.py
+++ b/src/bankrudder/scheduling/_assignment.py
@@ -4,9 +4,9 @@
 follows the versions of one model, and models get engines by their share of the work, no
 more than their samples can use.
 
-Who begins to give orders, after a restart of all hosts or when the host before was lost,
-knows no assignment. The versions that engines have tell which model each followed;
-drawn anew, half of them would change it, and load weights while steps wait.
+Who begins to give orders, after a restart of all hosts or when the host before was
+lost, knows no assignment. The versions that engines have tell which model each
+followed; drawn anew, half of them would change it, and load weights while steps wait.
 
 A step lasts as long as its longest sample, and a longest sample as long as its engine
 is slow: on engines that make events a third slower than others, ten seconds where
--- a/tests/orders/test_switching.py
+++ b/tests/orders/test_switching.py
@@ -72,7 +72,8 @@
             engines.versions[engine.id] = dict.fromkeys(named, 1)
         switcher = VersionSwitcher(
             HeldLease(), "h", directory, engines, named, lambda model: 1.0,
-            lambda model: samples, lambda model: needed, engines, dict, lambda: None, clock,
+            lambda model: samples, lambda model: needed, engines, dict,
+            lambda: None, clock,
         )  # fmt: skip
         task = asyncio.ensure_future(switcher.run())
         await asyncio.sleep(10 * LOAD_S)
