Owners know which engines load, and when a load has ended

Cause: an engine that loads refuses samples of its model for a second. The end of a load was asked for each 0.2 s. Ruled out: engines that are full (each model has 24 slots, of which its owner knows). Change: the row that tells a loaded version also tells that a load began; the engine gets nothing for that model until it has loaded, or two seconds later at the latest. The end is asked for each 0.05 s from four fifths of the usual load on.

--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -177,6 +177,7 @@
             if each.in_flight < each.endpoint.slots
             and not each.is_suspended(now)
             and self._paused.get((each.endpoint.id, model), 0.0) <= now
+            and not each.is_loading(model, now)
             and (each.version_of(model) or 0) >= min_version
         ]
 
--- a/src/bankrudder/fleet/_tracked.py
+++ b/src/bankrudder/fleet/_tracked.py
@@ -15,6 +15,10 @@
 """An endpoint that gives no answer is left out this long, doubled up to the most;
 a restart takes some seconds and is listed as a new endpoint anyway."""
 
+LOADING_S = 2.0
+"""An engine that was said to load is taken to have loaded after this time, twice what a
+load takes, if nobody says so: who gives orders may be lost meanwhile."""
+
 LOAD_AGE_S = 1.0
 """Age in seconds after which a reported load says nothing any more."""
 
@@ -26,6 +30,7 @@
         self.in_flight = 0
         self._endpoint = endpoint
         self._versions = {state.model: state.version for state in endpoint.models}
+        self._loading: dict[ModelName, tuple[ModelVersion, float]] = {}
         self._latency_s: float | None = None
         self._event_gap_s: float | None = None
         self._load: ReportedLoad | None = None
@@ -98,6 +103,15 @@
         if version > self._versions.get(model, 0):
             self._versions[model] = version
 
+    def note_loading(self, model: ModelName, version: ModelVersion, now: float) -> None:
+        """Note that it began to load a version: it refuses samples of the model."""
+        self._loading[model] = (version, now + LOADING_S)
+
+    def is_loading(self, model: ModelName, now: float) -> bool:
+        """Whether it refuses samples of a model because it loads."""
+        version, until = self._loading.get(model, (ModelVersion(0), 0.0))
+        return now < until and self._versions.get(model, 0) < version
+
     def note_answer(self, latency_s: float) -> None:
         """Note a whole answer."""
         self._failures = 0
--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -89,7 +89,7 @@
         self.presence = self._make_presence()
         self.forwarder = Forwarder(self.directory, self._endpoints, clock, self.tracer)
         self.streams = StreamForwarder(self.directory, self._endpoints, clock)
-        self._announcer = LoadAnnouncer(self.store, self.directory)
+        self._announcer = LoadAnnouncer(self.store, self.directory, clock)
         self._paces = EnginePaces(self.store, self.directory)
         self.repository = BatchRepository(self.store, clock, settings.store.row_bytes)
         self.batches = self._make_batches()
--- a/src/bankrudder/orders/_switching.py
+++ b/src/bankrudder/orders/_switching.py
@@ -23,7 +23,7 @@
     VersionOrder,
 )
 from bankrudder.leases import Lease
-from bankrudder.orders._announcing import LoadAnnouncer, LoadedVersion
+from bankrudder.orders._announcing import EngineVersion, LoadAnnouncer
 from bankrudder.routing import ModelName, RoutingTable, ServiceName
 from bankrudder.scheduling import (
     EngineLoad,
@@ -50,8 +50,12 @@
 SPARE_ENGINES = 2
 """Engines beyond those that a model's samples fill: one may be lost, one loads."""
 
-STATE_PAUSE_S = 0.2
-"""Pause between two questions whether an engine has loaded: a fifth of a load."""
+STATE_PAUSE_S = 0.05
+"""Pause between two questions whether an engine has loaded, from when that is likely: a
+twentieth of a load, as samples wait for its end."""
+
+SURELY_LOADING_SHARE = 0.8
+"""Share of a load's usual time for which nothing is asked; loads vary little."""
 
 LOAD_TIMEOUT_S = 6.0
 """An order that was accepted and shows no effect for so long is given anew: several
@@ -118,6 +122,7 @@
         self._announced: set[EndpointId] = set()
         self._named_since: dict[ModelName, tuple[ModelVersion, float]] = {}
         self._usual_load = FIRST_LOAD
+        self._has_seen_load = False
 
     async def run(self) -> None:
         """Give orders until cancelled."""
@@ -275,10 +280,13 @@
         match outcome:
             case OrderOutcome.ACCEPTED:
                 self._orders_taken[endpoint.id] = expected + 1
-                await self._wait_loaded(engine, model, version)
+                await asyncio.gather(
+                    self._announce(engine, EngineVersion(model, version, True)),
+                    self._wait_loaded(engine, model, version),
+                )
             case OrderOutcome.ALREADY_SO:
                 engine.note_version(model, version)
-                await self._announce(engine, model, version)
+                await self._announce(engine, EngineVersion(model, version))
             case _:
                 # The count is read anew: it tells whether the order was accepted.
                 self._orders_taken.pop(endpoint.id, None)
@@ -289,6 +297,9 @@
     ) -> None:
         began = self._clock.monotonic()
         until = began + LOAD_TIMEOUT_S
+        if self._has_seen_load:
+            surely = SURELY_LOADING_SHARE * self._usual_load
+            await asyncio.sleep(surely.total_seconds())
         while self._clock.monotonic() < until:
             await asyncio.sleep(STATE_PAUSE_S)
             if not engine.takes_work:
@@ -298,7 +309,7 @@
                 self._note_versions(engine, state.versions)
             if (engine.version_of(model) or 0) >= version:
                 self._note_load(timedelta(seconds=self._clock.monotonic() - began))
-                await self._announce(engine, model, version)
+                await self._announce(engine, EngineVersion(model, version))
                 return
         _log.warning(
             "orders: no effect seen", endpoint=engine.endpoint.id, version=version
@@ -306,14 +317,14 @@
         self._orders_taken.pop(engine.endpoint.id, None)
 
     def _note_load(self, lasted: timedelta) -> None:
+        if not self._has_seen_load:
+            self._usual_load = lasted
+            self._has_seen_load = True
         self._usual_load += LOAD_WEIGHT * (lasted - self._usual_load)
 
-    async def _announce(
-        self, engine: TrackedEndpoint, model: ModelName, version: ModelVersion
-    ) -> None:
-        loaded = LoadedVersion(model, version)
+    async def _announce(self, engine: TrackedEndpoint, state: EngineVersion) -> None:
         self._announced.add(engine.endpoint.id)
-        await self._announcer.announce(engine.endpoint.id, loaded)
+        await self._announcer.announce(engine.endpoint.id, state)
 
     def _note_versions(
         self, engine: TrackedEndpoint, versions: Mapping[ModelName, ModelVersion]
--- a/tests/batches/test_dispatcher.py
+++ b/tests/batches/test_dispatcher.py
@@ -6,6 +6,7 @@
 
 from bankrudder.batches._dispatcher import Dispatcher
 from bankrudder.fleet import Endpoint, EndpointDirectory, ModelState
+from bankrudder.fleet._tracked import LOADING_S
 
 
 @pytest.fixture
@@ -94,6 +95,36 @@
     assert None not in await granted(task, other)
 
 
+async def test_an_engine_that_loads_gets_nothing_until_it_has_loaded(
+    dispatcher, directory, hand_clock
+):
+    for name in ("a", "b"):
+        directory.get(name).note_loading("m", 4, hand_clock.monotonic())
+    task = asked(dispatcher)
+    assert await granted(task) == [None]
+    directory.get("b").note_version("m", 4)
+    other = asked(dispatcher)
+    assert await granted(task, other) == ["b", "b"]
+
+
+async def test_an_engine_is_not_left_out_for_good_if_its_load_is_never_told(
+    dispatcher, directory, hand_clock
+):
+    for name in ("a", "b"):
+        directory.get(name).note_loading("m", 4, hand_clock.monotonic())
+    hand_clock.advance(LOADING_S)
+    assert await granted(asked(dispatcher)) != [None]
+
+
+async def test_news_of_a_load_that_is_over_changes_nothing(
+    dispatcher, directory, hand_clock
+):
+    for name in ("a", "b"):
+        directory.get(name).note_version("m", 4)
+        directory.get(name).note_loading("m", 4, hand_clock.monotonic())
+    assert await granted(asked(dispatcher)) != [None]
+
+
 async def test_a_cancelled_request_takes_no_slot(dispatcher, directory):
     tasks = [asked(dispatcher) for _ in range(5)]
     await granted(*tasks)
