--- a/tests/orders/test_switching.py
+++ b/tests/orders/test_switching.py
@@ -73,6 +73,7 @@
             engine = Endpoint(f"e{number}", "s", "a:1", "north", 8, models=states)
             directory.put(engine)
             engines.versions[engine.id] = dict.fromkeys(named, 1)
+        directory.put(Endpoint("desk", "plain", "a:2", "north", 8))
         switcher = VersionSwitcher(
             HeldLease(), "h", directory, engines, named, lambda model: 1.0,
             lambda model: samples, lambda model: needed, engines, dict,
