--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -4,10 +4,12 @@
 import heapq
 import itertools
 from dataclasses import dataclass, field
+from datetime import timedelta
 
 from bankrudder.batches._values import GroupId
 from bankrudder.fleet import EndpointDirectory, EndpointId, TrackedEndpoint
 from bankrudder.routing import ModelName, ServiceName
+from bankrudder.scheduling import is_worth_moving
 from bankrudder.world import Clock, DataCentreName, ModelVersion
 
 RECHECK_S = 0.05
@@ -99,17 +101,18 @@
         service: ServiceName,
         model: ModelName,
         min_version: ModelVersion,
-        factor: float,
+        events: int,
         data_centres: tuple[DataCentreName, ...] = (),
     ) -> bool:
-        """Whether a free engine makes events that many times as fast."""
+        """Whether a sample of so many events should go on at a free engine."""
         gap_s = target.event_gap_s
         if gap_s is None or self._waiting:
             return False
+        here = timedelta(seconds=gap_s)
         return any(
-            each.event_gap_s is not None and each.event_gap_s * factor < gap_s
+            is_worth_moving(events, here, timedelta(seconds=each.event_gap_s))
             for each in self._free(service, model, min_version, data_centres)
-            if each is not target
+            if each is not target and each.event_gap_s is not None
         )
 
     async def run(self) -> None:
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -32,15 +32,6 @@
 """Longest wait for a later event: forty times the usual, and longer than a run
 pauses while its engine takes new weights."""
 
-SLOWNESS_FACTOR = 1.6
-"""A run moves to a free engine that is this many times as quick: the prompt is read
-again within some milliseconds, so a move pays after a few events."""
-
-LONG_SLOWNESS_FACTOR = 1.15
-LONG_EVENTS = 30
-"""A run that is already longer than most moves for less: it is likely to go on for
-long, and its group waits for it."""
-
 EVENTS_BETWEEN_LOOKS = 4
 """Events after which a run looks for a quicker engine again."""
 
@@ -220,6 +211,7 @@
     ) -> None:
         began = self._clock.monotonic()
         last = began
+        looked_at: float | None = None
         count = 0
         try:
             async for event in _timed(events):
@@ -228,10 +220,13 @@
                 last = now
                 self._take_event(target, event, version)
                 version = event.version or version
+                if looked_at is None:
+                    looked_at = now
+                    continue
                 count += 1
                 if count % EVENTS_BETWEEN_LOOKS == 0:
-                    gap_s = (self._clock.monotonic() - began) / count
-                    target.note_event_gap(gap_s)
+                    target.note_event_gap((now - looked_at) / EVENTS_BETWEEN_LOOKS)
+                    looked_at = now
                     if self._should_move(target):
                         self._log_break(target, "a free engine is quicker")
                         return
@@ -268,7 +263,7 @@
             target.endpoint.service,
             self._batch.model,
             self._batch.min_version,
-            LONG_SLOWNESS_FACTOR if len(self._text) >= LONG_EVENTS else SLOWNESS_FACTOR,
+            len(self._text),
             self._route.data_centres if self._route is not None else (),
         )
 
--- a/src/bankrudder/scheduling/__init__.py
+++ b/src/bankrudder/scheduling/__init__.py
@@ -6,6 +6,7 @@
 
 from bankrudder.scheduling._assignment import assign_engines, followed_models
 from bankrudder.scheduling._loads import EngineLoad, ModelDemand, choose_loads
+from bankrudder.scheduling._moves import is_worth_moving
 
 __all__ = [
     "EngineLoad",
@@ -13,4 +14,5 @@
     "assign_engines",
     "choose_loads",
     "followed_models",
+    "is_worth_moving",
 ]
