Exchange engines only for a model that lacks quick ones altogether

The usual gap was the least seen, as low as 0.031 s where no engine takes less than 0.036 s, so engines changed sides of the bound. Ruled out: the shares of work (those move an engine only if a whole one lacks). Change: the usual gap is the median of the last 20 looks; between quick (1.15) and slow (1.2) nothing is exchanged; only a model with less than half of its due is helped.

--- a/src/bankrudder/orders/_paces.py
+++ b/src/bankrudder/orders/_paces.py
@@ -5,6 +5,9 @@
 table, one row for each engine, seldom and without a condition: the newest says enough.
 """
 
+from collections import deque
+from statistics import median
+
 import msgspec
 import structlog
 
@@ -27,10 +30,12 @@
 """A pace is told again once it changed by this share: less than what the load of an
 engine makes of it."""
 
-FORGETTING = 0.01
-"""Share by which the usual gap may grow with each look. The least gap seen counts, as
-engines are slow for some seconds now and then; one that stays slow is known as such
-after a minute."""
+REMEMBERED = 20
+"""Looks whose median is the usual gap: twice as long as engines are slow now and then,
+so that this changes nothing; one that stays slow is known as such ten seconds later."""
+
+LEAST_LOOKS = 3
+"""Looks after which a gap is known: the first ones come from a run or two."""
 
 _log = structlog.get_logger("orders")
 
@@ -48,12 +53,16 @@
         self._store = store
         self._directory = directory
         self._told: dict[EndpointId, float] = {}
-        self._usual: dict[EndpointId, float] = {}
+        self._seen: dict[EndpointId, deque[float]] = {}
 
     @property
     def usual(self) -> dict[EndpointId, float]:
-        """Usual seconds from event to event, by engine, as read last."""
-        return self._usual
+        """Usual seconds from event to event, by engine, where that is known."""
+        return {
+            engine: median(gaps)
+            for engine, gaps in self._seen.items()
+            if len(gaps) >= LEAST_LOOKS
+        }
 
     async def tell(self) -> None:
         """Write the paces that changed; what is not written is tried again."""
@@ -85,11 +94,11 @@
             engine = EndpointId(row.key.key)
             if self._directory.get(engine) is None:
                 gone.append(row.key)
-                self._usual.pop(engine, None)
+                self._seen.pop(engine, None)
                 continue
-            gap_s = msgspec.json.decode(row.value, type=EnginePace).gap_s
-            bound = self._usual.get(engine, gap_s) * (1 + FORGETTING)
-            self._usual[engine] = min(gap_s, bound)
+            pace = msgspec.json.decode(row.value, type=EnginePace)
+            seen = self._seen.setdefault(engine, deque(maxlen=REMEMBERED))
+            seen.append(pace.gap_s)
         if gone:
             await self._store.commit(Transaction(removals=tuple(gone)))
 
--- a/src/bankrudder/scheduling/_assignment.py
+++ b/src/bankrudder/scheduling/_assignment.py
@@ -26,8 +26,14 @@
 
 
 QUICK_FACTOR = 1.15
-"""An engine is quick if it takes at most this many times as long from event to event as
-the quickest one: between what the load of one engine and its speed make of it."""
+SLOW_FACTOR = 1.2
+"""An engine is quick if it takes at most so many times as long from event to event as
+the quickest one, and slow from the second figure on. The load of an engine makes less
+of a difference; what lies between changes no assignment."""
+
+LEAST_QUICK_SHARE = 0.5
+"""Engines are exchanged if a model has less than this share of the quick ones that are
+its due: none where it should have one. Each exchange costs two loads."""
 
 USELESS_FACTOR = 1.25
 """How many times as many engines as a model can use it keeps: the number of samples
@@ -159,35 +165,32 @@
 def _share_quick(
     gaps: Mapping[EndpointId, float], assigned: dict[EndpointId, ModelName]
 ) -> None:
-    """Exchange engines until each model has its share of the quick ones."""
+    """Exchange engines until no model has far less than its share of quick ones."""
     known = {engine: gap for engine, gap in gaps.items() if engine in assigned}
     if not known:
         return
-    bound = QUICK_FACTOR * min(known.values())
-    quick = {engine for engine, gap in known.items() if gap <= bound}
+    quickest = min(known.values())
+    quick = {key for key, gap in known.items() if gap <= QUICK_FACTOR * quickest}
+    slow = {key for key, gap in known.items() if gap >= SLOW_FACTOR * quickest}
     for _ in range(len(assigned)):
-        lacks = _lacks_of_quick(quick, assigned)
-        poorest = max(sorted(lacks), key=lambda model: lacks[model])
-        richest = min(sorted(lacks), key=lambda model: lacks[model])
-        slow = [
-            engine
-            for engine in sorted(known)
-            if assigned[engine] == poorest and engine not in quick
-        ]
-        if lacks[poorest] < MIN_GAIN or lacks[richest] >= 0 or not slow:
+        served = _shares_of_quick(quick, assigned)
+        poorest = min(sorted(served), key=lambda model: served[model])
+        richest = max(sorted(served), key=lambda model: served[model])
+        given = [key for key in sorted(quick) if assigned[key] == richest]
+        taken = [key for key in sorted(slow) if assigned[key] == poorest]
+        if served[poorest] >= LEAST_QUICK_SHARE or len(given) < 2 or not taken:
             return
-        given = min(engine for engine in quick if assigned[engine] == richest)
-        slowest = max(slow, key=lambda engine: known[engine])
-        assigned[given], assigned[slowest] = poorest, richest
+        slowest = max(taken, key=lambda key: known[key])
+        assigned[given[0]], assigned[slowest] = poorest, richest
 
 
-def _lacks_of_quick(
+def _shares_of_quick(
     quick: Collection[EndpointId], assigned: Mapping[EndpointId, ModelName]
 ) -> dict[ModelName, float]:
-    """Return how many quick engines each model has below its share of them."""
+    """Return what each model has of the quick engines that would be its due."""
     counts = Counter(assigned.values())
     quick_counts = Counter(assigned[engine] for engine in quick)
-    share = len(quick) / len(assigned)
+    due = len(quick) / len(assigned)
     return {
-        model: share * count - quick_counts[model] for model, count in counts.items()
+        model: quick_counts[model] / (due * count) for model, count in counts.items()
     }
--- a/src/bankrudder/scheduling/_moves.py
+++ b/src/bankrudder/scheduling/_moves.py
@@ -5,7 +5,7 @@
 What is left of a sample is expected to be as long as what it has: lengths are spread so
 widely that those that went on for long mostly go on. So a move is weighed by what it
 saves over as many events as there are, against what it costs: a new connection, the
-reading of the prompt and of what was generated, and the wait for the engine's next step.
+reading of the prompt and of what was generated, and the wait for the next event.
 """
 
 from datetime import timedelta
--- a/tests/orders/test_paces.py
+++ b/tests/orders/test_paces.py
@@ -4,6 +4,7 @@
 
 from bankrudder.fleet import Endpoint, EndpointDirectory
 from bankrudder.orders import EnginePaces
+from bankrudder.orders._paces import LEAST_LOOKS
 from bankrudder.world import SystemClock
 from outside.fixtures import gate, rows, store
 from outside.store import GateMode
@@ -28,7 +29,9 @@
     directory.get("e1").note_event_gap(0.05)
     await paces.tell()
     other = EnginePaces(store, directory)
-    await other.look()
+    for _ in range(LEAST_LOOKS):
+        assert other.usual == {}
+        await other.look()
     assert other.usual == {"e1": 0.05}
 
 
@@ -48,13 +51,17 @@
 async def test_an_engine_that_is_slow_for_a_while_keeps_its_name(paces, directory):
     directory.get("e1").note_event_gap(0.04)
     await paces.tell()
-    await paces.look()
+    for _ in range(10):
+        await paces.look()
     for _ in range(40):
         directory.get("e1").note_event_gap(0.12)
     await paces.tell()
     for _ in range(8):
         await paces.look()
-    assert paces.usual["e1"] < 0.046
+    assert paces.usual["e1"] == 0.04
+    for _ in range(8):
+        await paces.look()
+    assert paces.usual["e1"] > 0.1
 
 
 async def test_rows_of_engines_that_are_gone_are_removed(paces, directory, rows):
@@ -76,5 +83,6 @@
     assert paces.usual == {}
     gate.mode = GateMode.OPEN
     await paces.tell()
-    await paces.look()
+    for _ in range(LEAST_LOOKS):
+        await paces.look()
     assert paces.usual == {"e1": 0.04}
