--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -20,6 +20,11 @@
 """An engine that refused is left alone for this long: it is full, or it takes new
 weights, which lasts a second."""
 
+UNTRUSTED_SLOTS = 1
+"""Samples that an engine gets which failed and has shown no sign of life since: one
+shows whether it is back. It comes last and is never moved to, as a sample on an engine
+that is dark waits for a second or more."""
+
 SAME_GROUP_FACTOR = 1.2
 """How much slower an engine may be and still be taken because it has read the
 group's prompt."""
@@ -112,7 +117,7 @@
         return any(
             is_worth_moving(events, here, timedelta(seconds=each.event_gap_s))
             for each in self._free(service, model, min_version, data_centres)
-            if each is not target and each.event_gap_s is not None
+            if each is not target and each.is_trusted and each.event_gap_s is not None
         )
 
     async def run(self) -> None:
@@ -158,13 +163,14 @@
 
     def _rating(
         self, each: TrackedEndpoint, group: GroupId, usual_s: float
-    ) -> tuple[float, float]:
+    ) -> tuple[bool, float, float]:
         gap_s = each.event_gap_s or usual_s
         if (group, each.endpoint.id) in self._group_homes:
             gap_s /= SAME_GROUP_FACTOR
         occupied = each.in_flight / each.endpoint.slots
         # Within a tenth engines count as equally quick, and the emptier one goes.
-        return (round(10 * gap_s / usual_s) + 3 * occupied, occupied)
+        rating = round(10 * gap_s / usual_s) + 3 * occupied
+        return (not each.is_trusted, rating, occupied)
 
     def _free(
         self,
@@ -177,13 +183,17 @@
         return [
             each
             for each in self._directory.of_service(service, data_centres)
-            if each.in_flight < each.endpoint.slots
+            if each.in_flight < self._slots(each)
             and not each.is_suspended(now)
             and self._paused.get((each.endpoint.id, model), 0.0) <= now
             and not each.is_loading(model, now)
             and (each.version_of(model) or 0) >= min_version
         ]
 
+    @staticmethod
+    def _slots(each: TrackedEndpoint) -> int:
+        return each.endpoint.slots if each.is_trusted else UNTRUSTED_SLOTS
+
     def _count_group(self, group: GroupId, endpoint: EndpointId, change: int) -> None:
         key = (group, endpoint)
         count = self._group_homes.get(key, 0) + change
--- a/src/bankrudder/fleet/_tracked.py
+++ b/src/bankrudder/fleet/_tracked.py
@@ -73,6 +73,11 @@
         """Return the newest version that it is known to serve."""
         return self._versions.get(model)
 
+    @property
+    def is_trusted(self) -> bool:
+        """Whether it has shown signs of life since it last failed."""
+        return self._failures == 0
+
     def is_suspended(self, now: float) -> bool:
         """Whether it failed so recently that others are better."""
         return now < self._suspended_until
@@ -114,9 +119,13 @@
 
     def note_answer(self, latency_s: float) -> None:
         """Note a whole answer."""
+        self.note_alive()
+        self._latency_s = _mean(self._latency_s, latency_s)
+
+    def note_alive(self) -> None:
+        """Note a sign of life, such as the first event of a stream."""
         self._failures = 0
         self._suspended_until = 0.0
-        self._latency_s = _mean(self._latency_s, latency_s)
 
     def note_event_gap(self, gap_s: float) -> None:
         """Note the time between two events of a stream."""
--- a/tests/batches/test_dispatcher.py
+++ b/tests/batches/test_dispatcher.py
@@ -6,7 +6,7 @@
 
 from bankrudder.batches._dispatcher import Dispatcher
 from bankrudder.fleet import Endpoint, EndpointDirectory, ModelState
-from bankrudder.fleet._tracked import LOADING_S
+from bankrudder.fleet._tracked import LOADING_S, MAX_SUSPENSION_S
 
 
 @pytest.fixture
@@ -125,6 +125,33 @@
     assert await granted(asked(dispatcher)) != [None]
 
 
+async def test_an_engine_that_failed_gets_one_sample_until_it_shows_life(
+    dispatcher, directory, hand_clock
+):
+    dark = directory.get("b")
+    dark.note_failure(hand_clock.monotonic())
+    hand_clock.advance(MAX_SUSPENSION_S)
+    tasks = [asked(dispatcher) for _ in range(4)]
+    # It comes last, though it is as empty as the other one.
+    assert await granted(*tasks) == ["a", "a", "b", None]
+    dark.note_alive()
+    dispatcher.release(tasks[0].result(), "g")
+    assert None not in await granted(*tasks)
+
+
+async def test_no_sample_moves_to_an_engine_that_failed(
+    dispatcher, directory, hand_clock
+):
+    directory.get("a").note_event_gap(0.1)
+    directory.get("b").note_event_gap(0.03)
+    slow, quick = directory.get("a"), directory.get("b")
+    quick.note_failure(hand_clock.monotonic())
+    hand_clock.advance(MAX_SUSPENSION_S)
+    assert not dispatcher.quicker_than(slow, "s", "m", 1, 100)
+    quick.note_alive()
+    assert dispatcher.quicker_than(slow, "s", "m", 1, 100)
+
+
 async def test_a_cancelled_request_takes_no_slot(dispatcher, directory):
     tasks = [asked(dispatcher) for _ in range(5)]
     await granted(*tasks)
