Keep the next slot of a quicker engine for a sample that would gain by moving

Ruled out: waits (0.0 s), versions (other engines had them, as short samples ran there). Change: what a running sample would gain is asked whether or not others wait; if the engines in question are full, the next slot of the quickest is kept for it for 0.4 s, up to half of an engine's slots. What a sample asks of an engine is one value, SlotDemand.

--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from bankrudder.batches._values import GroupId
+from bankrudder.batches._values import GroupId, SampleId
 from bankrudder.fleet import EndpointDirectory, EndpointId, TrackedEndpoint
 from bankrudder.routing import ModelName, ServiceName
 from bankrudder.scheduling import is_worth_moving
@@ -30,17 +30,34 @@
 group's prompt."""
 
 
+RESERVED_S = 0.4
+"""Time for which a slot is kept for a running sample that would gain by moving: two of
+its looks at the engines."""
+
+MOST_RESERVED = 0.5
+"""Share of an engine's slots that may be kept so; the rest is for samples that wait."""
+
+
+@dataclass(frozen=True)
+class SlotDemand:
+    """What a sample asks of an engine; lower ranks go first."""
+
+    sample: SampleId
+    rank: tuple[float, ...]
+    service: ServiceName
+    model: ModelName
+    min_version: ModelVersion
+    group: GroupId
+    data_centres: tuple[DataCentreName, ...] = ()
+
+
 @dataclass(order=True)
-class SlotRequest:
-    """A sample that wants a slot; lower ranks go first."""
+class _Request:
+    """A sample that waits for a slot."""
 
     rank: tuple[float, ...]
     sequence: int
-    service: ServiceName = field(compare=False)
-    model: ModelName = field(compare=False)
-    min_version: ModelVersion = field(compare=False)
-    group: GroupId = field(compare=False)
-    data_centres: tuple[DataCentreName, ...] = field(compare=False)
+    demand: SlotDemand = field(compare=False)
     granted: "asyncio.Future[TrackedEndpoint]" = field(compare=False)
 
 
@@ -50,43 +67,28 @@
     def __init__(self, directory: EndpointDirectory, clock: Clock):
         self._directory = directory
         self._clock = clock
-        self._waiting: list[SlotRequest] = []
+        self._waiting: list[_Request] = []
         self._sequence = itertools.count()
         self._paused: dict[tuple[EndpointId, ModelName], float] = {}
         self._group_homes: dict[tuple[GroupId, EndpointId], int] = {}
+        self._reserved: dict[SampleId, tuple[EndpointId, float]] = {}
 
     @property
     def waiting_count(self) -> int:
         """Number of samples that wait for a slot."""
         return len(self._waiting)
 
-    async def acquire(
-        self,
-        rank: tuple[float, ...],
-        service: ServiceName,
-        model: ModelName,
-        min_version: ModelVersion,
-        group: GroupId,
-        data_centres: tuple[DataCentreName, ...] = (),
-    ) -> TrackedEndpoint:
+    async def acquire(self, demand: SlotDemand) -> TrackedEndpoint:
         """Wait for a slot; give it back with `release`."""
-        request = SlotRequest(
-            rank,
-            next(self._sequence),
-            service,
-            model,
-            min_version,
-            group,
-            data_centres,
-            asyncio.get_running_loop().create_future(),
-        )
+        granted = asyncio.get_running_loop().create_future()
+        request = _Request(demand.rank, next(self._sequence), demand, granted)
         heapq.heappush(self._waiting, request)
         self._grant()
         try:
             return await request.granted
         except asyncio.CancelledError:
             if request.granted.done() and not request.granted.cancelled():
-                self.release(request.granted.result(), group)
+                self.release(request.granted.result(), demand.group)
             raise
 
     def release(self, target: TrackedEndpoint, group: GroupId) -> None:
@@ -100,25 +102,31 @@
         until = self._clock.monotonic() + REFUSAL_PAUSE_S
         self._paused[target.endpoint.id, model] = until
 
-    def quicker_than(
-        self,
-        target: TrackedEndpoint,
-        service: ServiceName,
-        model: ModelName,
-        min_version: ModelVersion,
-        events: int,
-        data_centres: tuple[DataCentreName, ...] = (),
+    def should_move(
+        self, demand: SlotDemand, target: TrackedEndpoint, events: int
     ) -> bool:
-        """Whether a sample of so many events should go on at a free engine."""
-        gap_s = target.event_gap_s
-        if gap_s is None or self._waiting:
+        """Whether a running sample of so many events should go on elsewhere.
+
+        If the engines on which it would gain are full, the next slot of the quickest is
+        kept for it for a moment: samples that wait would take each one that is given
+        back, and those that are likely to go on for long would stay where it is slow.
+        """
+        if target.event_gap_s is None:
             return False
-        here = timedelta(seconds=gap_s)
-        return any(
-            is_worth_moving(events, here, timedelta(seconds=each.event_gap_s))
-            for each in self._free(service, model, min_version, data_centres)
-            if each is not target and each.is_trusted and each.event_gap_s is not None
-        )
+        here = timedelta(seconds=target.event_gap_s)
+        better = [
+            each
+            for each in self._usable(demand)
+            if each is not target
+            and each.is_trusted
+            and each.event_gap_s is not None
+            and is_worth_moving(events, here, timedelta(seconds=each.event_gap_s))
+        ]
+        if any(self._has_room(each, demand.sample) for each in better):
+            return True
+        if better:
+            self._reserve(min(better, key=_gap_s), demand.sample)
+        return False
 
     async def run(self) -> None:
         """Look at the engines from time to time until cancelled."""
@@ -128,38 +136,41 @@
                 self._grant()
 
     def _grant(self) -> None:
-        left: list[SlotRequest] = []
+        left: list[_Request] = []
         full: set[tuple[object, ...]] = set()
         while self._waiting:
             request = heapq.heappop(self._waiting)
             if request.granted.done():
                 continue
+            demand = request.demand
             kind = (
-                request.service,
-                request.model,
-                request.min_version,
-                request.data_centres,
+                demand.service,
+                demand.model,
+                demand.min_version,
+                demand.data_centres,
+                demand.sample in self._reserved,
             )
-            target = None if kind in full else self._choose(request)
+            target = None if kind in full else self._choose(demand)
             if target is None:
                 full.add(kind)
                 left.append(request)
                 continue
             target.in_flight += 1
-            self._count_group(request.group, target.endpoint.id, 1)
+            self._reserved.pop(demand.sample, None)
+            self._count_group(demand.group, target.endpoint.id, 1)
             request.granted.set_result(target)
         for request in left:
             heapq.heappush(self._waiting, request)
 
-    def _choose(self, request: SlotRequest) -> TrackedEndpoint | None:
-        free = self._free(
-            request.service, request.model, request.min_version, request.data_centres
-        )
+    def _choose(self, demand: SlotDemand) -> TrackedEndpoint | None:
+        free = [
+            each for each in self._usable(demand) if self._has_room(each, demand.sample)
+        ]
         if not free:
             return None
         known = sorted(each.event_gap_s for each in free if each.event_gap_s)
         usual_s = known[len(known) // 2] if known else 1.0
-        return min(free, key=lambda each: self._rating(each, request.group, usual_s))
+        return min(free, key=lambda each: self._rating(each, demand.group, usual_s))
 
     def _rating(
         self, each: TrackedEndpoint, group: GroupId, usual_s: float
@@ -172,24 +183,39 @@
         rating = round(10 * gap_s / usual_s) + 3 * occupied
         return (not each.is_trusted, rating, occupied)
 
-    def _free(
-        self,
-        service: ServiceName,
-        model: ModelName,
-        min_version: ModelVersion,
-        data_centres: tuple[DataCentreName, ...],
-    ) -> list[TrackedEndpoint]:
+    def _usable(self, demand: SlotDemand) -> list[TrackedEndpoint]:
+        """Return the engines that take samples of a demand, full or not."""
         now = self._clock.monotonic()
+        model = demand.model
         return [
             each
-            for each in self._directory.of_service(service, data_centres)
-            if each.in_flight < self._slots(each)
-            and not each.is_suspended(now)
+            for each in self._directory.of_service(demand.service, demand.data_centres)
+            if not each.is_suspended(now)
             and self._paused.get((each.endpoint.id, model), 0.0) <= now
             and not each.is_loading(model, now)
-            and (each.version_of(model) or 0) >= min_version
+            and (each.version_of(model) or 0) >= demand.min_version
         ]
 
+    def _has_room(self, each: TrackedEndpoint, sample: SampleId) -> bool:
+        """Whether an engine has a slot that is not kept for another sample."""
+        now = self._clock.monotonic()
+        kept = sum(
+            engine == each.endpoint.id and now < until and other != sample
+            for other, (engine, until) in self._reserved.items()
+        )
+        return each.in_flight + kept < self._slots(each)
+
+    def _reserve(self, engine: TrackedEndpoint, sample: SampleId) -> None:
+        now = self._clock.monotonic()
+        self._reserved = {
+            other: (kept_at, until)
+            for other, (kept_at, until) in self._reserved.items()
+            if now < until
+        }
+        kept = sum(at == engine.endpoint.id for at, _ in self._reserved.values())
+        if kept < MOST_RESERVED * engine.endpoint.slots:
+            self._reserved[sample] = (engine.endpoint.id, now + RESERVED_S)
+
     @staticmethod
     def _slots(each: TrackedEndpoint) -> int:
         return each.endpoint.slots if each.is_trusted else UNTRUSTED_SLOTS
@@ -201,3 +227,7 @@
             self._group_homes[key] = count
         else:
             self._group_homes.pop(key, None)
+
+
+def _gap_s(engine: TrackedEndpoint) -> float:
+    return engine.event_gap_s or 0.0
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from bankrudder.batches._dispatcher import Dispatcher
+from bankrudder.batches._dispatcher import Dispatcher, SlotDemand
 from bankrudder.batches._text import SampleText, fits
 from bankrudder.batches._values import Batch, Progress, Sample
 from bankrudder.fleet import (
@@ -142,14 +142,8 @@
         while not self._text.is_whole:
             asked_at = self._clock.monotonic()
             route = self._current_route()
-            target = await self._dispatcher.acquire(
-                self._rank,
-                route.services[0].service,
-                self._batch.model,
-                self._batch.min_version,
-                self._sample.group,
-                route.data_centres,
-            )
+            demand = self._demand(route)
+            target = await self._dispatcher.acquire(demand)
             self._waited_s += self._clock.monotonic() - asked_at
             self._run_count += 1
             span = self._tracer.span(
@@ -161,18 +155,29 @@
             )
             try:
                 with span:
-                    await self._run_on(target)
+                    await self._run_on(target, demand)
                     span.set(events=len(self._text), is_whole=self._text.is_whole)
             finally:
                 self._dispatcher.release(target, self._sample.group)
 
-    async def _run_on(self, target: TrackedEndpoint) -> None:
+    def _demand(self, route: Route) -> SlotDemand:
+        return SlotDemand(
+            self._sample.id,
+            self._rank,
+            route.services[0].service,
+            self._batch.model,
+            self._batch.min_version,
+            self._sample.group,
+            route.data_centres,
+        )
+
+    async def _run_on(self, target: TrackedEndpoint, demand: SlotDemand) -> None:
         async with self._client.open_stream(
             target.endpoint, self._outgoing()
         ) as outcome:
             match outcome:
                 case OpenedStream(version=version, events=events):
-                    await self._take_stream(target, version, events)
+                    await self._take_stream(target, demand, version, events)
                 case Refused(reason=RefusalReason.FULL):
                     self._dispatcher.pause(target, self._batch.model)
                 case Refused(reason=reason):
@@ -210,6 +215,7 @@
     async def _take_stream(
         self,
         target: TrackedEndpoint,
+        demand: SlotDemand,
         version: ModelVersion | None,
         events: AsyncIterator[StreamEvent],
     ) -> None:
@@ -232,7 +238,7 @@
                 if count % EVENTS_BETWEEN_LOOKS == 0:
                     target.note_event_gap((now - looked_at) / EVENTS_BETWEEN_LOOKS)
                     looked_at = now
-                    if self._should_move(target):
+                    if self._dispatcher.should_move(demand, target, len(self._text)):
                         self._log_break(target, "a free engine is quicker")
                         return
         except (StreamBrokenError, TimeoutError) as error:
@@ -262,16 +268,6 @@
             self._text.discard()
             raise StreamBrokenError("version changed within a sample")
 
-    def _should_move(self, target: TrackedEndpoint) -> bool:
-        return self._dispatcher.quicker_than(
-            target,
-            target.endpoint.service,
-            self._batch.model,
-            self._batch.min_version,
-            len(self._text),
-            self._route.data_centres if self._route is not None else (),
-        )
-
     def _take_failure(self, target: TrackedEndpoint, status: int) -> None:
         if status == STATUS_NEVER_DOABLE:
             raise SampleFailedError("the engine says that it can never be done")
--- a/tests/batches/test_dispatcher.py
+++ b/tests/batches/test_dispatcher.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bankrudder.batches._dispatcher import Dispatcher
+from bankrudder.batches._dispatcher import RESERVED_S, Dispatcher, SlotDemand
 from bankrudder.fleet import Endpoint, EndpointDirectory, ModelState
 from bankrudder.fleet._tracked import LOADING_S, MAX_SUSPENSION_S
 
@@ -23,8 +23,13 @@
     return Dispatcher(directory, hand_clock)
 
 
-def asked(dispatcher, rank=0.0, version=1, group="g"):
-    return asyncio.ensure_future(dispatcher.acquire((rank,), "s", "m", version, group))
+def demand(rank=0.0, version=1, group="g", sample="x"):
+    return SlotDemand(sample, (rank,), "s", "m", version, group)
+
+
+def asked(dispatcher, rank=0.0, version=1, group="g", sample="x"):
+    wanted = demand(rank, version, group, sample)
+    return asyncio.ensure_future(dispatcher.acquire(wanted))
 
 
 async def granted(*tasks):
@@ -77,10 +82,10 @@
     directory.get("a").note_event_gap(0.1)
     directory.get("b").note_event_gap(0.03)
     slow = directory.get("a")
-    assert dispatcher.quicker_than(slow, "s", "m", 1, 10)
-    assert not dispatcher.quicker_than(directory.get("b"), "s", "m", 1, 10)
+    assert dispatcher.should_move(demand(), slow, 10)
+    assert not dispatcher.should_move(demand(), directory.get("b"), 10)
     directory.get("b").in_flight = 2
-    assert not dispatcher.quicker_than(slow, "s", "m", 1, 10)
+    assert not dispatcher.should_move(demand(), slow, 10)
 
 
 async def test_an_engine_that_refused_is_left_alone_for_a_moment(
@@ -147,9 +152,51 @@
     slow, quick = directory.get("a"), directory.get("b")
     quick.note_failure(hand_clock.monotonic())
     hand_clock.advance(MAX_SUSPENSION_S)
-    assert not dispatcher.quicker_than(slow, "s", "m", 1, 100)
+    assert not dispatcher.should_move(demand(), slow, 100)
     quick.note_alive()
-    assert dispatcher.quicker_than(slow, "s", "m", 1, 100)
+    assert dispatcher.should_move(demand(), slow, 100)
+
+
+async def test_the_next_slot_is_kept_for_a_sample_that_would_gain_by_moving(
+    dispatcher, directory
+):
+    directory.get("a").note_event_gap(0.1)
+    directory.get("b").note_event_gap(0.03)
+    running = [asked(dispatcher, group=f"g{number}") for number in range(4)]
+    assert await granted(*running) == ["b", "b", "a", "a"]
+    waiting = asked(dispatcher)
+    long_one = demand(rank=9.0, sample="long")
+    assert not dispatcher.should_move(long_one, directory.get("a"), 50)
+    dispatcher.release(running[0].result(), "g0")
+    assert await granted(waiting) == [None]
+    assert dispatcher.should_move(long_one, directory.get("a"), 50)
+    moved = asked(dispatcher, rank=9.0, sample="long")
+    assert await granted(waiting, moved) == [None, "b"]
+    dispatcher.release(running[1].result(), "g1")
+    assert await granted(waiting) == ["b"]
+
+
+async def test_a_slot_is_not_kept_for_long(dispatcher, directory, hand_clock):
+    directory.get("a").note_event_gap(0.1)
+    directory.get("b").note_event_gap(0.03)
+    running = [asked(dispatcher, group=f"g{number}") for number in range(4)]
+    await granted(*running)
+    assert not dispatcher.should_move(demand(sample="y"), directory.get("a"), 50)
+    hand_clock.advance(RESERVED_S)
+    dispatcher.release(running[0].result(), "g0")
+    assert await granted(asked(dispatcher)) == ["b"]
+
+
+async def test_half_of_the_slots_is_never_kept(dispatcher, directory):
+    directory.get("a").note_event_gap(0.1)
+    directory.get("b").note_event_gap(0.03)
+    running = [asked(dispatcher, group=f"g{number}") for number in range(4)]
+    await granted(*running)
+    for sample in ("x1", "x2", "x3"):
+        dispatcher.should_move(demand(sample=sample), directory.get("a"), 50)
+    dispatcher.release(running[0].result(), "g0")
+    dispatcher.release(running[1].result(), "g1")
+    assert await granted(asked(dispatcher), asked(dispatcher)) == ["b", None]
 
 
 async def test_a_cancelled_request_takes_no_slot(dispatcher, directory):
