Engines are assigned once all open batches are known, and load while slots are free

Ruled out: progress that was not saved (what had begun was saved and resumed). Change: nothing is assigned before the owners' rows were read; a load that nothing needs yet waits until the engine says that a quarter of its slots is free.

--- a/src/bankrudder/batches/_ownership.py
+++ b/src/bankrudder/batches/_ownership.py
@@ -1,7 +1,7 @@
 """Who works on which batch, and who should."""
 
 import hashlib
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 import msgspec
 
@@ -27,7 +27,13 @@
 class OwnerBook:
     """The owners of all open batches, as the store tells them."""
 
-    def __init__(self, presence: Presence, clock: Clock):
+    def __init__(
+        self,
+        presence: Presence,
+        clock: Clock,
+        is_loaded: Callable[[], bool] = lambda: True,
+    ):
+        self._is_loaded = is_loaded
         self._presence = presence
         self._clock = clock
         self._owners: dict[BatchId, tuple[Owner, RowVersion]] = {}
@@ -36,6 +42,11 @@
         self._mean_work: dict[ModelName, float] = {}
         self._most_samples: dict[ModelName, int] = {}
 
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the rows of all open batches were read once."""
+        return self._is_loaded()
+
     def get(self, batch_id: BatchId) -> Owner | None:
         """Return the owner's row of a batch, None if the batch is not open."""
         known = self._owners.get(batch_id)
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -88,7 +88,7 @@
         self._scorer = scorer
         self._clock = clock
         self._dispatcher = Dispatcher(directory, clock)
-        self._owners = OwnerBook(presence, clock)
+        self._owners = OwnerBook(presence, clock, lambda: self._follower.is_loaded)
         self._carried = CarriedSamples()
         self._runs: dict[BatchId, asyncio.Task[None]] = {}
         self._batches: dict[BatchId, BatchRun] = {}
--- a/src/bankrudder/fleet/_sending.py
+++ b/src/bankrudder/fleet/_sending.py
@@ -162,11 +162,14 @@
         Number of orders that this run of the engine accepted.
     is_busy : bool
         Whether an order is being carried out.
+    running : int
+        Requests that it works on.
     """
 
     orders_taken: int
     is_busy: bool
     versions: dict[ModelName, ModelVersion]
+    running: int = 0
 
 
 class SwitchMode(Enum):
--- a/src/bankrudder/orders/_switching.py
+++ b/src/bankrudder/orders/_switching.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 from datetime import timedelta
 from functools import partial
+from typing import Protocol
 
 import structlog
 
@@ -26,6 +27,7 @@
 from bankrudder.orders._announcing import EngineVersion, LoadAnnouncer
 from bankrudder.routing import ModelName, RoutingTable, ServiceName
 from bankrudder.scheduling import (
+    ChosenLoad,
     EngineLoad,
     ModelDemand,
     assign_engines,
@@ -57,6 +59,14 @@
 SURELY_LOADING_SHARE = 0.8
 """Share of a load's usual time for which nothing is asked; loads vary little."""
 
+FULL_SHARE = 0.75
+"""An engine of which more slots are taken is full soon or was just now: samples wait
+for those that become free, and would wait for a load as well."""
+
+FULL_PAUSE_S = 0.2
+"""Time after which an engine that was full is asked again: twice the age of what it
+tells."""
+
 LOAD_TIMEOUT_S = 6.0
 """An order that was accepted and shows no effect for so long is given anew: several
 times a load."""
@@ -71,6 +81,27 @@
 _log = structlog.get_logger("orders")
 
 
+class OpenBatches(Protocol):
+    """What the batches that are worked on ask of the engines."""
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether all of them are known."""
+        ...
+
+    def work_of(self, model: ModelName) -> float:
+        """Return the size of a model's latest batches in tokens, 0 if unknown."""
+        ...
+
+    def samples_of(self, model: ModelName) -> int:
+        """Return the samples of a model's largest batch, 0 if none is known."""
+        ...
+
+    def needed_version(self, model: ModelName) -> ModelVersion:
+        """Return the oldest version that every open batch may be made with."""
+        ...
+
+
 class VersionSwitcher:
     """Gives the orders while this host holds the lease.
 
@@ -78,12 +109,8 @@
     ----------
     named : mapping
         Newest version that was named for each model; read anew each time.
-    work : callable
-        Size of a model's latest batches, in tokens, 0 if none is known.
-    samples : callable
-        Samples of a model's largest batch, 0 if none is known.
-    needed : callable
-        Oldest version of a model that every open batch may be generated with.
+    open_batches : OpenBatches
+        What the batches that are worked on ask of the engines.
     usual_gaps : callable
         Usual seconds from event to event, by engine, where that is known.
     """
@@ -95,15 +122,13 @@
         directory: EndpointDirectory,
         client: EndpointClient,
         named: Mapping[ModelName, ModelVersion],
-        work: Callable[[ModelName], float],
-        samples: Callable[[ModelName], int],
-        needed: Callable[[ModelName], ModelVersion],
+        open_batches: OpenBatches,
         announcer: LoadAnnouncer,
         usual_gaps: Callable[[], Mapping[EndpointId, float]],
         routes: Callable[[], RoutingTable | None],
         clock: Clock,
     ):
-        self._needed = needed
+        self._open_batches = open_batches
         self._announcer = announcer
         self._usual_gaps = usual_gaps
         self._lease = lease
@@ -111,8 +136,6 @@
         self._directory = directory
         self._client = client
         self._named = named
-        self._work = work
-        self._samples = samples
         self._assigned: dict[ServiceName, dict[EndpointId, ModelName]] = {}
         self._routes = routes
         self._clock = clock
@@ -123,6 +146,7 @@
         self._named_since: dict[ModelName, tuple[ModelVersion, float]] = {}
         self._usual_load = FIRST_LOAD
         self._has_seen_load = False
+        self._full_until: dict[EndpointId, float] = {}
 
     async def run(self) -> None:
         """Give orders until cancelled."""
@@ -154,8 +178,10 @@
             task.add_done_callback(partial(self._end, engine))
 
     def _start_switches(self) -> None:
-        if not self._named:
-            return  # nothing to load, and nothing that tells what engines followed
+        if not self._named or not self._open_batches.is_loaded:
+            # Nothing to load, or nothing that tells what engines follow; what is known
+            # of some batches only would give their models the engines of the others.
+            return
         for service in self._directory.services():
             engines = sorted(
                 (
@@ -169,9 +195,10 @@
             most = max(MIN_LOADING, math.floor(LOADING_SHARE * len(engines)))
             followed = self._followed(service, engines)
             chosen = choose_loads(followed, self._demands(), most, self._usual_load)
+            loads = {load.engine: load for load in chosen}
             for engine in engines:
-                if engine.endpoint.id in chosen:
-                    self._start(engine, service)
+                if engine.endpoint.id in loads:
+                    self._start(engine, service, loads[engine.endpoint.id])
 
     def _followed(
         self, service: ServiceName, engines: Sequence[TrackedEndpoint]
@@ -184,6 +211,7 @@
                 assigned[each.endpoint.id],
                 each.version_of(assigned[each.endpoint.id]) or ModelVersion(0),
                 each.endpoint.id in self._switching,
+                self._clock.monotonic() < self._full_until.get(each.endpoint.id, 0.0),
             )
             for each in engines
             if each.endpoint.id in assigned
@@ -198,12 +226,14 @@
                 known = (version, now)
                 self._named_since[model] = known
             named_for = timedelta(seconds=now - known[1])
-            demands[model] = ModelDemand(version, self._needed(model), named_for)
+            demands[model] = ModelDemand(
+                version, self._open_batches.needed_version(model), named_for
+            )
         return demands
 
     def _assign(self, service: ServiceName, engines: list[TrackedEndpoint]) -> None:
         models = {state.model for each in engines for state in each.endpoint.models}
-        shares = {model: self._work(model) for model in models}
+        shares = {model: self._open_batches.work_of(model) for model in models}
         before = self._assigned.get(service)
         if before is None:
             versions = {each.endpoint.id: each.versions for each in engines}
@@ -227,16 +257,17 @@
     ) -> dict[ModelName, int]:
         """Return how many engines each model's samples can use, where that is known."""
         slots = min((each.endpoint.slots for each in engines), default=1)
+        samples = {model: self._open_batches.samples_of(model) for model in models}
         return {
-            model: math.ceil(OPEN_BATCHES * self._samples(model) / slots)
-            + SPARE_ENGINES
-            for model in models
-            if self._samples(model)
+            model: math.ceil(OPEN_BATCHES * count / slots) + SPARE_ENGINES
+            for model, count in samples.items()
+            if count
         }
 
-    def _start(self, engine: TrackedEndpoint, service: ServiceName) -> None:
-        model = self._assigned[service][engine.endpoint.id]
-        task = asyncio.ensure_future(self._switch(engine, service, model))
+    def _start(
+        self, engine: TrackedEndpoint, service: ServiceName, load: ChosenLoad
+    ) -> None:
+        task = asyncio.ensure_future(self._switch(engine, service, load))
         self._switching[engine.endpoint.id] = task
         task.add_done_callback(partial(self._end, engine.endpoint.id))
 
@@ -248,12 +279,13 @@
             )
 
     async def _switch(
-        self, engine: TrackedEndpoint, service: ServiceName, model: ModelName
+        self, engine: TrackedEndpoint, service: ServiceName, load: ChosenLoad
     ) -> None:
         """Give one order, and wait until the engine has carried it out."""
         endpoint = engine.endpoint
+        model = load.model
         expected = self._orders_taken.get(endpoint.id)
-        if expected is None:
+        if expected is None or load.may_wait:
             state = await self._client.state(endpoint)
             if state is None:
                 await asyncio.sleep(RETRY_PAUSE_S)
@@ -261,6 +293,9 @@
             self._note_versions(engine, state.versions)
             expected = state.orders_taken
             self._orders_taken[endpoint.id] = expected
+            if load.may_wait and state.running >= FULL_SHARE * endpoint.slots:
+                self._full_until[endpoint.id] = self._clock.monotonic() + FULL_PAUSE_S
+                return
         version = self._named[model]
         if (engine.version_of(model) or 0) >= version or not self._lease.is_valid:
             return
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -74,11 +74,14 @@
 
 
 class _WireState(msgspec.Struct):
-    """State of an engine; ``sequence`` counts the orders that it accepted."""
+    """State of an engine; ``sequence`` counts the orders that it accepted, and
+    ``num_running`` the requests that it works on, a tenth of a second ago.
+    """
 
     sequence: int
     busy: bool = False
     models: list[_WireModelState] = []
+    num_running: int = 0
 
 
 class HttpEndpointClient:
@@ -151,7 +154,7 @@
         versions = {
             ModelName(each.name): ModelVersion(each.version) for each in wire.models
         }
-        return EngineState(wire.sequence, wire.busy, versions)
+        return EngineState(wire.sequence, wire.busy, versions, wire.num_running)
 
     async def order(self, endpoint: Endpoint, order: VersionOrder) -> OrderOutcome:
         """Send an order to an engine."""
--- a/src/bankrudder/scheduling/__init__.py
+++ b/src/bankrudder/scheduling/__init__.py
@@ -5,10 +5,16 @@
 """
 
 from bankrudder.scheduling._assignment import assign_engines, followed_models
-from bankrudder.scheduling._loads import EngineLoad, ModelDemand, choose_loads
+from bankrudder.scheduling._loads import (
+    ChosenLoad,
+    EngineLoad,
+    ModelDemand,
+    choose_loads,
+)
 from bankrudder.scheduling._moves import is_worth_moving
 
 __all__ = [
+    "ChosenLoad",
     "EngineLoad",
     "ModelDemand",
     "assign_engines",
--- a/src/bankrudder/scheduling/_loads.py
+++ b/src/bankrudder/scheduling/_loads.py
@@ -9,11 +9,12 @@
 Answer: engines whose weights no open batch may use load first, the oldest first, and
 those of a model without any usable engine before others. Of the rest, half follow at
 once, so that the next step, which may still use the version before, finds the other
-half; these follow when the version has settled. So each engine follows every second
+half; these follow when the version has settled and they have free slots, so that no
+sample waits for what a load delays. So each engine follows every second
 version of a quick pair, and never all of them at once.
 """
 
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -44,6 +45,18 @@
     """The newest that it has."""
 
     is_loading: bool
+    is_full: bool = False
+    """Whether it said lately that hardly any slot is free."""
+
+
+@dataclass(frozen=True)
+class ChosenLoad:
+    """An engine that shall load the newest version of its model."""
+
+    engine: EndpointId
+    model: ModelName
+    may_wait: bool = False
+    """Whether it should only load while slots are free, as nothing needs it yet."""
 
 
 @dataclass(frozen=True)
@@ -65,8 +78,8 @@
     demands: Mapping[ModelName, ModelDemand],
     most: int,
     usual_load: timedelta,
-) -> list[EndpointId]:
-    """Return the engines that shall begin to load now, the most urgent first.
+) -> list[ChosenLoad]:
+    """Return the loads that shall begin now, the most urgent first.
 
     Parameters
     ----------
@@ -82,8 +95,8 @@
     room = most - sum(engine.is_loading for engine in engines)
     if room <= 0:
         return []
-    useless: list[tuple[bool, ModelVersion, EndpointId]] = []
-    useful: list[tuple[ModelVersion, EndpointId]] = []
+    useless: list[tuple[bool, ModelVersion, EndpointId, ModelName]] = []
+    useful: list[tuple[ModelVersion, EndpointId, ModelName, bool]] = []
     for model, demand in demands.items():
         own = [engine for engine in engines if engine.model == model]
         behind = [
@@ -93,31 +106,39 @@
         ]
         has_usable = any(engine.version >= demand.needed for engine in own)
         useless += [
-            (has_usable, engine.version, engine.id)
+            (has_usable, engine.version, engine.id, model)
             for engine in behind
             if engine.version < demand.needed
         ]
-        useful += _useful(own, behind, demand, usual_load)
-    chosen = [engine for *_, engine in sorted(useless)]
-    chosen += [engine for _, engine in sorted(useful)]
+        has_settled = demand.named_for >= SETTLED_LOADS * usual_load
+        useful += [
+            (engine.version, engine.id, model, has_settled)
+            for engine in _useful(own, behind, demand, has_settled)
+        ]
+    chosen = [ChosenLoad(engine, model) for *_, engine, model in sorted(useless)]
+    chosen += [
+        ChosenLoad(engine, model, may_wait)
+        for _, engine, model, may_wait in sorted(useful)
+    ]
     return chosen[:room]
 
 
 def _useful(
     own: Sequence[EngineLoad],
-    behind: Collection[EngineLoad],
+    behind: Sequence[EngineLoad],
     demand: ModelDemand,
-    usual_load: timedelta,
-) -> list[tuple[ModelVersion, EndpointId]]:
+    has_settled: bool,
+) -> list[EngineLoad]:
     """Return the engines of one model that load although they are still of use."""
     candidates = sorted(
-        (engine.version, engine.id)
-        for engine in behind
-        if engine.version >= demand.needed
+        (engine for engine in behind if engine.version >= demand.needed),
+        key=lambda engine: (engine.version, engine.id),
     )
     loading = sum(engine.is_loading for engine in own)
     room = max(1, int(MODEL_LOADING_SHARE * len(own))) - loading
-    if demand.named_for < SETTLED_LOADS * usual_load:
+    if has_settled:
+        candidates = [engine for engine in candidates if not engine.is_full]
+    else:
         following = sum(
             engine.is_loading or engine.version >= demand.named for engine in own
         )
--- a/tests/orders/test_switching.py
+++ b/tests/orders/test_switching.py
@@ -24,6 +24,24 @@
     fence = 7
 
 
+class OpenBatches:
+    """Batches of equal work that need one version."""
+
+    def __init__(self, needed, samples):
+        self.is_loaded = True
+        self._needed = needed
+        self._samples = samples
+
+    def work_of(self, model):
+        return 1.0
+
+    def samples_of(self, model):
+        return self._samples
+
+    def needed_version(self, model):
+        return self._needed
+
+
 class Engines:
     """Engines that take orders; keeps how many loaded at once, by model."""
 
@@ -34,10 +52,14 @@
         self.most = {}
         self.forgotten = []
         self.announced = []
+        self.running = 0
 
     async def state(self, endpoint):
         return EngineState(
-            self.taken.get(endpoint.id, 0), False, dict(self.versions[endpoint.id])
+            self.taken.get(endpoint.id, 0),
+            False,
+            dict(self.versions[endpoint.id]),
+            self.running,
         )
 
     async def order(self, endpoint, order):
@@ -64,7 +86,9 @@
 
 @pytest.fixture
 def switch():
-    async def switch(count, named, needed=0, lose=None, samples=0):
+    async def switch(
+        count, named, needed=0, lose=None, samples=0, running=0, is_loaded=True
+    ):
         clock = SystemClock()
         directory = EndpointDirectory("north", clock)
         engines = Engines()
@@ -74,9 +98,11 @@
             directory.put(engine)
             engines.versions[engine.id] = dict.fromkeys(named, 1)
         directory.put(Endpoint("desk", "plain", "a:2", "north", 8))
+        batches = OpenBatches(needed, samples)
+        batches.is_loaded = is_loaded
+        engines.running = running
         switcher = VersionSwitcher(
-            HeldLease(), "h", directory, engines, named, lambda model: 1.0,
-            lambda model: samples, lambda model: needed, engines, dict,
+            HeldLease(), "h", directory, engines, named, batches, engines, dict,
             lambda: None, clock,
         )  # fmt: skip
         task = asyncio.ensure_future(switcher.run())
@@ -126,3 +152,21 @@
 async def test_owners_are_told_when_a_load_begins_and_when_it_has_ended(switch):
     engines = await switch(1, {"m": 2}, needed=2)
     assert engines.announced == [("e0", 2, True), ("e0", 2, False)]
+
+
+async def test_nothing_is_assigned_before_all_open_batches_are_known(switch):
+    engines = await switch(2, {"m": 2}, needed=2, is_loaded=False)
+    assert not engines.taken
+
+
+async def test_engines_of_use_load_only_while_slots_are_free(switch):
+    # One of the two follows at once, and the other one waits: both are nearly full.
+    engines = await switch(2, {"m": 2}, running=7)
+    assert sorted(each["m"] for each in engines.versions.values()) == [1, 2]
+    engines = await switch(2, {"m": 2}, running=3)
+    assert [each["m"] for each in engines.versions.values()] == [2, 2]
+
+
+async def test_engines_of_no_use_load_however_full(switch):
+    engines = await switch(2, {"m": 2}, needed=2, running=8)
+    assert [each["m"] for each in engines.versions.values()] == [2, 2]
--- a/tests/scheduling/test_loads.py
+++ b/tests/scheduling/test_loads.py
@@ -20,7 +20,8 @@
 
 
 def choose(engines, most=2, load=LOAD, **demands):
-    return choose_loads(engines, demands, most, load)
+    chosen = choose_loads(engines, demands, most, load)
+    return [each.engine for each in chosen]
 
 
 def test_the_engine_that_no_batch_can_use_goes_before_one_that_it_can():
@@ -49,6 +50,25 @@
     assert choose(engines, load=load, m=demand(2, 1, 1.6 * load)) == ["b"]
 
 
+def test_only_loads_that_nothing_needs_yet_may_wait():
+    engines = [engine("a", 2), engine("b", 1)]
+    [settled] = choose_loads(engines, {"m": demand(2, 1, LONG_NAMED)}, 2, LOAD)
+    [needed] = choose_loads(engines, {"m": demand(3, 2)}, 2, LOAD)
+    [following] = choose_loads(
+        [engine("a", 1), engine("b", 1)], {"m": demand(2, 1)}, 2, LOAD
+    )
+    assert settled.may_wait
+    assert not needed.may_wait
+    assert not following.may_wait
+
+
+def test_an_engine_that_is_full_waits_unless_it_is_of_no_use():
+    full = EngineLoad("b", "m", 1, is_loading=False, is_full=True)
+    engines = [engine("a", 2), full]
+    assert choose(engines, m=demand(2, 1, LONG_NAMED)) == []
+    assert choose(engines, m=demand(3, 2)) == ["b"]
+
+
 def test_a_single_engine_serves_the_version_before_until_that_is_of_no_use():
     assert choose([engine("a", 1)], m=demand(2, 1)) == []
     assert choose([engine("a", 1)], m=demand(3, 2)) == ["a"]
