--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -74,8 +74,10 @@
 
 
 class _WireState(msgspec.Struct):
-    """State of an engine; ``sequence`` counts the orders that it accepted, and
-    ``num_running`` the requests that it works on, a tenth of a second ago.
+    """State of an engine, a tenth of a second ago.
+
+    ``sequence`` counts the orders that it accepted, ``num_running`` the requests that it
+    works on.
     """
 
     sequence: int
--- a/tests/scheduling/test_loads.py
+++ b/tests/scheduling/test_loads.py
@@ -54,9 +54,8 @@
     engines = [engine("a", 2), engine("b", 1)]
     [settled] = choose_loads(engines, {"m": demand(2, 1, LONG_NAMED)}, 2, LOAD)
     [needed] = choose_loads(engines, {"m": demand(3, 2)}, 2, LOAD)
-    [following] = choose_loads(
-        [engine("a", 1), engine("b", 1)], {"m": demand(2, 1)}, 2, LOAD
-    )
+    engines = [engine("a", 1), engine("b", 1)]
+    [following] = choose_loads(engines, {"m": demand(2, 1)}, 2, LOAD)
     assert settled.may_wait
     assert not needed.may_wait
     assert not following.may_wait
