--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -76,8 +76,8 @@
 class _WireState(msgspec.Struct):
     """State of an engine, a tenth of a second ago.
 
-    ``sequence`` counts the orders that it accepted, ``num_running`` the requests that it
-    works on.
+    ``sequence`` counts the orders that it accepted, ``num_running`` the requests that
+    it works on.
     """
 
     sequence: int
