--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -30,9 +30,9 @@
 group's prompt."""
 
 
-RESERVED_S = 0.4
-"""Time for which a slot is kept for a running sample that would gain by moving: two of
-its looks at the engines."""
+RESERVED_EVENTS = 8
+"""Events of its engine for which a slot is kept for a running sample that would gain by
+moving: two of its looks, so that it finds the slot also where events are slow."""
 
 MOST_RESERVED = 0.5
 """Share of an engine's slots that may be kept so; the rest is for samples that wait."""
@@ -125,7 +125,8 @@
         if any(self._has_room(each, demand.sample) for each in better):
             return True
         if better:
-            self._reserve(min(better, key=_gap_s), demand.sample)
+            seconds = RESERVED_EVENTS * target.event_gap_s
+            self._reserve(min(better, key=_gap_s), demand.sample, seconds)
         return False
 
     async def run(self) -> None:
@@ -205,7 +206,9 @@
         )
         return each.in_flight + kept < self._slots(each)
 
-    def _reserve(self, engine: TrackedEndpoint, sample: SampleId) -> None:
+    def _reserve(
+        self, engine: TrackedEndpoint, sample: SampleId, seconds: float
+    ) -> None:
         now = self._clock.monotonic()
         self._reserved = {
             other: (kept_at, until)
@@ -214,7 +217,7 @@
         }
         kept = sum(at == engine.endpoint.id for at, _ in self._reserved.values())
         if kept < MOST_RESERVED * engine.endpoint.slots:
-            self._reserved[sample] = (engine.endpoint.id, now + RESERVED_S)
+            self._reserved[sample] = (engine.endpoint.id, now + seconds)
 
     @staticmethod
     def _slots(each: TrackedEndpoint) -> int:
--- a/src/bankrudder/orders/_paces.py
+++ b/src/bankrudder/orders/_paces.py
@@ -34,9 +34,6 @@
 """Looks whose median is the usual gap: twice as long as engines are slow now and then,
 so that this changes nothing; one that stays slow is known as such ten seconds later."""
 
-LEAST_LOOKS = 3
-"""Looks after which a gap is known: the first ones come from a run or two."""
-
 _log = structlog.get_logger("orders")
 
 
@@ -58,11 +55,7 @@
     @property
     def usual(self) -> dict[EndpointId, float]:
         """Usual seconds from event to event, by engine, where that is known."""
-        return {
-            engine: median(gaps)
-            for engine, gaps in self._seen.items()
-            if len(gaps) >= LEAST_LOOKS
-        }
+        return {engine: median(gaps) for engine, gaps in self._seen.items()}
 
     async def tell(self) -> None:
         """Write the paces that changed; what is not written is tried again."""
