Engines of use load once the step that waited has taken its slots

Ruled out: engines of no use (those load at once, and are not usable anyway). Change: the load of an engine that is of use begins 0.15 s after the version was named; by then it is full, and its runs go on.

--- a/src/bankrudder/scheduling/_loads.py
+++ b/src/bankrudder/scheduling/_loads.py
@@ -7,8 +7,8 @@
 step may use any more, and the second step finds no engine at all.
 
 Answer: engines whose weights no open batch may use load first, the oldest first, and
-those of a model without any usable engine before others. Of the rest, half follow at
-once, so that the next step, which may still use the version before, finds the other
+those of a model without any usable engine before others. Of the rest, half follow as
+soon as the step that waited for the version has taken its slots, so that the next step, which may still use the version before, finds the other
 half; these follow when the version has settled and they have free slots, so that no
 sample waits for what a load delays. So each engine follows every second
 version of a quick pair, and never all of them at once.
@@ -26,6 +26,12 @@
 """Share of a model's engines that follow a new version at once while the version
 before may still be used; rounded down, so that a single engine waits."""
 
+PLACING = timedelta(milliseconds=150)
+"""Time after a version was named in which the step that waited for it is asked and its
+samples take the free slots (80 ms seen). Runs go on during a load, so an engine that is
+loaded while it is full delays what its slots free up for, and one that is loaded empty
+keeps all of its slots from the step."""
+
 SETTLED_LOADS = 1.5
 """A version has settled after this many times an engine's usual load: a newer one that
 was about to be named would by then have made the load useless."""
@@ -114,6 +120,7 @@
         useful += [
             (engine.version, engine.id, model, has_settled)
             for engine in _useful(own, behind, demand, has_settled)
+            if demand.named_for >= PLACING
         ]
     chosen = [ChosenLoad(engine, model) for *_, engine, model in sorted(useless)]
     chosen += [
--- a/src/bankrudder/scheduling/_moves.py
+++ b/src/bankrudder/scheduling/_moves.py
@@ -11,8 +11,8 @@
 from datetime import timedelta
 
 LEAST_GAIN = timedelta(seconds=0.15)
-"""Time that a move must be expected to save: three to four times what it costs, reckoned
-as 5 ms for the connection, 3 to 30 ms of reading and half an event's time."""
+"""Time that a move must be expected to save: three to four times what it costs,
+reckoned as 5 ms for the connection, 3 to 30 ms of reading and half an event's time."""
 
 LEAST_RATIO = 1.2
 """How many times as long events must take here: the load of engines alone makes less of
