Quick engines go to the models whose batches last longest

Outline ended its steps in 3.4 s in the middle, on two quick engines. Change: owners' rows tell for how long batches are open; a quick engine of the model whose batches are open for the shortest time is exchanged for a slow one of that with the longest, if that is 1.3 times as long. Before it is known the earlier rule holds.

--- a/src/bankrudder/batches/_ownership.py
+++ b/src/bankrudder/batches/_ownership.py
@@ -1,7 +1,7 @@
 """Who works on which batch, and who should."""
 
 import hashlib
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 
 import msgspec
 
@@ -18,7 +18,8 @@
 """Hosts beyond it wait no longer than this rank."""
 
 WORK_WEIGHT = 0.3
-"""Weight of the newest batch in the mean size of a model's batches."""
+"""Weight of the newest batch in the mean size of a model's batches, and in the mean
+time for which they are open."""
 
 USUAL_TOKENS = 1000
 """Tokens that a sample is expected to generate if it says nothing."""
@@ -41,6 +42,8 @@
         self._last_owner: dict[ModelName, HostId] = {}
         self._mean_work: dict[ModelName, float] = {}
         self._most_samples: dict[ModelName, int] = {}
+        self._opened_at: dict[BatchId, float] = {}
+        self._mean_open_s: dict[ModelName, float] = {}
 
     @property
     def is_loaded(self) -> bool:
@@ -56,13 +59,17 @@
         """Take a new or changed row."""
         if batch_id not in self._owners:
             self._note_work(owner)
+            self._opened_at[batch_id] = self._clock.monotonic()
         self._owners[batch_id] = (owner, version)
         if owner.host:
             self._last_owner[owner.model] = HostId(owner.host)
 
     def remove(self, batch_id: BatchId) -> None:
         """Forget a batch that was ended."""
-        self._owners.pop(batch_id, None)
+        known = self._owners.pop(batch_id, None)
+        opened_at = self._opened_at.pop(batch_id, None)
+        if known is not None and opened_at is not None:
+            self._note_end(known[0].model, self._clock.monotonic() - opened_at)
         self._ownerless_since.pop(batch_id, None)
 
     def is_mine(self, owner: Owner) -> bool:
@@ -77,6 +84,10 @@
         """Return the samples of a model's largest batch so far, 0 if none is known."""
         return self._most_samples.get(model, 0)
 
+    def open_seconds(self) -> Mapping[ModelName, float]:
+        """Return for how long the latest batches of each model were open."""
+        return self._mean_open_s
+
     def needed_version(self, model: ModelName) -> ModelVersion:
         """Return the newest of the oldest versions that open batches allow."""
         needed = (
@@ -165,6 +176,10 @@
             default=None,
         )
 
+    def _note_end(self, model: ModelName, open_s: float) -> None:
+        mean = self._mean_open_s.get(model, open_s)
+        self._mean_open_s[model] = mean + WORK_WEIGHT * (open_s - mean)
+
     def _note_work(self, owner: Owner) -> None:
         samples = max(owner.samples, self.samples_of(owner.model))
         self._most_samples[owner.model] = samples
--- a/src/bankrudder/orders/_switching.py
+++ b/src/bankrudder/orders/_switching.py
@@ -97,6 +97,10 @@
         """Return the samples of a model's largest batch, 0 if none is known."""
         ...
 
+    def open_seconds(self) -> Mapping[ModelName, float]:
+        """Return for how long the latest batches of each model were open."""
+        ...
+
     def needed_version(self, model: ModelName) -> ModelVersion:
         """Return the oldest version that every open batch may be made with."""
         ...
@@ -241,7 +245,8 @@
         most = self._most_engines(models, engines)
         names = [each.endpoint.id for each in engines]
         gaps = self._usual_gaps()
-        after = assign_engines(names, shares, before, most, gaps)
+        lasting = self._open_batches.open_seconds()
+        after = assign_engines(names, shares, before, most, gaps, lasting)
         if after != self._assigned.get(service):
             self._assigned[service] = after
             _log.info(
@@ -250,6 +255,7 @@
                 engines=after,
                 work={model: round(work) for model, work in shares.items()},
                 gaps={key: round(gaps[key], 4) for key in names if key in gaps},
+                open_seconds={key: round(each, 2) for key, each in lasting.items()},
             )
 
     def _most_engines(
--- a/src/bankrudder/scheduling/_assignment.py
+++ b/src/bankrudder/scheduling/_assignment.py
@@ -8,9 +8,13 @@
 lost, knows no assignment. The versions that engines have tell which model each
 followed; drawn anew, half of them would change it, and load weights while steps wait.
 
-A step lasts as long as its longest sample, and a longest sample as long as its engine
-is slow: on engines that make events a third slower than others, ten seconds where
-seven count. So each model gets its share of the quick engines, and none only slow ones.
+A step lasts as long as its longest sample, and that one as long as its engine is slow:
+on engines that make events a third slower than others, ten seconds where seven count.
+Trainers differ in what this costs them: one that waits for all groups waits for its
+longest sample in nearly each step and falls behind for the rest of the day, while
+another one ends most of its steps in half of their time. So the quick engines go to the
+models whose batches last longest, seen by how long the latest ones were open; before
+that is known each model gets its share of them, and none only slow ones.
 """
 
 from collections import Counter
@@ -31,6 +35,11 @@
 the quickest one, and slow from the second figure on. The load of an engine makes less
 of a difference; what lies between changes no assignment."""
 
+PRESSED_FACTOR = 1.3
+"""Batches of one model must last so many times as long as those of another one before a
+quick engine is exchanged for a slow one: what the exchange itself makes of it, so that
+it is not undone."""
+
 LEAST_QUICK_SHARE = 0.5
 """Engines are exchanged if a model has less than this share of the quick ones that are
 its due: none where it should have one. Each exchange costs two loads."""
@@ -46,6 +55,7 @@
     before: Mapping[EndpointId, ModelName],
     most: Mapping[ModelName, int] | None = None,
     gaps: Mapping[EndpointId, float] | None = None,
+    lasting: Mapping[ModelName, float] | None = None,
 ) -> dict[EndpointId, ModelName]:
     """Return the model of each engine; one that no model can use is left out.
 
@@ -62,6 +72,9 @@
     gaps : mapping, optional
         Usual time from event to event on each engine, in any unit; engines that are
         not in it stay where they are.
+    lasting : mapping, optional
+        For how long the latest batches of a model were open, in any unit; models of
+        which none was ended are left out.
     """
     if not shares:
         return {}
@@ -77,7 +90,7 @@
         if engine not in assigned and _lack(neediest, wanted, assigned) > 0:
             assigned[engine] = neediest
     _move_surplus(wanted, assigned)
-    _share_quick(gaps or {}, assigned)
+    _share_quick(gaps or {}, lasting or {}, assigned)
     return assigned
 
 
@@ -163,25 +176,65 @@
 
 
 def _share_quick(
-    gaps: Mapping[EndpointId, float], assigned: dict[EndpointId, ModelName]
+    gaps: Mapping[EndpointId, float],
+    lasting: Mapping[ModelName, float],
+    assigned: dict[EndpointId, ModelName],
 ) -> None:
-    """Exchange engines until no model has far less than its share of quick ones."""
+    """Exchange slow and quick engines between models where that is due."""
     known = {engine: gap for engine, gap in gaps.items() if engine in assigned}
     if not known:
         return
     quickest = min(known.values())
     quick = {key for key, gap in known.items() if gap <= QUICK_FACTOR * quickest}
     slow = {key for key, gap in known.items() if gap >= SLOW_FACTOR * quickest}
+    models = set(assigned.values())
     for _ in range(len(assigned)):
-        served = _shares_of_quick(quick, assigned)
-        poorest = min(sorted(served), key=lambda model: served[model])
-        richest = max(sorted(served), key=lambda model: served[model])
-        given = [key for key in sorted(quick) if assigned[key] == richest]
-        taken = [key for key in sorted(slow) if assigned[key] == poorest]
-        if served[poorest] >= LEAST_QUICK_SHARE or len(given) < 2 or not taken:
+        if all(lasting.get(model, 0.0) > 0 for model in models):
+            pair = _most_pressed(quick, slow, lasting, assigned)
+        else:
+            pair = _poorest(quick, slow, assigned)
+        if pair is None:
             return
-        slowest = max(taken, key=lambda key: known[key])
-        assigned[given[0]], assigned[slowest] = poorest, richest
+        given, taken = pair
+        assigned[given], assigned[taken] = assigned[taken], assigned[given]
+
+
+def _most_pressed(
+    quick: Collection[EndpointId],
+    slow: Collection[EndpointId],
+    lasting: Mapping[ModelName, float],
+    assigned: Mapping[EndpointId, ModelName],
+) -> tuple[EndpointId, EndpointId] | None:
+    """Return a quick engine of a model that can spare it, and a slow one for it."""
+    given = min(
+        quick,
+        key=lambda key: (lasting[assigned[key]], assigned[key], key),
+        default=None,
+    )
+    taken = max(
+        slow, key=lambda key: (lasting[assigned[key]], assigned[key], key), default=None
+    )
+    if given is None or taken is None:
+        return None
+    if lasting[assigned[taken]] < PRESSED_FACTOR * lasting[assigned[given]]:
+        return None
+    return given, taken
+
+
+def _poorest(
+    quick: Collection[EndpointId],
+    slow: Collection[EndpointId],
+    assigned: Mapping[EndpointId, ModelName],
+) -> tuple[EndpointId, EndpointId] | None:
+    """Return engines to exchange for a model with far less than its share of quick."""
+    served = _shares_of_quick(quick, assigned)
+    poorest = min(sorted(served), key=lambda model: served[model])
+    richest = max(sorted(served), key=lambda model: served[model])
+    given = [key for key in sorted(quick) if assigned[key] == richest]
+    taken = [key for key in sorted(slow) if assigned[key] == poorest]
+    if served[poorest] >= LEAST_QUICK_SHARE or len(given) < 2 or not taken:
+        return None
+    return given[0], taken[0]
 
 
 def _shares_of_quick(
--- a/tests/orders/test_switching.py
+++ b/tests/orders/test_switching.py
@@ -38,6 +38,9 @@
     def samples_of(self, model):
         return self._samples
 
+    def open_seconds(self):
+        return {}
+
     def needed_version(self, model):
         return self._needed
 
--- a/tests/scheduling/test_assignment.py
+++ b/tests/scheduling/test_assignment.py
@@ -126,3 +126,28 @@
     assert assign_engines(SIX, THREE, PAIRS, gaps={"e3": 0.05, "e4": 0.05}) == PAIRS
     gaps = {name: 0.038 + 0.001 * place for place, name in enumerate(SIX)}
     assert assign_engines(SIX, THREE, PAIRS, gaps=gaps) == PAIRS
+
+
+SLOW_OF_A_AND_B = dict.fromkeys(SIX, 0.038) | {"e1": 0.05, "e3": 0.05}
+
+
+@pytest.mark.parametrize("unit", [0.25, 1.0, 4.0])
+def test_quick_engines_go_to_the_models_whose_batches_last_longest(unit):
+    lasting = {"a": 8.4 * unit, "b": 6.0 * unit, "c": 3.5 * unit}
+    after = assign_engines(SIX, THREE, PAIRS, gaps=SLOW_OF_A_AND_B, lasting=lasting)
+    assert counts(after) == counts(PAIRS)
+    assert {after["e1"], after["e3"]} == {"c"}
+
+
+def test_an_exchange_is_not_undone_by_what_it_brings_about():
+    lasting = {"a": 8.4, "b": 6.0, "c": 3.5}
+    after = assign_engines(SIX, THREE, PAIRS, gaps=SLOW_OF_A_AND_B, lasting=lasting)
+    later = {"a": 7.3, "b": 5.2, "c": 4.7}
+    again = assign_engines(SIX, THREE, after, gaps=SLOW_OF_A_AND_B, lasting=later)
+    assert again == after
+
+
+def test_models_whose_batches_last_alike_keep_their_engines():
+    lasting = {"a": 5.0, "b": 4.5, "c": 4.0}
+    after = assign_engines(SIX, THREE, PAIRS, gaps=SLOW_OF_A_AND_B, lasting=lasting)
+    assert after == PAIRS
