--- a/src/bankrudder/scheduling/_assignment.py
+++ b/src/bankrudder/scheduling/_assignment.py
@@ -206,14 +206,13 @@
     assigned: Mapping[EndpointId, ModelName],
 ) -> tuple[EndpointId, EndpointId] | None:
     """Return a quick engine of a model that can spare it, and a slow one for it."""
-    given = min(
-        quick,
-        key=lambda key: (lasting[assigned[key]], assigned[key], key),
-        default=None,
-    )
-    taken = max(
-        slow, key=lambda key: (lasting[assigned[key]], assigned[key], key), default=None
-    )
+
+    def order(engine: EndpointId) -> tuple[float, ModelName, EndpointId]:
+        model = assigned[engine]
+        return lasting[model], model, engine
+
+    given = min(quick, key=order, default=None)
+    taken = max(slow, key=order, default=None)
     if given is None or taken is None:
         return None
     if lasting[assigned[taken]] < PRESSED_FACTOR * lasting[assigned[given]]:
