Of all batches, what has to begin soonest gets a slot first

Ruled out: slots as such (samples of 0.5 s took them). Change: a group ranks by its batch's begin less what its longest sample should take, as hinted tokens took lately; carried groups first and those beyond the target last, over all batches of the host. The ranking moves to the package of decisions.

--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -2,12 +2,12 @@
 
 import asyncio
 from collections.abc import Callable, Mapping, Sequence
+from datetime import timedelta
 
 import structlog
 
 from bankrudder.batches._dispatcher import Dispatcher
 from bankrudder.batches._progress import ProgressStore
-from bankrudder.batches._ranking import sample_ranks
 from bankrudder.batches._repository import (
     MAX_TRANSACTION_BYTES,
     BatchRepository,
@@ -26,6 +26,7 @@
 from bankrudder.fleet import EndpointClient
 from bankrudder.observe import Tracer
 from bankrudder.routing import Route
+from bankrudder.scheduling import TokenPace, sample_ranks
 from bankrudder.store import NotSettledError, RowVersion, StoreUnavailableError
 from bankrudder.world import Clock
 
@@ -73,6 +74,7 @@
         repository: BatchRepository,
         progress_store: ProgressStore,
         dispatcher: Dispatcher,
+        pace: TokenPace,
         scorer: Scorer,
         client: EndpointClient,
         clock: Clock,
@@ -91,7 +93,10 @@
         self._give_up_at = clock.monotonic() + retention_left_s
         self._results: asyncio.Queue[SampleResult] = asyncio.Queue()
         done = {result.id for result in listed}
-        ranks = sample_ranks(batch, carried | progress.keys(), float(fence))
+        ranks = sample_ranks(
+            batch, carried | progress.keys(), clock.monotonic(), pace.seconds
+        )
+        self._pace = pace
         self._generators = [
             SampleGenerator(
                 batch,
@@ -193,6 +198,8 @@
                 async with asyncio.timeout(self._give_up_at - began):
                     await generator.run(span.traceparent)
                     whole_at = self._clock.monotonic()
+                    ran_s = whole_at - began - generator.waited_s
+                    self._pace.note(sample.length_hint, timedelta(seconds=ran_s))
                     score = await self._scored(sample, span.traceparent)
         except (SampleFailedError, ScoreFailedError, TimeoutError) as error:
             _log.warning(
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -28,6 +28,7 @@
 from bankrudder.observe import Tracer
 from bankrudder.presence import Presence
 from bankrudder.routing import RoutingTable
+from bankrudder.scheduling import TokenPace
 from bankrudder.store import (
     ABSENT,
     NotSettledError,
@@ -88,6 +89,7 @@
         self._scorer = scorer
         self._clock = clock
         self._dispatcher = Dispatcher(directory, clock)
+        self._pace = TokenPace()
         self._owners = OwnerBook(presence, clock, lambda: self._follower.is_loaded)
         self._carried = CarriedSamples()
         self._runs: dict[BatchId, asyncio.Task[None]] = {}
@@ -228,6 +230,7 @@
             repository=self._repository,
             progress_store=self._progress,
             dispatcher=self._dispatcher,
+            pace=self._pace,
             scorer=self._scorer,
             client=self._client,
             clock=self._clock,
--- a/src/bankrudder/scheduling/__init__.py
+++ b/src/bankrudder/scheduling/__init__.py
@@ -12,13 +12,17 @@
     choose_loads,
 )
 from bankrudder.scheduling._moves import is_worth_moving
+from bankrudder.scheduling._ranking import Rank, TokenPace, sample_ranks
 
 __all__ = [
     "ChosenLoad",
     "EngineLoad",
     "ModelDemand",
+    "Rank",
+    "TokenPace",
     "assign_engines",
     "choose_loads",
     "followed_models",
     "is_worth_moving",
+    "sample_ranks",
 ]
--- a/tests/batches/test_ranking.py
+++ b/tests/scheduling/test_ranking.py
@@ -1,8 +1,12 @@
 """Which samples get slots first."""
 
+from datetime import timedelta
+
+import pytest
+
 from bankrudder.batches import Batch, Sample
 from bankrudder.batches._carried import REMEMBERED_BATCHES, CarriedSamples
-from bankrudder.batches._ranking import sample_ranks
+from bankrudder.scheduling import TokenPace, sample_ranks
 
 
 def batch(groups, target, name="b"):
@@ -45,6 +49,36 @@
     assert sample_ranks(one, (), 1.0)["a0"] < sample_ranks(one, (), 2.0)["a0"]
 
 
+@pytest.mark.parametrize("factor", [0.25, 1.0, 4.0])
+def test_what_has_to_begin_sooner_goes_first_whichever_batch_it_is_of(factor):
+    # A second apart, with ten tokens a second: the longest group of the newer batch
+    # needs seven seconds, the shorter one of the older batch two.
+    token_s = 0.1 * factor
+    older = batch({"a": [20], "b": [60]}, target=2, name="older")
+    newer = batch({"c": [70], "d": [15]}, target=2, name="newer")
+    ranks = sample_ranks(older, (), 0.0, token_s)
+    ranks |= sample_ranks(newer, (), 1.0 * factor, token_s)
+    assert sorted(ranks, key=ranks.get) == ["c0", "b0", "a0", "d0"]
+
+
+def test_groups_that_were_begun_before_go_before_all_others():
+    one = sample_ranks(batch({"a": [50]}, target=1), (), 0.0, 0.1)
+    other = sample_ranks(batch({"b": [5]}, target=1), ["b0"], 9.0, 0.1)
+    assert other["b0"] < one["a0"]
+
+
+def test_the_time_of_a_token_follows_what_samples_took():
+    pace = TokenPace()
+    assert pace.seconds == 0.0
+    pace.note(100, timedelta(seconds=10))
+    assert pace.seconds == pytest.approx(0.1)
+    for _ in range(300):
+        pace.note(100, timedelta(seconds=40))
+    assert pace.seconds == pytest.approx(0.4, rel=0.02)
+    pace.note(0, timedelta(seconds=9))
+    assert pace.seconds == pytest.approx(0.4, rel=0.02)
+
+
 def test_without_a_target_no_group_is_put_off():
     found = order_of(batch({"a": [5], "b": [20]}, target=0))
     assert found == ["b0", "a0"]
