What an engine never loaded does not tell which model it followed

This has been so since engines keep their model. Ruled out: the shares of work (32, 32 and 24 samples). Change: only models of which an engine has more than the oldest version count.

--- a/src/bankrudder/scheduling/_assignment.py
+++ b/src/bankrudder/scheduling/_assignment.py
@@ -100,6 +100,10 @@
 ) -> dict[EndpointId, ModelName]:
     """Return which model each engine followed, as far as its versions tell.
 
+    An engine followed the model whose newest version it lags behind the least, of those
+    that were loaded there: of the others all engines have the version that they
+    started with.
+
     Parameters
     ----------
     versions : mapping
@@ -107,15 +111,19 @@
     named : mapping
         Newest version that was named, by model.
     """
+    oldest = {
+        model: min(own[model] for own in versions.values() if model in own)
+        for model in named
+        if any(model in own for own in versions.values())
+    }
     followed = {}
     for engine, own in versions.items():
         lags = sorted(
             (named[model] - version, model)
             for model, version in own.items()
-            if model in named
+            if model in oldest and version > oldest[model]
         )
-        is_clear = len(lags) == 1 or (len(lags) > 1 and lags[0][0] < lags[1][0])
-        if is_clear:
+        if len(lags) == 1 or (len(lags) > 1 and lags[0][0] < lags[1][0]):
             followed[engine] = lags[0][1]
     return followed
 
--- a/tests/scheduling/test_assignment.py
+++ b/tests/scheduling/test_assignment.py
@@ -5,6 +5,7 @@
 from bankrudder.scheduling import assign_engines, followed_models
 
 ENGINES = ["e1", "e2", "e3", "e4", "e5"]
+SIX = [*ENGINES, "e6"]
 
 
 def counts(assigned):
@@ -90,6 +91,13 @@
     assert followed_models({"e1": {"a": 1, "b": 1}}, {}) == {}
 
 
+def test_the_first_version_that_is_named_tells_nothing_of_engines_that_lack_it():
+    versions = {name: {"a": 1, "b": 1, "c": 1} for name in SIX}
+    assert followed_models(versions, {"a": 2}) == {}
+    versions["e1"] = {"a": 2, "b": 1, "c": 1}
+    assert followed_models(versions, {"a": 2}) == {"e1": "a"}
+
+
 def test_who_begins_to_give_orders_changes_no_model():
     named = {"a": 9, "b": 8}
     versions = {
@@ -103,7 +111,6 @@
     assert assign_engines(list(versions), shares, followed) == followed
 
 
-SIX = [f"e{number}" for number in range(1, 7)]
 THREE = {"a": 1.0, "b": 1.0, "c": 1.0}
 PAIRS = {"e1": "a", "e2": "a", "e3": "b", "e4": "b", "e5": "c", "e6": "c"}
 
