--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -37,6 +37,7 @@
     PACES_PAUSE_S,
     EnginePaces,
     LoadAnnouncer,
+    LoadPlanner,
     VersionSwitcher,
 )
 from bankrudder.presence import NO_ADDRESS, HostCleaner, Lifetime, Presence
@@ -202,15 +203,19 @@
         )
 
     def _make_switcher(self) -> VersionSwitcher:
+        planner = LoadPlanner(
+            self.view.named_versions,
+            self.batches.owners,
+            lambda: self._paces.usual,
+            self._clock,
+        )
         return VersionSwitcher(
             self.lease,
             self._settings.host,
             self.directory,
             self._endpoints,
-            self.view.named_versions,
-            self.batches.owners,
+            planner,
             self._announcer,
-            lambda: self._paces.usual,
             self._routes,
             self._clock,
         )
--- a/src/bankrudder/orders/__init__.py
+++ b/src/bankrudder/orders/__init__.py
@@ -2,6 +2,7 @@
 
 from bankrudder.orders._announcing import LOADED_TABLE, LoadAnnouncer
 from bankrudder.orders._paces import PACES_PAUSE_S, EnginePaces
+from bankrudder.orders._planning import LoadPlanner
 from bankrudder.orders._switching import VersionSwitcher
 
 __all__ = [
@@ -9,5 +10,6 @@
     "PACES_PAUSE_S",
     "EnginePaces",
     "LoadAnnouncer",
+    "LoadPlanner",
     "VersionSwitcher",
 ]
--- a/tests/orders/test_switching.py
+++ b/tests/orders/test_switching.py
@@ -11,7 +11,7 @@
     ModelState,
     OrderOutcome,
 )
-from bankrudder.orders import VersionSwitcher
+from bankrudder.orders import LoadPlanner, VersionSwitcher
 from bankrudder.world import SystemClock
 
 LOAD_S = 0.2
@@ -104,10 +104,10 @@
         batches = OpenBatches(needed, samples)
         batches.is_loaded = is_loaded
         engines.running = running
+        planner = LoadPlanner(named, batches, dict, clock)
         switcher = VersionSwitcher(
-            HeldLease(), "h", directory, engines, named, batches, engines, dict,
-            lambda: None, clock,
-        )  # fmt: skip
+            HeldLease(), "h", directory, engines, planner, engines, lambda: None, clock
+        )
         task = asyncio.ensure_future(switcher.run())
         await asyncio.sleep(10 * LOAD_S)
         if lose is not None:
