--- a/src/bankrudder/scheduling/_ranking.py
+++ b/src/bankrudder/scheduling/_ranking.py
@@ -18,7 +18,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:  # batches are made of these decisions, and would import in a circle
-    from bankrudder.batches._values import Batch, GroupId, SampleId
+    from bankrudder.batches import Batch, GroupId, SampleId
 
 Rank = tuple[float, ...]
 """Lower ranks go first."""
