A call that is being given up is not given another time to end

Cause, found by reading: when a second outage ends while a call of the first is still ending, its time was set anew, which raises an error in the middle of the return: calls after it in the list would have hung for their own timeouts. Change: such a call is passed over. A test with two outages 0.15 s apart failed (the second call hung past 5 s) and passes.

--- a/src/bankrudder/store/_recovering.py
+++ b/src/bankrudder/store/_recovering.py
@@ -192,7 +192,8 @@
         self._returned.set()
         until = asyncio.get_running_loop().time() + ABANDON_S
         for scope, began in self._in_flight.items():
-            if began < ended.since:
+            # One that is being given up cannot be given another time.
+            if began < ended.since and not scope.expired():
                 scope.reschedule(until)
 
     async def _probe_until_back(self) -> None:
--- a/tests/store/test_recovering.py
+++ b/tests/store/test_recovering.py
@@ -9,13 +9,15 @@
     Committed,
     Expectation,
     NotCommitted,
+    Page,
     Put,
     RecoveringStore,
     RowKey,
+    StoreTrouble,
     StoreUnavailableError,
     Transaction,
 )
-from bankrudder.store._recovering import MAX_WAIT_S
+from bankrudder.store._recovering import ABANDON_S, MAX_WAIT_S
 from bankrudder.world import SystemClock
 from outside.site import until
 from outside.store import GateMode
@@ -93,3 +95,38 @@
         assert isinstance(await recovering.commit(WRITE), NotCommitted)
     gate.rejects_after_delay = False
     assert isinstance(await recovering.commit(WRITE), Committed)
+
+
+class SlowlyEndingStore:
+    """A store whose feed takes a while to end when it is given up."""
+
+    def __init__(self):
+        self.is_away = False
+
+    async def follow(self, table, after, wait_s):
+        try:
+            await asyncio.sleep(60)
+        finally:
+            await asyncio.sleep(0.5)
+
+    async def read(self, table, part, start="", end="", limit=500):
+        if self.is_away:
+            raise StoreUnavailableError(StoreTrouble.BUSY)
+        return Page((), 1, False)
+
+
+async def test_what_is_being_given_up_does_not_hold_up_the_next_outages_calls():
+    store = SlowlyEndingStore()
+    recovering = RecoveringStore(store, SystemClock())
+    hanging = []
+    for _ in range(2):
+        hanging.append(asyncio.ensure_future(recovering.follow("results", 0, 30.0)))
+        await asyncio.sleep(0)
+        store.is_away = True
+        await lose(recovering)
+        store.is_away = False
+        await recovering.read("results", "batch")
+        await asyncio.sleep(ABANDON_S + 0.05)  # the first one is being given up now
+    for each in hanging:
+        with pytest.raises(StoreUnavailableError):
+            await asyncio.wait_for(each, 5.0)
