An engine that is always full loads once a version is overdue

Cause, found by reading: a load that nothing needs yet waited for free slots without a bound. With versions minutes apart and engines that are never free, an engine would have kept the version before for minutes, where operators ask for all engines within six seconds. Change: after four usual loads it loads however full it is.

--- a/src/bankrudder/scheduling/_loads.py
+++ b/src/bankrudder/scheduling/_loads.py
@@ -11,8 +11,8 @@
 soon as the step that waited for the version has taken its slots, so that the next step,
 which may still use the version before, finds the other half; these follow when the
 version has settled and they have free slots, so that no sample waits for what a load
-delays. So each engine follows every second version of a quick pair, and never all of
-them at once.
+delays, or when the version is overdue. So each engine follows every second version of a
+quick pair, and never all of them at once.
 """
 
 from collections.abc import Mapping, Sequence
@@ -37,6 +37,10 @@
 """A version has settled after this many times an engine's usual load: a newer one that
 was about to be named would by then have made the load useless."""
 
+OVERDUE_LOADS = 4.0
+"""After so many times an engine's usual load it loads however full it is: operators ask
+for new weights on all engines within six seconds, and a load takes about one."""
+
 MODEL_LOADING_SHARE = 0.34
 """Engines of one model that load at once while they are still of use, at most this
 share and at least one: they take no new samples meanwhile."""
@@ -117,9 +121,13 @@
             for engine in behind
             if engine.version < demand.needed
         ]
+        is_overdue = demand.named_for >= OVERDUE_LOADS * usual_load
         has_settled = demand.named_for >= SETTLED_LOADS * usual_load
+        may_wait = has_settled and not is_overdue
+        if may_wait:
+            behind = [engine for engine in behind if not engine.is_full]
         useful += [
-            (engine.version, engine.id, model, has_settled)
+            (engine.version, engine.id, model, may_wait)
             for engine in _useful(own, behind, demand, has_settled)
             if demand.named_for >= PLACING
         ]
@@ -144,9 +152,7 @@
     )
     loading = sum(engine.is_loading for engine in own)
     room = max(1, int(MODEL_LOADING_SHARE * len(own))) - loading
-    if has_settled:
-        candidates = [engine for engine in candidates if not engine.is_full]
-    else:
+    if not has_settled:
         following = sum(
             engine.is_loading or engine.version >= demand.named for engine in own
         )
