Rows of paces and loads that are not understood are passed over

Cause, found by reading: a row of either table that cannot be decoded ended the reading of the whole table again and again, and a pace of zero would have made every engine slow. Ruled out: rows that are late or lost (tests of the dispatcher and of paces hold). Change: such a row is logged and passed over.

--- a/src/bankrudder/orders/_announcing.py
+++ b/src/bankrudder/orders/_announcing.py
@@ -48,7 +48,13 @@
 
     def take(self, row: Row) -> None:
         """Take a row that was written by whoever gave the order."""
-        state = msgspec.json.decode(row.value, type=EngineVersion)
+        try:
+            state = msgspec.json.decode(row.value, type=EngineVersion)
+        except msgspec.DecodeError as error:
+            _log.warning(
+                "orders: load not understood", endpoint=row.key.key, reason=str(error)
+            )
+            return
         engine = self._directory.get(EndpointId(row.key.key))
         if engine is None:
             return
--- a/src/bankrudder/orders/_paces.py
+++ b/src/bankrudder/orders/_paces.py
@@ -15,6 +15,7 @@
 from bankrudder.store import (
     Committed,
     Put,
+    Row,
     RowKey,
     Store,
     StoreUnavailableError,
@@ -89,12 +90,28 @@
                 gone.append(row.key)
                 self._seen.pop(engine, None)
                 continue
-            pace = msgspec.json.decode(row.value, type=EnginePace)
-            seen = self._seen.setdefault(engine, deque(maxlen=REMEMBERED))
-            seen.append(pace.gap_s)
+            gap_s = _told_gap(row)
+            if gap_s is not None:
+                seen = self._seen.setdefault(engine, deque(maxlen=REMEMBERED))
+                seen.append(gap_s)
         if gone:
             await self._store.commit(Transaction(removals=tuple(gone)))
 
     def _has_changed(self, engine: EndpointId, gap_s: float) -> bool:
         told = self._told.get(engine)
         return told is None or abs(gap_s - told) > MIN_CHANGE * told
+
+
+def _told_gap(row: Row) -> float | None:
+    """Return what a row tells, None if that cannot be a time between events."""
+    try:
+        gap_s = msgspec.json.decode(row.value, type=EnginePace).gap_s
+    except msgspec.DecodeError as error:
+        _log.warning(
+            "orders: pace not understood", endpoint=row.key.key, reason=str(error)
+        )
+        return None
+    if gap_s > 0:
+        return gap_s
+    _log.warning("orders: pace passed over", endpoint=row.key.key, gap_s=gap_s)
+    return None
--- a/tests/orders/test_paces.py
+++ b/tests/orders/test_paces.py
@@ -82,3 +82,12 @@
     await paces.tell()
     await paces.look()
     assert paces.usual == {"e1": 0.04}
+
+
+@pytest.mark.parametrize("told", ["soon", {"gap_s": 0}, {"gap_s": -1.0}, {}])
+async def test_what_cannot_be_a_pace_is_passed_over(paces, directory, rows, told):
+    directory.get("e1").note_event_gap(0.04)
+    await paces.tell()
+    rows.put("paces", "e2", told)
+    await paces.look()
+    assert paces.usual == {"e1": 0.04}
