An owner's row is judged only by hosts that are read as far as it

The logs of a repeated run: a host began with a batch at 59.050 s, another one took it over at 59.059 s, as it had not yet read the first heartbeat of the owner, which had just started. This was so before (hosts were ready before any heartbeat); it was never seen, as it costs a batch some work again. Ruled out: a silence of the owner (9 ms). Change: an owner counts as lost only if the hosts are known up to the version of the row that names it. A batch of a host that ended long ago is still taken over at once.

--- a/src/bankrudder/batches/_ownership.py
+++ b/src/bankrudder/batches/_ownership.py
@@ -132,7 +132,7 @@
         """Yield the batches that nobody works on and this host should take over."""
         now = self._clock.monotonic()
         for batch_id, (owner, version) in list(self._owners.items()):
-            if self._has_owner(owner):
+            if self._has_owner(owner) or self._may_be_new(version):
                 self._ownerless_since.pop(batch_id, None)
                 continue
             since = self._ownerless_since.setdefault(batch_id, now)
@@ -141,6 +141,14 @@
             if now - since >= self._rank(batch_id, owner) * RANK_DELAY_S:
                 yield batch_id, owner, version
 
+    def _may_be_new(self, version: RowVersion) -> bool:
+        """Whether an owner's row is newer than what is known of the hosts.
+
+        It may name a run whose first heartbeat has not been read here, as hosts that
+        have just started are given batches at once.
+        """
+        return version > self._presence.read_version
+
     def _has_owner(self, owner: Owner) -> bool:
         if not owner.host:
             return False
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -238,6 +238,11 @@
             return not self._follower.is_loaded
         return seen[0].lifetime == lifetime and self._is_fresh(host)
 
+    @property
+    def read_version(self) -> RowVersion:
+        """Version of the store up to which all heartbeats are known here."""
+        return self._follower.read_version
+
     def lifetime_of(self, host: HostId) -> Lifetime | None:
         """Return the newest run of a host, None if the host is not known."""
         seen = self._seen.get(host)
--- a/src/bankrudder/store/_following.py
+++ b/src/bankrudder/store/_following.py
@@ -7,7 +7,7 @@
 
 from bankrudder.store._errors import HistoryLostError, StoreUnavailableError
 from bankrudder.store._port import Store
-from bankrudder.store._values import RemovedRow, Row, RowKey, RowVersion
+from bankrudder.store._values import ABSENT, RemovedRow, Row, RowKey, RowVersion
 from bankrudder.world import Clock
 
 WAIT_S = 0.8
@@ -58,6 +58,7 @@
         self._pause_s = pause_s
         self._wait_s = wait_s
         self._known: dict[RowKey, RowVersion] = {}
+        self._read_version = ABSENT
         self._last_read_at: float | None = None
         self._lost_since: float | None = None
         self._regained_at: float | None = None
@@ -67,6 +68,11 @@
         """Whether all rows were read once."""
         return self._last_read_at is not None
 
+    @property
+    def read_version(self) -> RowVersion:
+        """Version of the store up to which all rows are known."""
+        return self._read_version
+
     @property
     def last_read_at(self) -> float | None:
         """Monotonic time of the last read that succeeded."""
@@ -91,6 +97,7 @@
                     version = await self._read_all()
                 else:
                     version = await self._read_changes(version)
+                self._read_version = version
                 self._note_success()
             except HistoryLostError:
                 _log.warning("store: history lost, reading anew", table=self._table)
--- a/tests/batches/test_ownership.py
+++ b/tests/batches/test_ownership.py
@@ -41,3 +41,42 @@
     book.remove("b1")
     book.remove("b1")
     assert book.open_seconds() == {"m": 6.0}
+
+
+class HostsAsRead:
+    """What is known of the hosts, up to some version of the store: this one runs."""
+
+    host = "h"
+    lifetime = "life"
+
+    def __init__(self, read_version):
+        self.read_version = read_version
+
+    def is_alive(self, host, lifetime):
+        return (host, lifetime) == (self.host, self.lifetime)
+
+    def is_in(self, host, data_centres):
+        return True
+
+    def live_hosts(self, data_centres):
+        return [self.host]
+
+    def room_of(self, host):
+        return 1.0
+
+
+async def test_an_owner_is_not_lost_before_its_first_heartbeat_can_be_known(hand_clock):
+    hosts = HostsAsRead(read_version=5)
+    book = OwnerBook(hosts, hand_clock)
+    book.put("b1", owner(), 6)
+    assert list(book.due_for_me()) == []
+    hosts.read_version = 6
+    assert [batch for batch, _, _ in book.due_for_me()] == ["b1"]
+
+
+async def test_an_owner_that_ended_before_the_hosts_were_read_is_lost_at_once(
+    hand_clock,
+):
+    book = OwnerBook(HostsAsRead(read_version=9), hand_clock)
+    book.put("b1", owner(), 6)
+    assert [batch for batch, _, _ in book.due_for_me()] == ["b1"]
