--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 
 from bankrudder.batches._values import GroupId, SampleId
-from bankrudder.fleet import EndpointDirectory, EndpointId, TrackedEndpoint
+from bankrudder.fleet import EndpointDirectory, EndpointRun, TrackedEndpoint
 from bankrudder.routing import ModelName, ServiceName
 from bankrudder.scheduling import is_worth_moving
 from bankrudder.world import Clock, DataCentreName, ModelVersion
@@ -69,9 +69,9 @@
         self._clock = clock
         self._waiting: list[_Request] = []
         self._sequence = itertools.count()
-        self._paused: dict[tuple[EndpointId, ModelName], float] = {}
-        self._group_homes: dict[tuple[GroupId, EndpointId], int] = {}
-        self._reserved: dict[SampleId, tuple[EndpointId, float]] = {}
+        self._paused: dict[tuple[EndpointRun, ModelName], float] = {}
+        self._group_homes: dict[tuple[GroupId, EndpointRun], int] = {}
+        self._reserved: dict[SampleId, tuple[EndpointRun, float]] = {}
 
     @property
     def waiting_count(self) -> int:
@@ -94,13 +94,13 @@
     def release(self, target: TrackedEndpoint, group: GroupId) -> None:
         """Give a slot back."""
         target.in_flight -= 1
-        self._count_group(group, target.endpoint.id, -1)
+        self._count_group(group, target.run, -1)
         self._grant()
 
     def pause(self, target: TrackedEndpoint, model: ModelName) -> None:
         """Leave an engine alone for a moment: it refused a sample."""
         until = self._clock.monotonic() + REFUSAL_PAUSE_S
-        self._paused[target.endpoint.id, model] = until
+        self._paused[target.run, model] = until
 
     def should_move(
         self, demand: SlotDemand, target: TrackedEndpoint, events: int
@@ -158,7 +158,7 @@
                 continue
             target.in_flight += 1
             self._reserved.pop(demand.sample, None)
-            self._count_group(demand.group, target.endpoint.id, 1)
+            self._count_group(demand.group, target.run, 1)
             request.granted.set_result(target)
         for request in left:
             heapq.heappush(self._waiting, request)
@@ -177,7 +177,7 @@
         self, each: TrackedEndpoint, group: GroupId, usual_s: float
     ) -> tuple[bool, float, float]:
         gap_s = each.event_gap_s or usual_s
-        if (group, each.endpoint.id) in self._group_homes:
+        if (group, each.run) in self._group_homes:
             gap_s /= SAME_GROUP_FACTOR
         occupied = each.in_flight / each.endpoint.slots
         # Within a tenth engines count as equally quick, and the emptier one goes.
@@ -192,7 +192,7 @@
             each
             for each in self._directory.of_service(demand.service, demand.data_centres)
             if not each.is_suspended(now)
-            and self._paused.get((each.endpoint.id, model), 0.0) <= now
+            and self._paused.get((each.run, model), 0.0) <= now
             and not each.is_loading(model, now)
             and (each.version_of(model) or 0) >= demand.min_version
         ]
@@ -201,8 +201,8 @@
         """Whether an engine has a slot that is not kept for another sample."""
         now = self._clock.monotonic()
         kept = sum(
-            engine == each.endpoint.id and now < until and other != sample
-            for other, (engine, until) in self._reserved.items()
+            run == each.run and now < until and other != sample
+            for other, (run, until) in self._reserved.items()
         )
         return each.in_flight + kept < self._slots(each)
 
@@ -215,16 +215,16 @@
             for other, (kept_at, until) in self._reserved.items()
             if now < until
         }
-        kept = sum(at == engine.endpoint.id for at, _ in self._reserved.values())
+        kept = sum(run == engine.run for run, _ in self._reserved.values())
         if kept < MOST_RESERVED * engine.endpoint.slots:
-            self._reserved[sample] = (engine.endpoint.id, now + seconds)
+            self._reserved[sample] = (engine.run, now + seconds)
 
     @staticmethod
     def _slots(each: TrackedEndpoint) -> int:
         return each.endpoint.slots if each.is_trusted else UNTRUSTED_SLOTS
 
-    def _count_group(self, group: GroupId, endpoint: EndpointId, change: int) -> None:
-        key = (group, endpoint)
+    def _count_group(self, group: GroupId, run: EndpointRun, change: int) -> None:
+        key = (group, run)
         count = self._group_homes.get(key, 0) + change
         if count > 0:
             self._group_homes[key] = count
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -16,9 +16,11 @@
     OutgoingRequest,
     RefusalReason,
     Refused,
+    RunEndedError,
     StreamBrokenError,
     StreamEvent,
     TrackedEndpoint,
+    within_run,
 )
 from bankrudder.observe import Tracer
 from bankrudder.routing import Route
@@ -155,7 +157,7 @@
             )
             try:
                 with span:
-                    await self._run_on(target, demand)
+                    await self._run_until_end(target, demand)
                     span.set(events=len(self._text), is_whole=self._text.is_whole)
             finally:
                 self._dispatcher.release(target, self._sample.group)
@@ -171,6 +173,13 @@
             route.data_centres,
         )
 
+    async def _run_until_end(self, target: TrackedEndpoint, demand: SlotDemand) -> None:
+        try:
+            async with within_run(target):
+                await self._run_on(target, demand)
+        except RunEndedError:
+            self._log_break(target, "the engine started again")
+
     async def _run_on(self, target: TrackedEndpoint, demand: SlotDemand) -> None:
         async with self._client.open_stream(
             target.endpoint, self._outgoing()
--- a/src/bankrudder/fleet/__init__.py
+++ b/src/bankrudder/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Endpoints: what is known of them, the choice of one, and sending to it."""
 
 from bankrudder.fleet._directory import RETURN_S, EndpointDirectory
+from bankrudder.fleet._run_end import RunEndedError, within_run
 from bankrudder.fleet._sending import (
     Answered,
     EndpointClient,
@@ -23,8 +24,10 @@
 )
 from bankrudder.fleet._tracked import TrackedEndpoint
 from bankrudder.fleet._values import (
+    Birth,
     Endpoint,
     EndpointId,
+    EndpointRun,
     ModelState,
     Readiness,
     ReportedLoad,
@@ -33,10 +36,12 @@
 __all__ = [
     "RETURN_S",
     "Answered",
+    "Birth",
     "Endpoint",
     "EndpointClient",
     "EndpointDirectory",
     "EndpointId",
+    "EndpointRun",
     "EngineState",
     "Generation",
     "Headers",
@@ -50,6 +55,7 @@
     "RefusalReason",
     "Refused",
     "ReportedLoad",
+    "RunEndedError",
     "SendOutcome",
     "StreamBrokenError",
     "StreamEvent",
@@ -57,4 +63,5 @@
     "SwitchMode",
     "TrackedEndpoint",
     "VersionOrder",
+    "within_run",
 ]
--- a/src/bankrudder/fleet/_directory.py
+++ b/src/bankrudder/fleet/_directory.py
@@ -3,10 +3,11 @@
 import random
 from collections.abc import Collection, Iterable
 
+import msgspec
 import structlog
 
 from bankrudder.fleet._tracked import TrackedEndpoint
-from bankrudder.fleet._values import Endpoint, EndpointId
+from bankrudder.fleet._values import Endpoint, EndpointId, EndpointRun
 from bankrudder.routing import ServiceName
 from bankrudder.world import Clock, DataCentreName
 
@@ -25,7 +26,11 @@
 
 
 class EndpointDirectory:
-    """The endpoints by service.
+    """The endpoints by service, each in its latest run.
+
+    That an endpoint started again is learned from the list, from its own answers or
+    from other hosts, in any order. The newest birth wins; what comes later from an
+    earlier run is passed over.
 
     Parameters
     ----------
@@ -44,6 +49,7 @@
         self._rng = rng or random.Random()
         self._tracked: dict[EndpointId, TrackedEndpoint] = {}
         self._missing: dict[EndpointId, float] = {}
+        self._unreadable: dict[EndpointId, str] = {}
 
     def __len__(self) -> int:
         return len(self._tracked)
@@ -52,10 +58,25 @@
         """Return a listed endpoint, None if there is none of that name."""
         return self._tracked.get(endpoint_id)
 
+    @property
+    def unreadable_count(self) -> int:
+        """Number of entries of the list that cannot be understood."""
+        return len(self._unreadable)
+
     def put(self, endpoint: Endpoint) -> None:
         """Take a new or changed entry of the list."""
-        self._missing.pop(endpoint.id, None)
+        if self._unreadable.pop(endpoint.id, None) is not None:
+            _log.info("fleet: entry readable again", endpoint=endpoint.id)
         known = self._tracked.get(endpoint.id)
+        if known is not None and endpoint.run.is_before(known.run):
+            _log.info(
+                "fleet: entry of an earlier run passed over",
+                endpoint=endpoint.id,
+                born=endpoint.born,
+                known_born=known.run.born,
+            )
+            return
+        self._missing.pop(endpoint.id, None)
         if known is None:
             self._tracked[endpoint.id] = TrackedEndpoint(endpoint)
             _log.info(
@@ -66,6 +87,9 @@
                 readiness=endpoint.readiness.value,
             )
             return
+        if endpoint.run.is_after(known.run):
+            self._replace(known, TrackedEndpoint(endpoint))
+            return
         if known.endpoint.readiness is not endpoint.readiness:
             _log.info(
                 "fleet: endpoint changed",
@@ -74,8 +98,55 @@
             )
         known.update(endpoint)
 
+    def put_unreadable(self, endpoint_id: EndpointId, reason: str) -> None:
+        """Take an entry that cannot be understood: it names no endpoint to use.
+
+        An endpoint that is known takes nothing new; what it works on goes on.
+        """
+        known = self._tracked.get(endpoint_id)
+        if known is not None:
+            known.mark_unreadable()
+        if self._unreadable.get(endpoint_id) != reason:
+            self._unreadable[endpoint_id] = reason
+            _log.warning(
+                "fleet: entry not understood", endpoint=endpoint_id, reason=reason
+            )
+
+    def note_run(self, run: EndpointRun) -> TrackedEndpoint | None:
+        """Take what others than the list say of an endpoint's run.
+
+        Returns
+        -------
+        TrackedEndpoint or None
+            The endpoint if that is its latest run; None if it is an earlier one, or if
+            the endpoint is not listed.
+        """
+        known = self._tracked.get(run.endpoint)
+        if known is None or run.is_before(known.run):
+            return None
+        if run.is_after(known.run):
+            entry = msgspec.structs.replace(known.endpoint, born=run.born)
+            later = TrackedEndpoint(entry, are_versions_known=False)
+            if not known.is_readable:
+                later.mark_unreadable()
+            self._replace(known, later)
+            return later
+        return known
+
+    def _replace(self, known: TrackedEndpoint, later: TrackedEndpoint) -> None:
+        self._tracked[later.run.endpoint] = later
+        _log.info(
+            "fleet: endpoint started again",
+            endpoint=later.run.endpoint,
+            born=later.run.born,
+            born_before=known.run.born,
+            in_flight=known.in_flight,
+        )
+        known.end()
+
     def remove(self, endpoint_id: EndpointId, keep_until: float) -> None:
         """Take an endpoint out, at once or at `keep_until` if it is not back."""
+        self._unreadable.pop(endpoint_id, None)
         if endpoint_id not in self._tracked:
             return
         if keep_until > self._clock.monotonic():
--- a/src/bankrudder/fleet/_sending.py
+++ b/src/bankrudder/fleet/_sending.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from bankrudder.fleet._values import Endpoint, ReportedLoad
+from bankrudder.fleet._values import Birth, Endpoint, ReportedLoad
 from bankrudder.routing import ModelName
 from bankrudder.world import ModelVersion
 
@@ -81,6 +81,8 @@
     """The answer was to another request."""
 
     TIMEOUT = "timeout"
+    ENDPOINT_RESTARTED = "endpoint_restarted"
+    """A later run of the endpoint began before there was an answer."""
 
 
 class Answered(msgspec.Struct, frozen=True):
@@ -164,12 +166,15 @@
         Whether an order is being carried out.
     running : int
         Requests that it works on.
+    born : Birth or None
+        When this run of it began, None if it does not tell.
     """
 
     orders_taken: int
     is_busy: bool
     versions: dict[ModelName, ModelVersion]
     running: int = 0
+    born: Birth | None = None
 
 
 class SwitchMode(Enum):
--- a/src/bankrudder/fleet/_tracked.py
+++ b/src/bankrudder/fleet/_tracked.py
@@ -1,8 +1,11 @@
-"""What this process knows of one endpoint, beside what the platform lists."""
+"""What this process knows of one run of an endpoint, beside what the platform lists."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
 
-from bankrudder.fleet._values import Endpoint, Readiness, ReportedLoad
+import msgspec
+
+from bankrudder.fleet._values import Endpoint, EndpointRun, Readiness, ReportedLoad
 from bankrudder.routing import ModelName
 from bankrudder.world import ModelVersion
 
@@ -13,7 +16,7 @@
 FIRST_SUSPENSION_S = 0.4
 MAX_SUSPENSION_S = 3.0
 """An endpoint that gives no answer is left out this long, doubled up to the most;
-a restart takes some seconds and is listed as a new endpoint anyway."""
+a restart takes some seconds, and its new run is not left out."""
 
 LOADING_S = 2.0
 """An engine that was said to load is taken to have loaded after this time, twice what a
@@ -24,12 +27,20 @@
 
 
 class TrackedEndpoint:
-    """One endpoint: its entry, the requests here, and how they went."""
+    """One run of an endpoint: its entry, the requests here, and how they went.
+
+    Parameters
+    ----------
+    are_versions_known : bool
+        Whether the entry's versions are those of this run, and not of the one before.
+    """
 
-    def __init__(self, endpoint: Endpoint):
+    def __init__(self, endpoint: Endpoint, are_versions_known: bool = True):
         self.in_flight = 0
         self._endpoint = endpoint
-        self._versions = {state.model: state.version for state in endpoint.models}
+        self._versions: dict[ModelName, ModelVersion] = {}
+        if are_versions_known:
+            self._note_versions(endpoint)
         self._loading: dict[ModelName, tuple[ModelVersion, float]] = {}
         self._latency_s: float | None = None
         self._event_gap_s: float | None = None
@@ -38,21 +49,44 @@
         self._failures = 0
         self._suspended_until = 0.0
         self._is_listed = True
+        self._is_readable = True
+        self._has_ended = False
+        self._on_end: set[Callable[[], None]] = set()
 
     @property
     def endpoint(self) -> Endpoint:
         """The newest entry of the list."""
         return self._endpoint
 
+    @property
+    def run(self) -> EndpointRun:
+        """The run that all of this is known of."""
+        return self._endpoint.run
+
     @property
     def is_listed(self) -> bool:
         """Whether the platform lists it; if not, nothing new may be sent to it."""
         return self._is_listed
 
+    @property
+    def is_readable(self) -> bool:
+        """Whether its newest entry of the list can be understood."""
+        return self._is_readable
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether a later run of this endpoint is known."""
+        return self._has_ended
+
     @property
     def takes_work(self) -> bool:
         """Whether new requests may be sent to it."""
-        return self._is_listed and self._endpoint.readiness is Readiness.READY
+        return (
+            self._is_listed
+            and self._is_readable
+            and not self._has_ended
+            and self._endpoint.readiness is Readiness.READY
+        )
 
     @property
     def latency_s(self) -> float | None:
@@ -93,16 +127,39 @@
         return self._endpoint.slots - self.in_flight - self.others_load(now)
 
     def update(self, endpoint: Endpoint) -> None:
-        """Take a newer entry of the list."""
-        self._endpoint = endpoint
+        """Take a newer entry of the list, of the same run."""
+        # An entry without a birth is taken as one of the run that is known.
+        born = self._endpoint.born if endpoint.born is None else endpoint.born
+        self._endpoint = msgspec.structs.replace(endpoint, born=born)
         self._is_listed = True
-        for state in endpoint.models:
-            self.note_version(state.model, state.version)
+        self._is_readable = True
+        self._note_versions(endpoint)
+
+    def mark_unreadable(self) -> None:
+        """Note that its entry cannot be understood: it takes nothing new until then."""
+        self._is_readable = False
 
     def unlist(self) -> None:
         """Note that the platform no longer lists it."""
         self._is_listed = False
 
+    def end(self) -> None:
+        """Note that a later run of this endpoint began."""
+        self._has_ended = True
+        for call in list(self._on_end):
+            call()
+
+    @contextmanager
+    def calling_at_end(self, call: Callable[[], None]) -> Iterator[None]:
+        """Have `call` called once this run has ended, at once if it has."""
+        if self._has_ended:
+            call()
+        self._on_end.add(call)
+        try:
+            yield
+        finally:
+            self._on_end.discard(call)
+
     def note_version(self, model: ModelName, version: ModelVersion) -> None:
         """Note that it serves a version; versions of one run only grow."""
         if version > self._versions.get(model, 0):
@@ -117,6 +174,10 @@
         version, until = self._loading.get(model, (ModelVersion(0), 0.0))
         return now < until and self._versions.get(model, 0) < version
 
+    def _note_versions(self, endpoint: Endpoint) -> None:
+        for state in endpoint.models:
+            self.note_version(state.model, state.version)
+
     def note_answer(self, latency_s: float) -> None:
         """Note a whole answer."""
         self.note_alive()
--- a/src/bankrudder/node/__init__.py
+++ b/src/bankrudder/node/__init__.py
@@ -1,6 +1,7 @@
 """One host of the system on the platform."""
 
 from bankrudder.node._adapter import Adapter, CallerListening, Listener
+from bankrudder.node._documents import Documents, UnreadableDocumentError
 from bankrudder.node._gateway import Gateway
 from bankrudder.node._main import run_daemon
 from bankrudder.node._node import Node
@@ -12,7 +13,7 @@
     load_settings,
     parse_settings,
 )
-from bankrudder.node._world_view import Documents, WorldView
+from bankrudder.node._world_view import WorldView
 
 __all__ = [
     "Adapter",
@@ -25,6 +26,7 @@
     "NodeSettings",
     "RpcSettings",
     "StoreSettings",
+    "UnreadableDocumentError",
     "WorldView",
     "load_settings",
     "parse_settings",
--- a/src/bankrudder/node/_adapter.py
+++ b/src/bankrudder/node/_adapter.py
@@ -3,9 +3,9 @@
 from typing import Protocol
 
 from bankrudder.fleet import EndpointClient
+from bankrudder.node._documents import Documents
 from bankrudder.node._gateway import Gateway
 from bankrudder.node._settings import NodeSettings
-from bankrudder.node._world_view import Documents
 from bankrudder.store import Store
 from bankrudder.world import Clock
 
--- a/src/bankrudder/node/_feeds.py
+++ b/src/bankrudder/node/_feeds.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bankrudder.node._world_view import Documents
+from bankrudder.node._documents import Documents, UnreadableDocumentError
 from bankrudder.presence import HOSTS_TABLE, Heartbeat
 from bankrudder.store import Row
 
@@ -22,7 +22,7 @@
             if row.key.table == HOSTS_TABLE:
                 beat = msgspec.json.decode(row.value, type=Heartbeat)
                 return msgspec.msgpack.encode(msgspec.structs.replace(beat, count=0))
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, UnreadableDocumentError):
             return row.value  # whoever follows the table says what is wrong
         return row.value
 
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -148,6 +148,7 @@
             "bankrudder_batches_in_work": self._parts.batches.running_count,
             "bankrudder_samples_waiting": self._parts.batches.waiting_count,
             "bankrudder_endpoints_listed": len(self._parts.directory),
+            "bankrudder_endpoints_unreadable": self._parts.directory.unreadable_count,
             "bankrudder_requests_in_progress": self._callers.in_progress,
             "bankrudder_orders_lease_held": int(self._parts.lease.is_valid),
             "bankrudder_hosts_alive": len(self._parts.presence.live_hosts()),
--- a/src/bankrudder/node/_world_view.py
+++ b/src/bankrudder/node/_world_view.py
@@ -2,18 +2,16 @@
 
 import asyncio
 from collections.abc import Iterable, Mapping
-from typing import Protocol
 
-import msgspec
 import structlog
 
 from bankrudder.fleet import (
     RETURN_S,
-    Endpoint,
     EndpointDirectory,
     EndpointId,
     ModelState,
 )
+from bankrudder.node._documents import Documents, UnreadableDocumentError
 from bankrudder.routing import ModelName, Route, RoutingConfiguration, RoutingTable
 from bankrudder.store import ReadPace, Row, RowKey, Store, TableFollower
 from bankrudder.world import Clock, ModelVersion
@@ -42,27 +40,6 @@
 _log = structlog.get_logger("node")
 
 
-class Documents(Protocol):
-    """Where the platform keeps its documents, and how they are decoded."""
-
-    configuration_table: str
-    configuration_key: str
-    named_version_prefix: str
-    endpoints_table: str
-
-    def configuration(self, body: bytes) -> RoutingConfiguration:
-        """Decode a configuration; raises `msgspec.DecodeError`."""
-        ...
-
-    def endpoint(self, endpoint_id: str, body: bytes) -> Endpoint:
-        """Decode an entry of the endpoints' list; raises `msgspec.DecodeError`."""
-        ...
-
-    def named_version(self, body: bytes) -> ModelState:
-        """Decode a version that was named; raises `msgspec.DecodeError`."""
-        ...
-
-
 class WorldView:
     """Follows the platform's tables."""
 
@@ -153,8 +130,9 @@
                 self._take_configuration(self._documents.configuration(row.value))
             elif key.startswith(self._documents.named_version_prefix):
                 self.take_named(self._documents.named_version(row.value))
-        except msgspec.DecodeError as error:
-            _log.error("node: document not understood", key=key, reason=str(error))
+        except UnreadableDocumentError as error:
+            # What was in force stays so.
+            _log.error("node: document not understood", key=key, reason=error.reason)
 
     def _take_configuration(self, configuration: RoutingConfiguration) -> None:
         before = self._routes.configuration.revision if self._routes else 0
@@ -186,12 +164,10 @@
     def _on_endpoint(self, row: Row) -> None:
         try:
             endpoint = self._documents.endpoint(row.key.key, row.value)
-        except msgspec.DecodeError as error:
-            _log.error(
-                "node: endpoint not understood", endpoint=row.key.key, reason=str(error)
-            )
-            return
-        self._directory.put(endpoint)
+        except UnreadableDocumentError as error:
+            self._directory.put_unreadable(EndpointId(row.key.key), error.reason)
+        else:
+            self._directory.put(endpoint)
 
     def _on_endpoint_removed(self, key: RowKey) -> None:
         regained_at = self._endpoints.regained_at
--- a/src/bankrudder/orders/_announcing.py
+++ b/src/bankrudder/orders/_announcing.py
@@ -11,7 +11,13 @@
 import msgspec
 import structlog
 
-from bankrudder.fleet import EndpointDirectory, EndpointId
+from bankrudder.fleet import (
+    Birth,
+    EndpointDirectory,
+    EndpointId,
+    EndpointRun,
+    TrackedEndpoint,
+)
 from bankrudder.routing import ModelName
 from bankrudder.store import Committed, Put, Row, RowKey, Store, Transaction
 from bankrudder.world import Clock, ModelVersion
@@ -28,6 +34,8 @@
     model: ModelName
     version: ModelVersion
     is_loading: bool = False
+    born: Birth | None = None
+    """Birth of the engine's run that was given the order."""
 
 
 class LoadAnnouncer:
@@ -38,13 +46,14 @@
         self._directory = directory
         self._clock = clock
 
-    async def announce(self, engine: EndpointId, state: EngineVersion) -> None:
+    async def announce(self, run: EndpointRun, state: EngineVersion) -> None:
         """Tell all owners; failing to only delays them until the next heartbeat."""
-        key = RowKey(LOADED_TABLE, "", engine)
+        state = msgspec.structs.replace(state, born=run.born)
+        key = RowKey(LOADED_TABLE, "", run.endpoint)
         put = Put(key, msgspec.json.encode(state))
         outcome = await self._store.commit(Transaction(puts=(put,)))
         if not isinstance(outcome, Committed):
-            _log.info("orders: load not announced", endpoint=engine)
+            _log.info("orders: load not announced", endpoint=run.endpoint)
 
     def take(self, row: Row) -> None:
         """Take a row that was written by whoever gave the order."""
@@ -55,7 +64,7 @@
                 "orders: load not understood", endpoint=row.key.key, reason=str(error)
             )
             return
-        engine = self._directory.get(EndpointId(row.key.key))
+        engine = self._run_of(EndpointRun(EndpointId(row.key.key), state.born))
         if engine is None:
             return
         if state.is_loading:
@@ -64,6 +73,18 @@
         else:
             engine.note_version(state.model, state.version)
 
+    def _run_of(self, run: EndpointRun) -> TrackedEndpoint | None:
+        """Return the engine if a row tells of its latest run."""
+        engine = self._directory.note_run(run)
+        if engine is None or engine.run != run:
+            _log.info(
+                "orders: load of another run passed over",
+                endpoint=run.endpoint,
+                born=run.born,
+            )
+            return None
+        return engine
+
     async def forget(self, engine: EndpointId) -> None:
         """Remove the row of an engine that is gone."""
         key = RowKey(LOADED_TABLE, "", engine)
--- a/src/bankrudder/orders/_paces.py
+++ b/src/bankrudder/orders/_paces.py
@@ -11,7 +11,13 @@
 import msgspec
 import structlog
 
-from bankrudder.fleet import EndpointDirectory, EndpointId
+from bankrudder.fleet import (
+    Birth,
+    EndpointDirectory,
+    EndpointId,
+    EndpointRun,
+    TrackedEndpoint,
+)
 from bankrudder.store import (
     Committed,
     Put,
@@ -39,9 +45,13 @@
 
 
 class EnginePace(msgspec.Struct, frozen=True):
-    """Value of a row: mean seconds from event to event, as one owner saw them."""
+    """Value of a row: mean seconds from event to event, as one owner saw them.
+
+    ``born`` is the birth of the engine's run that was seen.
+    """
 
     gap_s: float
+    born: Birth | None = None
 
 
 class EnginePaces:
@@ -50,27 +60,30 @@
     def __init__(self, store: Store, directory: EndpointDirectory):
         self._store = store
         self._directory = directory
-        self._told: dict[EndpointId, float] = {}
-        self._seen: dict[EndpointId, deque[float]] = {}
+        self._told: dict[EndpointRun, float] = {}
+        self._seen: dict[EndpointRun, deque[float]] = {}
 
     @property
     def usual(self) -> dict[EndpointId, float]:
         """Usual seconds from event to event, by engine, where that is known."""
-        return {engine: median(gaps) for engine, gaps in self._seen.items()}
+        return {run.endpoint: median(gaps) for run, gaps in self._seen.items()}
 
     async def tell(self) -> None:
         """Write the paces that changed; what is not written is tried again."""
         changed = {
-            each.endpoint.id: each.event_gap_s
+            each.run: each.event_gap_s
             for each in self._directory.all()
             if each.event_gap_s is not None
-            and self._has_changed(each.endpoint.id, each.event_gap_s)
+            and self._has_changed(each.run, each.event_gap_s)
         }
         if not changed:
             return
         puts = tuple(
-            Put(RowKey(PACES_TABLE, "", engine), msgspec.json.encode(EnginePace(gap_s)))
-            for engine, gap_s in changed.items()
+            Put(
+                RowKey(PACES_TABLE, "", run.endpoint),
+                msgspec.json.encode(EnginePace(gap_s, run.born)),
+            )
+            for run, gap_s in changed.items()
         )
         outcome = await self._store.commit(Transaction(puts=puts))
         if isinstance(outcome, Committed):
@@ -85,33 +98,44 @@
             return
         gone = []
         for row in page.rows:
-            engine = EndpointId(row.key.key)
-            if self._directory.get(engine) is None:
+            engine = self._directory.get(EndpointId(row.key.key))
+            if engine is None:
                 gone.append(row.key)
-                self._seen.pop(engine, None)
                 continue
-            gap_s = _told_gap(row)
+            gap_s = _told_gap(row, engine)
             if gap_s is not None:
-                seen = self._seen.setdefault(engine, deque(maxlen=REMEMBERED))
+                seen = self._seen.setdefault(engine.run, deque(maxlen=REMEMBERED))
                 seen.append(gap_s)
+        self._forget_ended()
         if gone:
             await self._store.commit(Transaction(removals=tuple(gone)))
 
-    def _has_changed(self, engine: EndpointId, gap_s: float) -> bool:
-        told = self._told.get(engine)
+    def _forget_ended(self) -> None:
+        """Forget runs that have ended and engines that are gone."""
+        runs = {each.run for each in self._directory.all()}
+        self._seen = {run: gaps for run, gaps in self._seen.items() if run in runs}
+        self._told = {run: gap_s for run, gap_s in self._told.items() if run in runs}
+
+    def _has_changed(self, run: EndpointRun, gap_s: float) -> bool:
+        told = self._told.get(run)
         return told is None or abs(gap_s - told) > MIN_CHANGE * told
 
 
-def _told_gap(row: Row) -> float | None:
-    """Return what a row tells, None if that cannot be a time between events."""
+def _told_gap(row: Row, engine: TrackedEndpoint) -> float | None:
+    """Return what a row tells of an engine's latest run, None if it tells nothing."""
     try:
-        gap_s = msgspec.json.decode(row.value, type=EnginePace).gap_s
+        pace = msgspec.json.decode(row.value, type=EnginePace)
     except msgspec.DecodeError as error:
         _log.warning(
             "orders: pace not understood", endpoint=row.key.key, reason=str(error)
         )
         return None
-    if gap_s > 0:
-        return gap_s
-    _log.warning("orders: pace passed over", endpoint=row.key.key, gap_s=gap_s)
+    if pace.born == engine.run.born and pace.gap_s > 0:
+        return pace.gap_s
+    _log.info(
+        "orders: pace passed over",
+        endpoint=row.key.key,
+        gap_s=pace.gap_s,
+        born=pace.born,
+    )
     return None
--- a/src/bankrudder/orders/_switching.py
+++ b/src/bankrudder/orders/_switching.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
 
@@ -15,7 +15,8 @@
 from bankrudder.fleet import (
     EndpointClient,
     EndpointDirectory,
-    EndpointId,
+    EndpointRun,
+    EngineState,
     OrderOutcome,
     SwitchMode,
     TrackedEndpoint,
@@ -79,10 +80,10 @@
         self._client = client
         self._routes = routes
         self._clock = clock
-        self._switching: dict[EndpointId, asyncio.Task[None]] = {}
-        self._orders_taken: dict[EndpointId, int] = {}
+        self._switching: dict[EndpointRun, asyncio.Task[None]] = {}
+        self._orders_taken: dict[EndpointRun, int] = {}
         self._fence = 0
-        self._announced: set[EndpointId] = set()
+        self._announced: set[EndpointRun] = set()
 
     async def run(self) -> None:
         """Give orders until cancelled."""
@@ -106,15 +107,23 @@
 
     def _forget_gone(self) -> None:
         """Remove what was announced of engines that are no longer listed."""
-        gone = {each for each in self._announced if self._directory.get(each) is None}
-        self._announced -= gone
-        for engine in gone:
-            task = asyncio.ensure_future(self._announcer.forget(engine))
-            self._switching[engine] = task
-            task.add_done_callback(partial(self._end, engine))
+        listed = {each.run: each for each in self._directory.all()}
+        ended = self._announced - listed.keys()
+        self._announced -= ended
+        self._orders_taken = {
+            run: count for run, count in self._orders_taken.items() if run in listed
+        }
+        for run in ended:
+            # The row of an engine that started again is replaced by its next load.
+            if self._directory.get(run.endpoint) is None:
+                task = asyncio.ensure_future(self._announcer.forget(run.endpoint))
+                self._switching[run] = task
+                task.add_done_callback(partial(self._end, run))
 
     def _start_switches(self) -> None:
         for service in self._directory.services():
+            if not self._is_known(service):
+                continue
             engines = sorted(
                 (
                     each
@@ -123,7 +132,10 @@
                 ),
                 key=lambda each: each.endpoint.id,
             )
-            chosen = self._planner.choose(service, engines, self._switching)
+            switching = {
+                each.endpoint.id for each in engines if each.run in self._switching
+            }
+            chosen = self._planner.choose(service, engines, switching)
             loads = {load.engine: load for load in chosen}
             for engine in engines:
                 if engine.endpoint.id in loads:
@@ -133,14 +145,16 @@
         self, engine: TrackedEndpoint, service: ServiceName, load: ChosenLoad
     ) -> None:
         task = asyncio.ensure_future(self._switch(engine, service, load))
-        self._switching[engine.endpoint.id] = task
-        task.add_done_callback(partial(self._end, engine.endpoint.id))
+        self._switching[engine.run] = task
+        task.add_done_callback(partial(self._end, engine.run))
 
-    def _end(self, endpoint: EndpointId, task: "asyncio.Task[None]") -> None:
-        self._switching.pop(endpoint, None)
+    def _end(self, run: EndpointRun, task: "asyncio.Task[None]") -> None:
+        self._switching.pop(run, None)
         if not task.cancelled() and task.exception() is not None:
             _log.error(
-                "orders: switch failed", endpoint=endpoint, exc_info=task.exception()
+                "orders: switch failed",
+                endpoint=run.endpoint,
+                exc_info=task.exception(),
             )
 
     async def _switch(
@@ -149,15 +163,14 @@
         """Give one order, and wait until the engine has carried it out."""
         endpoint = engine.endpoint
         model = load.model
-        expected = self._orders_taken.get(endpoint.id)
+        expected = self._orders_taken.get(engine.run)
         if expected is None or load.may_wait:
-            state = await self._client.state(endpoint)
+            state = await self._state_of(engine)
             if state is None:
                 await asyncio.sleep(RETRY_PAUSE_S)
                 return
-            self._note_versions(engine, state.versions)
             expected = state.orders_taken
-            self._orders_taken[endpoint.id] = expected
+            self._orders_taken[engine.run] = expected
             if load.may_wait and state.running >= FULL_SHARE * endpoint.slots:
                 self._planner.note_full(endpoint.id)
                 return
@@ -179,7 +192,7 @@
         )
         match outcome:
             case OrderOutcome.ACCEPTED:
-                self._orders_taken[endpoint.id] = expected + 1
+                self._orders_taken[engine.run] = expected + 1
                 await asyncio.gather(
                     self._announce(engine, EngineVersion(model, version, True)),
                     self._wait_loaded(engine, model, version),
@@ -189,7 +202,7 @@
                 await self._announce(engine, EngineVersion(model, version))
             case _:
                 # The count is read anew: it tells whether the order was accepted.
-                self._orders_taken.pop(endpoint.id, None)
+                self._orders_taken.pop(engine.run, None)
                 await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _wait_loaded(
@@ -204,9 +217,9 @@
             await asyncio.sleep(STATE_PAUSE_S)
             if not engine.takes_work:
                 return
-            state = await self._client.state(engine.endpoint)
-            if state is not None:
-                self._note_versions(engine, state.versions)
+            await self._state_of(engine)
+            if engine.has_ended:
+                return  # the order was meant for the run before
             if (engine.version_of(model) or 0) >= version:
                 lasted = timedelta(seconds=self._clock.monotonic() - began)
                 self._planner.note_load(lasted)
@@ -215,17 +228,37 @@
         _log.warning(
             "orders: no effect seen", endpoint=engine.endpoint.id, version=version
         )
-        self._orders_taken.pop(engine.endpoint.id, None)
+        self._orders_taken.pop(engine.run, None)
 
     async def _announce(self, engine: TrackedEndpoint, state: EngineVersion) -> None:
-        self._announced.add(engine.endpoint.id)
-        await self._announcer.announce(engine.endpoint.id, state)
+        if engine.has_ended:
+            return
+        self._announced.add(engine.run)
+        await self._announcer.announce(engine.run, state)
 
-    def _note_versions(
-        self, engine: TrackedEndpoint, versions: Mapping[ModelName, ModelVersion]
-    ) -> None:
-        for model, version in versions.items():
-            engine.note_version(model, version)
+    async def _state_of(self, engine: TrackedEndpoint) -> EngineState | None:
+        """Ask an engine for its state and note its versions.
+
+        Returns
+        -------
+        EngineState or None
+            None if it does not tell, or tells of another run than that of `engine`.
+        """
+        state = await self._client.state(engine.endpoint)
+        if state is None:
+            return None
+        run = EndpointRun(engine.run.endpoint, state.born or engine.run.born)
+        latest = self._directory.note_run(run)
+        if latest is None:
+            return None
+        for model, version in state.versions.items():
+            latest.note_version(model, version)
+        return state if latest is engine else None
+
+    def _is_known(self, service: ServiceName) -> bool:
+        """Whether operators named a service: the list may name others."""
+        table = self._routes()
+        return table is None or table.serves(service)
 
     def _mode(self, service: ServiceName) -> SwitchMode:
         table = self._routes()
--- a/src/bankrudder/platform/_documents.py
+++ b/src/bankrudder/platform/_documents.py
@@ -1,8 +1,15 @@
-"""Decoding of the documents that the platform keeps in its store."""
+"""Decoding of the documents that the platform keeps in its store.
+
+Others write them, and not only the platform's own programs, so each decoder takes whole
+documents of its kind only, and raises `UnreadableDocumentError` for anything else.
+"""
+
+from typing import Annotated, TypeVar
 
 import msgspec
 
-from bankrudder.fleet import Endpoint, EndpointId, ModelState, Readiness
+from bankrudder.fleet import Birth, Endpoint, EndpointId, ModelState, Readiness
+from bankrudder.node import UnreadableDocumentError
 from bankrudder.routing import (
     CallerLimits,
     ModelName,
@@ -24,6 +31,14 @@
 }
 
 
+_STATES = {"ready": Readiness.READY, "draining": Readiness.DRAINING}
+
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+
+_T = TypeVar("_T")
+
+
 class _WireShare(msgspec.Struct):
     service: str
     weight: float = 1.0
@@ -48,7 +63,7 @@
 
 class _WireModel(msgspec.Struct):
     name: str
-    version: int = 0
+    version: _Count = 0
 
 
 class _WireEngine(msgspec.Struct):
@@ -79,20 +94,46 @@
     """An entry of the list of endpoints.
 
     ``version`` is that of its software; the weights' versions are under ``models``.
+    ``sequence`` counts its heartbeats or orders and is not used. ``born`` is the Unix
+    millisecond of its start.
     """
 
-    service: str
-    address: str
-    zone: str = ""
-    slot_count: int = 1
-    state: str = "ready"
-    cold_ms: float = 0.0
+    service: _Text
+    address: _Text
+    zone: _Text
+    version: str
+    slot_count: Annotated[int, msgspec.Meta(ge=1)]
+    state: str
+    cold_ms: float
+    sequence: int
     models: list[_WireModel] = []
+    born: Birth | msgspec.UnsetType = msgspec.UNSET
+
+    def __post_init__(self) -> None:
+        if self.state not in _STATES:
+            raise ValueError(f"unknown state {self.state!r}")
+        host, _, port = self.address.rpartition(":")
+        if not host or not port.isdecimal():
+            raise ValueError(f"address {self.address!r} is not IP:PORT")
 
 
 class _WireNamedVersion(msgspec.Struct):
-    model: str
-    version: int
+    model: _Text
+    version: Annotated[int, msgspec.Meta(ge=1)]
+
+
+def _decoded(body: bytes, kind: type[_T]) -> _T:
+    """Decode a document.
+
+    Raises
+    ------
+    UnreadableDocumentError
+        If it is none of its kind, whatever it is.
+    """
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise UnreadableDocumentError(str(error)) from None
 
 
 def decode_configuration(body: bytes) -> RoutingConfiguration:
@@ -100,10 +141,10 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    UnreadableDocumentError
         If it is not one.
     """
-    wire = msgspec.json.decode(body, type=_WireConfiguration)
+    wire = _decoded(body, _WireConfiguration)
     return RoutingConfiguration(
         revision=wire.version,
         routes=tuple(_route(each) for each in wire.routes if each.kind in _KINDS),
@@ -118,22 +159,35 @@
 
 
 def decode_endpoint(endpoint_id: str, body: bytes) -> Endpoint:
-    """Decode an entry of the list of endpoints; raises `msgspec.DecodeError`."""
-    wire = msgspec.json.decode(body, type=_WireEndpoint)
+    """Decode an entry of the list of endpoints.
+
+    Raises
+    ------
+    UnreadableDocumentError
+        If it is not one.
+    """
+    wire = _decoded(body, _WireEndpoint)
     return Endpoint(
         id=EndpointId(endpoint_id),
         service=ServiceName(wire.service),
         address=Address(wire.address),
         data_centre=DataCentreName(wire.zone),
-        slots=max(wire.slot_count, 1),
-        readiness=Readiness.READY if wire.state == "ready" else Readiness.DRAINING,
+        slots=wire.slot_count,
+        readiness=_STATES[wire.state],
         models=tuple(model_state(each) for each in wire.models),
+        born=None if wire.born is msgspec.UNSET else wire.born,
     )
 
 
 def decode_named_version(body: bytes) -> ModelState:
-    """Decode the version that a trainer named; raises `msgspec.DecodeError`."""
-    wire = msgspec.json.decode(body, type=_WireNamedVersion)
+    """Decode the version that a trainer named.
+
+    Raises
+    ------
+    UnreadableDocumentError
+        If it is none.
+    """
+    wire = _decoded(body, _WireNamedVersion)
     return ModelState(ModelName(wire.model), ModelVersion(wire.version))
 
 
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -1,5 +1,6 @@
 """Requests and orders to endpoints over HTTP."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -10,7 +11,9 @@
 from yarl import URL
 
 from bankrudder.fleet import (
+    Birth,
     Endpoint,
+    EndpointRun,
     EngineState,
     LossReason,
     Lost,
@@ -31,7 +34,7 @@
     whole_answer,
 )
 from bankrudder.routing import ModelName, ServiceName
-from bankrudder.world import ModelVersion
+from bankrudder.world import Address, ModelVersion
 
 CONNECT_TIMEOUT_S = 0.4
 """Longest wait for a connection: a hundred times a usual one, and below the time
@@ -54,6 +57,9 @@
 NOT_KEPT = 0.0
 """Idle time of connections that are closed after each request."""
 
+MAX_REASON_CHARS = 200
+"""Longest reason in a log line that quotes an endpoint's answer."""
+
 _MODES = {SwitchMode.FINISH_FIRST: "wait", SwitchMode.CONTINUE: "keep"}
 
 _ORDER_OUTCOMES = {
@@ -68,6 +74,13 @@
 _log = structlog.get_logger("endpoints")
 
 
+class _SessionKind(msgspec.Struct, frozen=True):
+    """What requests must have in common to use the same connections."""
+
+    idle_s: float
+    later_run: EndpointRun | None
+
+
 class _WireModelState(msgspec.Struct):
     name: str
     version: int = 0
@@ -77,20 +90,24 @@
     """State of an engine, a tenth of a second ago.
 
     ``sequence`` counts the orders that it accepted, ``num_running`` the requests that
-    it works on.
+    it works on, ``born`` is the Unix millisecond of its start.
     """
 
     sequence: int
     busy: bool = False
     models: list[_WireModelState] = []
     num_running: int = 0
+    born: Birth | msgspec.UnsetType = msgspec.UNSET
 
 
 class HttpEndpointClient:
     """Sends to endpoints; each send names the endpoint that it is meant for."""
 
     def __init__(self) -> None:
-        self._sessions: dict[float, aiohttp.ClientSession] = {}
+        self._sessions: dict[_SessionKind, aiohttp.ClientSession] = {}
+        self._later_runs: dict[Address, EndpointRun] = {}
+        self._runs: dict[Address, EndpointRun] = {}
+        self._closing: set[asyncio.Task[None]] = set()
         self._idle_s: dict[ServiceName, float] = {}
 
     async def close(self) -> None:
@@ -143,7 +160,8 @@
     async def state(self, endpoint: Endpoint) -> EngineState | None:
         """Ask an engine for its state, None if it does not tell."""
         try:
-            async with self._session(self._idle_s.get(endpoint.service, IDLE_S)).get(
+            idle_s = self._idle_s.get(endpoint.service, IDLE_S)
+            async with self._session(idle_s, endpoint).get(
                 _url(endpoint, names.STATE_PATH),
                 headers={names.EXPECTED_ENDPOINT: endpoint.id},
                 timeout=aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S),
@@ -151,12 +169,23 @@
                 if response.status != 200:
                     return None
                 wire = msgspec.json.decode(await response.read(), type=_WireState)
-        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError):
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            _log.info(
+                "endpoints: no state", endpoint=endpoint.id, reason=type(error).__name__
+            )
+            return None
+        except (msgspec.DecodeError, ValueError, RecursionError) as error:
+            _log.warning(
+                "endpoints: state not understood",
+                endpoint=endpoint.id,
+                reason=str(error)[:MAX_REASON_CHARS],
+            )
             return None
         versions = {
             ModelName(each.name): ModelVersion(each.version) for each in wire.models
         }
-        return EngineState(wire.sequence, wire.busy, versions, wire.num_running)
+        born = None if wire.born is msgspec.UNSET else wire.born
+        return EngineState(wire.sequence, wire.busy, versions, wire.num_running, born)
 
     async def order(self, endpoint: Endpoint, order: VersionOrder) -> OrderOutcome:
         """Send an order to an engine."""
@@ -170,7 +199,7 @@
             "precondition": order.expected_orders,
         }
         try:
-            async with self._session(NOT_KEPT).post(
+            async with self._session(NOT_KEPT, endpoint).post(
                 _url(endpoint, names.ORDERS_PATH),
                 data=msgspec.json.encode(body),
                 headers={
@@ -190,7 +219,7 @@
     def _request(self, endpoint: Endpoint, request: OutgoingRequest) -> Any:
         idle_s = self._idle_s.get(endpoint.service, IDLE_S)
         return self._session(
-            idle_s if request.may_reuse_connection else NOT_KEPT
+            idle_s if request.may_reuse_connection else NOT_KEPT, endpoint
         ).request(
             request.method,
             _url(endpoint, request.target),
@@ -203,11 +232,36 @@
             ),
         )
 
-    def _session(self, idle_s: float) -> aiohttp.ClientSession:
+    def _session(self, idle_s: float, endpoint: Endpoint) -> aiohttp.ClientSession:
         # Sessions are made here because they need the running loop.
-        if idle_s not in self._sessions:
-            self._sessions[idle_s] = _new_session(idle_s)
-        return self._sessions[idle_s]
+        kind = _SessionKind(idle_s, self._later_run(endpoint))
+        if kind not in self._sessions:
+            self._sessions[kind] = _new_session(idle_s)
+        return self._sessions[kind]
+
+    def _later_run(self, endpoint: Endpoint) -> EndpointRun | None:
+        """Return the run of an endpoint that has started again at its address.
+
+        Idle connections to the earlier run may be dead without a sign, if it crashed
+        behind a cut link. The later run gets a session of its own, so none is reused.
+        """
+        run = endpoint.run
+        known = self._runs.setdefault(endpoint.address, run)
+        is_old = known.endpoint == run.endpoint and run.is_before(known)
+        if known != run and not is_old:
+            self._runs[endpoint.address] = run
+            self._close_sessions(self._later_runs.get(endpoint.address))
+            self._later_runs[endpoint.address] = run
+        return self._later_runs.get(endpoint.address)
+
+    def _close_sessions(self, run: EndpointRun | None) -> None:
+        """Close the connections to a run that has ended, if they are apart."""
+        if run is None:
+            return
+        for kind in [each for each in self._sessions if each.later_run == run]:
+            closing = asyncio.ensure_future(self._sessions.pop(kind).close())
+            self._closing.add(closing)
+            closing.add_done_callback(self._closing.discard)
 
     def _learn_idle_time(
         self, endpoint: Endpoint, response: aiohttp.ClientResponse
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -9,11 +9,15 @@
     EndpointClient,
     EndpointDirectory,
     EndpointId,
+    LossReason,
     Lost,
+    OutgoingRequest,
     RefusalReason,
     Refused,
+    RunEndedError,
     SendOutcome,
     TrackedEndpoint,
+    within_run,
 )
 from bankrudder.observe import Tracer
 from bankrudder.relay._values import (
@@ -145,13 +149,22 @@
         target.in_flight += 1
         try:
             with span:
-                outcome = await self._client.send(target.endpoint, outgoing)
+                outcome = await self._sent(target, outgoing)
                 span.set(outcome=describe(outcome))
         finally:
             target.in_flight -= 1
         _note_outcome(target, outcome, began, self._clock.monotonic())
         return outcome
 
+    async def _sent(
+        self, target: TrackedEndpoint, outgoing: OutgoingRequest
+    ) -> SendOutcome:
+        try:
+            async with within_run(target):
+                return await self._client.send(target.endpoint, outgoing)
+        except RunEndedError:
+            return Lost(LossReason.ENDPOINT_RESTARTED)
+
     async def _next_outcome(self) -> tuple[SendOutcome, TrackedEndpoint] | None:
         """Wait for a send to end; None when it is time for another one, or too late."""
         wait_s = self._left_s()
@@ -273,6 +286,8 @@
                 target.note_load(outcome.load, now)
         case Refused(reason=RefusalReason.REJECTED):
             pass
+        case Lost(reason=LossReason.ENDPOINT_RESTARTED):
+            pass  # its later run did not fail
         case _:
             seconds = target.note_failure(now)
             _log.info(
--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -19,10 +19,12 @@
     OutgoingRequest,
     RefusalReason,
     Refused,
+    RunEndedError,
     StreamBrokenError,
     StreamEvent,
     StreamOutcome,
     TrackedEndpoint,
+    within_run,
 )
 from bankrudder.relay._attempts import (
     MAX_REFUSALS,
@@ -155,7 +157,7 @@
         try:
             while True:
                 try:
-                    async for event in self._timed(opened):
+                    async for event in self._timed(opened, self._run):
                         if event.number <= self._last_number:
                             raise StreamBrokenError("event came again")
                         self._last_number = event.number
@@ -185,15 +187,20 @@
                 break
         raise StreamBrokenError(reason)
 
-    async def _timed(self, opened: OpenedStream) -> AsyncIterator[StreamEvent]:
+    async def _timed(
+        self, opened: OpenedStream, run: _Run | None
+    ) -> AsyncIterator[StreamEvent]:
+        assert run is not None  # closed only once its events are not read any more
         while True:
             left_s = self._left_s()
             limit_s = min(GAP_TIMEOUT_S, left_s) if self._may_go_on() else left_s
             try:
-                async with asyncio.timeout(limit_s):
+                async with within_run(run.target), asyncio.timeout(limit_s):
                     event = await anext(opened.events)
             except StopAsyncIteration:
                 return
+            except RunEndedError:
+                raise StreamBrokenError("the endpoint started again") from None
             yield event
 
     async def _open_next(self) -> StreamOutcome | None:
@@ -227,10 +234,12 @@
             resume_after=self._last_number,
         )
         try:
-            async with asyncio.timeout(self._left_s()):
+            async with within_run(run.target), asyncio.timeout(self._left_s()):
                 return await run.open(self._client, outgoing)
         except TimeoutError:
             return Lost(LossReason.TIMEOUT)
+        except RunEndedError:
+            return Lost(LossReason.ENDPOINT_RESTARTED)
 
     def _may_go_on(self) -> bool:
         return self._route.is_resumable and self._count < self._route.max_attempts
--- a/src/bankrudder/routing/_table.py
+++ b/src/bankrudder/routing/_table.py
@@ -25,6 +25,9 @@
         self._configuration = configuration
         self._more_routes = tuple(more_routes)
         self._services = {each.name: each for each in configuration.services}
+        self._targets = {
+            each.service for route in self.routes for each in route.services
+        }
         self._routes: dict[tuple[str, str], Route] = {
             (route.host, route.path_prefix): route for route in self.routes
         }
@@ -43,6 +46,10 @@
         """Return a service, None if it is not configured."""
         return self._services.get(name)
 
+    def serves(self, name: ServiceName) -> bool:
+        """Whether a service is configured, or a route goes to it."""
+        return name in self._services or name in self._targets
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of `path`, None without one.
 
--- /dev/null
+++ b/tests/fleet/test_runs.py
@@ -0,0 +1,176 @@
+"""What is believed of an endpoint holds for one run of it, from birth to birth."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from bankrudder.fleet import (
+    Endpoint,
+    EndpointDirectory,
+    EndpointRun,
+    ModelState,
+    Readiness,
+    ReportedLoad,
+    RunEndedError,
+    within_run,
+)
+
+
+def entry(born=None, version=1, readiness=Readiness.READY):
+    models = (ModelState("m", version),)
+    return Endpoint("e", "s", "a:1", "north", 4, readiness, models, born)
+
+
+@pytest.fixture
+def directory(hand_clock):
+    directory = EndpointDirectory("north", hand_clock)
+    directory.put(entry(born=5, version=7))
+    return directory
+
+
+def test_a_later_run_in_the_list_is_known_by_nothing_of_before(directory, hand_clock):
+    before = directory.get("e")
+    before.note_failure(hand_clock.monotonic())
+    before.note_event_gap(0.1)
+    before.note_load(ReportedLoad(4, 9, 4), hand_clock.monotonic())
+    before.note_loading("m", 8, hand_clock.monotonic())
+    before.in_flight = 3
+    directory.put(entry(born=9))
+    later = directory.get("e")
+    now = hand_clock.monotonic()
+    assert later is not before
+    assert later.version_of("m") == 1
+    assert later.in_flight == 0
+    assert later.event_gap_s is None
+    assert later.is_trusted
+    assert not later.is_suspended(now)
+    assert not later.is_loading("m", now)
+    assert later.others_load(now) == 0
+    assert before.has_ended
+    assert not before.takes_work
+
+
+def test_a_later_run_that_an_answer_tells_of_has_no_known_weights(directory):
+    later = directory.note_run(EndpointRun("e", 9))
+    assert directory.get("e") is later
+    assert later.version_of("m") is None
+    assert later.takes_work
+
+
+def test_the_newest_birth_wins_and_never_falls_back(directory):
+    later = directory.note_run(EndpointRun("e", 9))
+    directory.put(entry(born=5, version=7))
+    assert directory.get("e") is later
+    assert later.version_of("m") is None
+    assert directory.note_run(EndpointRun("e", 5)) is None
+    directory.put(entry(born=9, version=2))
+    assert directory.get("e") is later
+    assert later.version_of("m") == 2
+
+
+def test_an_entry_of_an_earlier_run_does_not_bring_back_a_missing_endpoint(
+    directory, hand_clock
+):
+    directory.note_run(EndpointRun("e", 9))
+    directory.remove("e", hand_clock.monotonic() + 2.0)
+    directory.put(entry(born=5))
+    hand_clock.advance(3.0)
+    directory.remove_overdue()
+    assert directory.get("e") is None
+
+
+def test_runs_within_a_second_are_told_apart(directory):
+    first = directory.get("e")
+    directory.put(entry(born=6))
+    second = directory.get("e")
+    directory.put(entry(born=7))
+    assert first.has_ended
+    assert second.has_ended
+    assert directory.get("e").run == EndpointRun("e", 7)
+
+
+def test_a_drained_endpoint_comes_back_ready_under_its_name(directory):
+    directory.put(entry(born=5, readiness=Readiness.DRAINING))
+    directory.note_run(EndpointRun("e", 9))
+    # What only an answer tells of is not known to take work again.
+    assert not directory.get("e").takes_work
+    directory.put(entry(born=9))
+    assert directory.get("e").takes_work
+
+
+def test_without_births_an_endpoint_is_one_run(hand_clock):
+    directory = EndpointDirectory("north", hand_clock)
+    directory.put(entry(version=3))
+    known = directory.get("e")
+    directory.put(entry(version=4))
+    assert directory.note_run(EndpointRun("e")) is known
+    assert directory.get("e") is known
+    assert known.version_of("m") == 4
+
+
+def test_an_entry_without_a_birth_does_not_make_the_known_one_forgotten(directory):
+    known = directory.get("e")
+    directory.put(entry(version=8))
+    assert directory.get("e") is known
+    assert known.run == EndpointRun("e", 5)
+
+
+def test_births_are_not_compared_with_any_clock(directory, hand_clock):
+    hand_clock.advance(1e9)
+    assert directory.note_run(EndpointRun("e", 6)).run.born == 6
+
+
+async def test_what_an_earlier_run_works_on_is_broken_off_at_once(directory):
+    known = directory.get("e")
+    with pytest.raises(RunEndedError):
+        async with asyncio.timeout(1.0), within_run(known):
+            directory.put(entry(born=9))
+            await asyncio.sleep(10)
+
+
+async def test_what_begins_on_a_run_that_has_ended_is_broken_off(directory):
+    known = directory.get("e")
+    directory.put(entry(born=9))
+    with pytest.raises(RunEndedError):
+        async with asyncio.timeout(1.0), within_run(known):
+            await asyncio.sleep(10)
+
+
+async def test_a_timeout_within_a_run_stays_a_timeout(directory):
+    with pytest.raises(TimeoutError):
+        async with within_run(directory.get("e")), asyncio.timeout(0.01):
+            await asyncio.sleep(10)
+
+
+def test_an_unreadable_entry_takes_nothing_new_until_it_can_be_read(directory):
+    known = directory.get("e")
+    directory.put_unreadable("e", "no zone")
+    directory.put_unreadable("new", "no zone")
+    assert directory.unreadable_count == 2
+    assert directory.of_service("s") == []
+    assert directory.get("new") is None
+    assert directory.get("e") is known
+    assert not known.has_ended
+    directory.put(entry(born=5))
+    assert directory.of_service("s") == [known]
+    directory.remove("new", 0.0)
+    assert directory.unreadable_count == 0
+
+
+def test_a_later_run_of_an_unreadable_entry_takes_nothing_either(directory):
+    directory.put_unreadable("e", "no zone")
+    later = directory.note_run(EndpointRun("e", 9))
+    assert not later.takes_work
+    directory.put(entry(born=9))
+    assert later.takes_work
+
+
+def test_a_run_of_an_endpoint_that_is_not_listed_is_passed_over(directory):
+    assert directory.note_run(EndpointRun("other", 9)) is None
+    assert directory.get("other") is None
+
+
+def test_entries_with_births_are_encoded_apart():
+    # What a host reads for others tells runs apart, too.
+    assert msgspec.msgpack.encode(entry(5)) != msgspec.msgpack.encode(entry(6))
--- a/tests/orders/test_switching.py
+++ b/tests/orders/test_switching.py
@@ -77,7 +77,8 @@
     async def forget(self, engine):
         self.forgotten.append(engine)
 
-    async def announce(self, engine, state):
+    async def announce(self, run, state):
+        engine = run.endpoint
         has_loaded = self.versions[engine][state.model] == state.version
         assert has_loaded or state.is_loading
         self.announced.append((engine, state.version, state.is_loading))
--- a/tests/outside/endpoints.py
+++ b/tests/outside/endpoints.py
@@ -25,6 +25,7 @@
         self.broken_off: Counter[str] = Counter()
         self.fail_next = []
         self.delay_s = 0.0
+        self.born = None
         self._runner: Any = None
 
     async def start(self):
@@ -44,6 +45,14 @@
         """Stop listening."""
         await self._runner.cleanup()
 
+    def _birth(self):
+        """Return what it says of its start, if it says that."""
+        return {} if self.born is None else {"born": self.born}
+
+    def start_again(self, born):
+        """Begin a new run under the same name: it holds and knows nothing of before."""
+        self.born = born
+
     async def _handle(self, request):
         body = await request.read()
         expected = request.headers.get("X-Expect-Instance")
@@ -123,11 +132,23 @@
             "service": service,
             "address": self.address,
             "zone": data_centre,
+            "version": "v1",
             "slot_count": 4,
             "state": "ready",
+            "cold_ms": 0,
+            "sequence": self.orders_taken,
             "models": [{"name": self.model, "version": self.version}],
+            **self._birth(),
         }
 
+    def start_again(self, born):
+        """Begin a new run under the same name: it holds and knows nothing of before."""
+        super().start_again(born)
+        self.version = 1
+        self.orders_taken = 0
+        self._loading = False
+        self._delayed = []
+
     async def carry_out_delayed(self):
         """Carry out the orders that were delayed; return their statuses."""
         delayed, self._delayed = self._delayed, []
@@ -140,6 +161,7 @@
                     "models": [{"name": self.model, "version": self.version}],
                     "busy": self._loading,
                     "sequence": self.orders_taken,
+                    **self._birth(),
                 }
             )
         order = json.loads(body)
@@ -213,6 +235,10 @@
             "service": service,
             "address": self.address,
             "zone": data_centre,
+            "version": "v1",
             "slot_count": 4,
             "state": "ready",
+            "cold_ms": 0,
+            "sequence": 1,
+            **self._birth(),
         }
