--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -68,6 +68,7 @@
         self._directory = directory
         self._clock = clock
         self._waiting: list[_Request] = []
+        self._has_waiting = asyncio.Event()
         self._sequence = itertools.count()
         self._paused: dict[tuple[EndpointRun, ModelName], float] = {}
         self._group_homes: dict[tuple[GroupId, EndpointRun], int] = {}
@@ -84,6 +85,8 @@
         request = _Request(demand.rank, next(self._sequence), demand, granted)
         heapq.heappush(self._waiting, request)
         self._grant()
+        if self._waiting:
+            self._has_waiting.set()
         try:
             return await request.granted
         except asyncio.CancelledError:
@@ -130,11 +133,13 @@
         return False
 
     async def run(self) -> None:
-        """Look at the engines from time to time until cancelled."""
+        """Look at the engines while samples wait, until cancelled."""
         while True:
+            await self._has_waiting.wait()
             await asyncio.sleep(RECHECK_S)
-            if self._waiting:
-                self._grant()
+            self._grant()
+            if not self._waiting:
+                self._has_waiting.clear()
 
     def _grant(self) -> None:
         left: list[_Request] = []
--- a/src/bankrudder/batches/_ownership.py
+++ b/src/bankrudder/batches/_ownership.py
@@ -1,12 +1,11 @@
 """Who works on which batch, and who should."""
 
-import hashlib
 from collections.abc import Callable, Iterator, Mapping, Sequence
 
 import msgspec
 
 from bankrudder.batches._values import Batch, BatchId, Owner
-from bankrudder.presence import Lifetime, Presence
+from bankrudder.presence import Lifetime, Presence, draw
 from bankrudder.routing import ModelName
 from bankrudder.store import RowVersion
 from bankrudder.world import Clock, HostId, ModelVersion
@@ -165,7 +164,7 @@
         """Return this host's place among those that would take a batch over."""
         hosts = sorted(
             self._presence.live_hosts(owner.data_centres),
-            key=lambda host: (-self._presence.room_of(host), _drawn(batch_id, host)),
+            key=lambda host: (-self._presence.room_of(host), draw(batch_id, host)),
         )
         if self._presence.host not in hosts:
             return MAX_RANK
@@ -179,7 +178,7 @@
             key=lambda host: (
                 self._presence.room_of(host),
                 host not in taken,
-                _drawn(model, host),
+                draw(model, host),
             ),
             default=None,
         )
@@ -195,10 +194,5 @@
         self._mean_work[owner.model] = mean + WORK_WEIGHT * (owner.work - mean)
 
 
-def _drawn(name: str, host: HostId) -> bytes:
-    """Return an order of hosts that differs from name to name, alike everywhere."""
-    return hashlib.md5(f"{name}/{host}".encode()).digest()
-
-
 def _expected_tokens(batch: Batch) -> int:
     return sum(sample.length_hint or USUAL_TOKENS for sample in batch.samples)
--- a/src/bankrudder/feeds/_cache.py
+++ b/src/bankrudder/feeds/_cache.py
@@ -53,14 +53,14 @@
         self._values: dict[RowKey, bytes] = {}
         self._number: int | None = None
         self._heard_at: float | None = None
-        self._news = asyncio.Event()
+        self._news: dict[str, asyncio.Event] = {}
 
     def clear(self) -> None:
         """Forget what came from the reader before; rows read here stay known."""
         self._tables.clear()
         self._number = None
         self._heard_at = None
-        self._wake()
+        self._wake_all()
 
     def note(self, row: Row) -> None:
         """Remember a row that this host read itself, for touches of it."""
@@ -75,15 +75,16 @@
         if self._number is not None and message.number != self._number + 1:
             _log.info("feeds: messages lost", reader_number=message.number)
             self._tables.clear()
+            self._wake_all()
         self._number = message.number
         self._heard_at = self._clock.monotonic()
         match message:
             case FeedChanges():
                 self._take_changes(message)
+                self._wake(message.table)
             case FeedBeat(ages=ages):
                 for name, age_s in ages.items():
                     self._note_age(name, age_s)
-        self._wake()
 
     async def next(
         self, table: str, after: RowVersion, wait_s: float
@@ -101,7 +102,7 @@
             if held.version > after or left_s <= 0:
                 # A read of this host's own may be ahead of the reader for a moment.
                 return Changes(held.since(after), max(held.version, after))
-            news = self._news
+            news = self._news.setdefault(table, asyncio.Event())
             with suppress(TimeoutError):
                 async with asyncio.timeout(min(left_s, SILENCE_S / 2)):
                     await news.wait()
@@ -146,6 +147,12 @@
             held.age_s = age_s
             held.told_at = self._clock.monotonic()
 
-    def _wake(self) -> None:
-        self._news.set()
-        self._news = asyncio.Event()
+    def _wake_all(self) -> None:
+        for table in list(self._news):
+            self._wake(table)
+
+    def _wake(self, table: str) -> None:
+        """Wake who waits for news of a table."""
+        news = self._news.pop(table, None)
+        if news is not None:
+            news.set()
--- a/src/bankrudder/feeds/_readers.py
+++ b/src/bankrudder/feeds/_readers.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import hashlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -13,7 +12,7 @@
 from bankrudder.feeds._messages import FeedMessage
 from bankrudder.feeds._publisher import FeedPublisher
 from bankrudder.feeds._store import FeedRole, RelayedStore
-from bankrudder.presence import Presence
+from bankrudder.presence import DrawnOrder, Presence
 from bankrudder.world import Address, DataCentreName, HostId
 
 if TYPE_CHECKING:
@@ -53,6 +52,7 @@
         self._cache = cache
         self._presence = presence
         self._data_centre = data_centre
+        self._order = DrawnOrder(data_centre)
         self._address = address
         self._min_hosts = min_hosts
         self._make_publisher = make_publisher
@@ -90,19 +90,15 @@
             self._subscribe_to(self._presence.heartbeats()[reader].feed_address)
 
     def _elected(self) -> HostId | None:
-        live = self._presence.live_hosts()
-        if len(live) < self._min_hosts:
+        if self._presence.host_count() < self._min_hosts:
             return None
-        beats = self._presence.heartbeats()
-        near = [
-            host
-            for host in self._presence.live_hosts((self._data_centre,))
-            if beats[host].feed_address
-        ]
-        return min(near, key=self._drawn, default=None)
-
-    def _drawn(self, host: HostId) -> bytes:
-        return hashlib.md5(f"{self._data_centre}/{host}".encode()).digest()
+        first = self._presence.first_live(
+            self._order,
+            1,
+            (self._data_centre,),
+            lambda beat: bool(beat.feed_address),
+        )
+        return first[0] if first else None
 
     def _begin_reading(self) -> None:
         if self._listening is None:
--- a/src/bankrudder/leases/_lease.py
+++ b/src/bankrudder/leases/_lease.py
@@ -11,8 +11,7 @@
 """
 
 import asyncio
-import hashlib
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import msgspec
 import structlog
@@ -79,8 +78,8 @@
 
     Parameters
     ----------
-    hosts : callable
-        The hosts that are taken for alive, the same everywhere most of the time.
+    is_candidate : callable
+        Whether this host is one of the few that watch the lease, to take it over.
     duration_s : float
         Length of the lease in seconds; the platform's figure.
     on_change : callable, optional
@@ -96,7 +95,7 @@
         name: str,
         host: HostId,
         lifetime: Lifetime,
-        hosts: Callable[[], Sequence[HostId]],
+        is_candidate: Callable[[], bool],
         clock: Clock,
         duration_s: float,
         on_change: Callable[[bool], None] = lambda _: None,
@@ -109,7 +108,7 @@
         self._key = RowKey(LEASES_TABLE, name, "lease")
         self._host = host
         self._lifetime = lifetime
-        self._hosts = hosts
+        self._is_candidate = is_candidate
         self._clock = clock
         self._duration_s = duration_s
         self._on_change = on_change
@@ -161,13 +160,6 @@
         self._drop("released")
         await self._store.commit(transaction)
 
-    def _is_candidate(self) -> bool:
-        hosts = sorted(
-            self._hosts(),
-            key=lambda host: hashlib.md5(f"{self._name}/{host}".encode()).digest(),
-        )
-        return self._host in hosts[:CANDIDATES]
-
     async def _watch(self) -> None:
         page = await self._store.read(LEASES_TABLE, self._name)
         row: Row | None = page.rows[0] if page.rows else None
--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -23,7 +23,7 @@
     RelayedStore,
 )
 from bankrudder.fleet import EndpointDirectory
-from bankrudder.leases import Lease, repeat_on_duty
+from bankrudder.leases import CANDIDATES, Lease, repeat_on_duty
 from bankrudder.logs import LineLimit
 from bankrudder.node._adapter import Adapter
 from bankrudder.node._feeds import RowMeanings
@@ -40,7 +40,13 @@
     LoadPlanner,
     VersionSwitcher,
 )
-from bankrudder.presence import NO_ADDRESS, HostCleaner, Lifetime, Presence
+from bankrudder.presence import (
+    NO_ADDRESS,
+    DrawnOrder,
+    HostCleaner,
+    Lifetime,
+    Presence,
+)
 from bankrudder.relay import Forwarder, StreamForwarder
 from bankrudder.routing import RoutingTable
 from bankrudder.store import (
@@ -94,6 +100,7 @@
         self._paces = EnginePaces(self.store, self.directory)
         self.repository = BatchRepository(self.store, clock, settings.store.row_bytes)
         self.batches = self._make_batches()
+        self._lease_order = DrawnOrder(ORDERS_LEASE)
         self.lease = self._make_lease()
         self.switcher = self._make_switcher()
         self._batch_cleaner = Cleaner(
@@ -195,13 +202,17 @@
             ORDERS_LEASE,
             self._settings.host,
             self.lifetime,
-            self.presence.duty_hosts,
+            self._is_lease_candidate,
             self._clock,
             self._settings.lease_ms / 1000,
             self.presence.set_holds_lease,
             self._settings.callers_address,
         )
 
+    def _is_lease_candidate(self) -> bool:
+        hosts = self.presence.duty_hosts(self._lease_order, CANDIDATES)
+        return self._settings.host in hosts
+
     def _make_switcher(self) -> VersionSwitcher:
         planner = LoadPlanner(
             self.view.named_versions,
--- a/src/bankrudder/orders/_switching.py
+++ b/src/bankrudder/orders/_switching.py
@@ -32,6 +32,10 @@
 LOOK_S = 0.05
 """How often it is looked for engines with an old version."""
 
+OFF_DUTY_LOOK_S = 0.2
+"""How often a host without the lease looks whether it has it now: a fifth of a load,
+while a lease changes hands some times a day."""
+
 STATE_PAUSE_S = 0.05
 """Pause between two questions whether an engine has loaded, from when that is likely: a
 twentieth of a load, as samples wait for its end."""
@@ -89,7 +93,8 @@
         """Give orders until cancelled."""
         try:
             while True:
-                await asyncio.sleep(LOOK_S)
+                is_on_duty = self._lease.is_valid
+                await asyncio.sleep(LOOK_S if is_on_duty else OFF_DUTY_LOOK_S)
                 if self._lease.is_valid:
                     self._forget_other_terms()
                     self._start_switches()
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -7,11 +7,13 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Callable, Collection
+from itertools import islice
 
 import msgspec
 import structlog
 
+from bankrudder.presence._drawn import DrawnOrder
 from bankrudder.presence._sending import HeartbeatSender, Rhythm
 from bankrudder.presence._values import (
     HEARTBEAT_S,
@@ -157,9 +159,43 @@
         return sorted(
             host
             for host, (beat, _) in self._seen.items()
-            if not beat.is_leaving
-            and self._is_fresh(host)
+            if self._stays(host, beat, data_centres)
+        )
+
+    def first_live(
+        self,
+        order: DrawnOrder,
+        count: int,
+        data_centres: Collection[DataCentreName] = (),
+        condition: Callable[[Heartbeat], bool] = lambda _: True,
+    ) -> list[HostId]:
+        """Return the first live hosts in a drawn order that meet a condition.
+
+        Only so many hosts are looked at as are needed.
+
+        Parameters
+        ----------
+        count : int
+            Most hosts that are returned.
+        data_centres : collection of DataCentreName
+            Where they must be; empty for anywhere.
+        """
+        found = (
+            host
+            for host in order.of(self._seen.keys())
+            if condition(self._seen[host][0])
+            and self._stays(host, self._seen[host][0], data_centres)
+        )
+        return list(islice(found, count))
+
+    def _stays(
+        self, host: HostId, beat: Heartbeat, data_centres: Collection[DataCentreName]
+    ) -> bool:
+        # What costs the most is looked at last.
+        return (
+            not beat.is_leaving
             and self.is_in(host, data_centres)
+            and self._is_fresh(host)
         )
 
     def is_in(self, host: HostId, data_centres: Collection[DataCentreName]) -> bool:
@@ -198,14 +234,14 @@
         """Tell the others whether this host carries out a duty under a lease."""
         self._holds_lease = holds_lease
 
-    def duty_hosts(self) -> list[HostId]:
-        """Return the live hosts that should carry out duties under leases.
+    def duty_hosts(self, order: DrawnOrder, count: int) -> list[HostId]:
+        """Return the first live hosts in a drawn order for a duty under a lease.
 
         Hosts without batches go first, so that the loss of one host does not stop
         both a step and the orders.
         """
-        live = self.live_hosts()
-        return [host for host in live if not self._seen[host][0].is_busy] or live
+        free = self.first_live(order, count, condition=lambda beat: not beat.is_busy)
+        return free or self.first_live(order, count)
 
     def batch_hosts(
         self, data_centres: Collection[DataCentreName] = ()
