--- a/src/bankrudder/fleet/_choice.py
+++ b/src/bankrudder/fleet/_choice.py
@@ -11,8 +11,9 @@
 second, before 14 endpoints, that is 100 connections in 20 s in place of 1,685.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
+from statistics import mean
 
 OTHER_DATA_CENTRE_FACTOR = 1.15
 """How much worse an endpoint of another data centre is rated: traffic between
@@ -49,21 +50,21 @@
     is_connected: bool
 
 
-def usual_latency_s(candidates: Sequence[Candidate]) -> float:
-    """Return the mean latency of the endpoints that have answered, in seconds."""
-    known = [each.latency_s for each in candidates if each.latency_s is not None]
-    return sum(known) / len(known) if known else UNKNOWN_LATENCY_S
+def usual_latency_s(latencies_s: Iterable[float | None]) -> float | None:
+    """Return the mean latency in seconds, None if no endpoint has answered."""
+    known = [each for each in latencies_s if each is not None]
+    return mean(known) if known else None
 
 
-def expected_s(candidate: Candidate, usual_s: float) -> float:
+def expected_s(candidate: Candidate, usual_s: float | None) -> float:
     """Return in how many seconds an endpoint is expected to answer, with its price.
 
     Parameters
     ----------
-    usual_s : float
-        Latency in seconds that is expected of an endpoint that has not answered yet.
+    usual_s : float or None
+        Latency in seconds of the endpoints that have answered, None if none has.
     """
-    latency_s = usual_s if candidate.latency_s is None else candidate.latency_s
+    latency_s = candidate.latency_s or usual_s or UNKNOWN_LATENCY_S
     seconds = latency_s * (1 + candidate.taken / candidate.slots)
     if not candidate.is_near:
         seconds *= OTHER_DATA_CENTRE_FACTOR
--- a/src/bankrudder/fleet/_directory.py
+++ b/src/bankrudder/fleet/_directory.py
@@ -182,6 +182,10 @@
         """Return the services that have endpoints."""
         return {each.endpoint.service for each in self._tracked.values()}
 
+    def usual_latency_s(self, service: ServiceName) -> float | None:
+        """Return the mean latency of a service's endpoints, None before an answer."""
+        return usual_latency_s(each.latency_s for each in self.of_service(service))
+
     def choose(
         self,
         service: ServiceName,
@@ -202,7 +206,7 @@
         self, endpoints: Sequence[TrackedEndpoint], now: float
     ) -> TrackedEndpoint | None:
         known = [self._candidate(each, now) for each in endpoints]
-        usual_s = usual_latency_s(known)
+        usual_s = usual_latency_s(each.latency_s for each in known)
         # Equals are drawn, so that hosts do not all choose the same one.
         ratings = [
             expected_s(each, usual_s) * self._rng.uniform(0.95, 1.05) for each in known
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -1,6 +1,7 @@
 """The sends of one request: which endpoint next, when, and what to make of each."""
 
 import asyncio
+from datetime import timedelta
 
 import structlog
 
@@ -20,6 +21,7 @@
     within_run,
 )
 from bankrudder.observe import Tracer
+from bankrudder.relay._hedging import hedge_after
 from bankrudder.relay._values import (
     IncomingRequest,
     NotRun,
@@ -31,13 +33,6 @@
 from bankrudder.routing import Route, RouteKind, ServiceName
 from bankrudder.world import Clock
 
-HEDGE_FACTOR = 0.5
-"""Share of a route's target after which an idempotent request goes to a second
-endpoint as well: early enough for a whole answer within the target."""
-
-MIN_HEDGE_S = 0.06
-"""Shortest such time: three times the usual answer of a quick service."""
-
 ANSWER_MARGIN_S = 0.03
 """Time kept for sending the reply, so that it arrives before the deadline."""
 
@@ -169,8 +164,7 @@
         """Wait for a send to end; None when it is time for another one, or too late."""
         wait_s = self._left_s()
         if self._may_send():
-            hedge_s = max(HEDGE_FACTOR * self._route.target_s, MIN_HEDGE_S)
-            wait_s = min(wait_s, hedge_s)
+            wait_s = min(wait_s, self._hedge_s())
         done, _ = await asyncio.wait(
             self._sends, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
         )
@@ -180,6 +174,12 @@
         task = min(done, key=lambda each: not isinstance(each.result(), Answered))
         return task.result(), self._sends.pop(task)
 
+    def _hedge_s(self) -> float:
+        usual_s = self._directory.usual_latency_s(self._service)
+        usual = None if usual_s is None else timedelta(seconds=usual_s)
+        target = timedelta(seconds=self._route.target_s)
+        return hedge_after(target, usual).total_seconds()
+
     async def _take(
         self, outcome: SendOutcome, target: TrackedEndpoint
     ) -> Relayed | None:
--- a/tests/fleet/test_choice.py
+++ b/tests/fleet/test_choice.py
@@ -40,18 +40,19 @@
 def test_what_has_not_answered_is_not_taken_for_quicker(latency_s):
     known = candidate(latency_s=latency_s)
     unknown = candidate(latency_s=None, is_connected=False)
-    usual_s = usual_latency_s([known, unknown])
+    usual_s = usual_latency_s([known.latency_s, unknown.latency_s])
     assert usual_s == latency_s
     assert expected_s(known, usual_s) < expected_s(unknown, usual_s)
 
 
 def test_before_any_answer_a_latency_is_assumed():
-    assert usual_latency_s([candidate(latency_s=None)]) == UNKNOWN_LATENCY_S
+    assert usual_latency_s([None]) is None
+    assert expected_s(candidate(latency_s=None), None) == UNKNOWN_LATENCY_S
 
 
 def test_a_much_slower_endpoint_is_left_although_it_is_connected():
     slow = candidate(latency_s=0.2)
-    usual_s = usual_latency_s([slow, candidate(latency_s=0.03)])
+    usual_s = usual_latency_s([slow.latency_s, 0.03])
     other = candidate(latency_s=0.03, is_connected=False)
     assert expected_s(other, usual_s) < expected_s(slow, usual_s)
 
