Hosts that the store turns away leave new requests to the others

Ruled out: the outage detector (it is for a store that is away for all; 429 is none). Change: RecoveringStore tells since when calls fail and asks each 0.5 s until they succeed; a host is not ready once they have failed for 0.3 s (node/_reach). If the store is away for all, none is ready and the balancer uses all, as before.

--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -29,6 +29,7 @@
 from bankrudder.node._feeds import RowMeanings
 from bankrudder.node._gateway import Gateway
 from bankrudder.node._instruments import Instruments
+from bankrudder.node._reach import is_cut_off
 from bankrudder.node._settings import FeedSettings, NodeSettings
 from bankrudder.node._world_view import WorldView
 from bankrudder.observe import Tracer
@@ -87,8 +88,8 @@
             self._host_count, settings.store.reads_per_s, self._are_reads_few
         )
         probe_pause_s = self._probe_pace().pause(PROBE_SHARE, PROBE_PAUSE_S)
-        recovering = RecoveringStore(measured, clock, probe_pause_s)
-        self.store = RelayedStore(recovering, self._feed_cache)
+        self._recovering = RecoveringStore(measured, clock, probe_pause_s)
+        self.store = RelayedStore(self._recovering, self._feed_cache)
         self.directory = EndpointDirectory(settings.data_centre, clock)
         self.view = WorldView(
             self.store, adapter.documents, self.directory, clock, self.pace
@@ -234,7 +235,7 @@
     def _make_gateway(self) -> Gateway:
         return Gateway(
             self._routes,
-            lambda: self.view.is_complete and self.presence.is_announced,
+            self._is_of_use,
             self.forwarder,
             self.streams,
             self.batches,
@@ -245,6 +246,14 @@
             self._clock,
         )
 
+    def _is_of_use(self) -> bool:
+        """Whether requests that arrive here can be served."""
+        return (
+            self.view.is_complete
+            and self.presence.is_announced
+            and not is_cut_off(self._recovering.fails_since, self._clock)
+        )
+
     def _probe_pace(self) -> ReadPace:
         """Every host probes for itself, also where one reads for the others."""
         return ReadPace(self._host_count, self._settings.store.reads_per_s)
--- a/src/bankrudder/store/_recovering.py
+++ b/src/bankrudder/store/_recovering.py
@@ -58,6 +58,12 @@
     {StoreTrouble.BUSY, StoreTrouble.UNREACHABLE, StoreTrouble.NO_REPLY}
 )
 
+_TURNED_AWAY = _OUTAGE | {StoreTrouble.RATE_LIMITED}
+
+ASK_PAUSE_S = 0.5
+"""Pause between two questions whether the store takes calls of this host again, while
+it turns them away: half of the time between two questions of the balancer."""
+
 _log = structlog.get_logger("store")
 
 
@@ -84,6 +90,17 @@
         self._returned = asyncio.Event()
         self._in_flight: dict[asyncio.Timeout, float] = {}
         self._probing: asyncio.Task[None] | None = None
+        self._fails_since: float | None = None
+        self._asking: asyncio.Task[None] | None = None
+
+    @property
+    def fails_since(self) -> float | None:
+        """Monotonic time of the first failed call in a row, None if calls succeed.
+
+        Unlike an outage it also begins when the store turns this host away while it
+        serves others.
+        """
+        return self._fails_since
 
     async def commit(self, transaction: Transaction) -> CommitOutcome:
         """Apply a transaction if all of its expectations hold."""
@@ -129,8 +146,10 @@
                 outcome = await call()
         match outcome:
             case CommitUnknown(trouble=trouble) | NotCommitted(trouble=trouble):
+                self._note_outcome(trouble)
                 self._note_trouble(began, trouble)
             case _:
+                self._note_outcome(None)
                 self._note_answer(began)
         return outcome
 
@@ -142,13 +161,16 @@
             async with self._abandoned_after_outage(began):
                 result = await call()
         except HistoryLostError:
+            self._note_outcome(None)
             self._note_answer(began)
             raise
         except StoreUnavailableError as error:
+            self._note_outcome(error.trouble)
             self._note_trouble(began, error.trouble)
             raise
         except TimeoutError:
             raise StoreUnavailableError(StoreTrouble.NO_REPLY) from None
+        self._note_outcome(None)
         self._note_answer(began)
         return result
 
@@ -171,6 +193,22 @@
             finally:
                 del self._in_flight[scope]
 
+    def _note_outcome(self, trouble: StoreTrouble | None) -> None:
+        """Note how a call of this host ended; None for an answer."""
+        if trouble not in _TURNED_AWAY:
+            self._fails_since = None
+        elif self._fails_since is None:
+            self._fails_since = self._clock.monotonic()
+            self._asking = asyncio.ensure_future(self._ask_until_taken())
+
+    async def _ask_until_taken(self) -> None:
+        """Find out when calls succeed again, also where this host makes none."""
+        while self._fails_since is not None:
+            await asyncio.sleep(ASK_PAUSE_S)
+            # In an outage it is asked anyway, and more often.
+            if self._fails_since is not None and not self._detector.is_out:
+                await self._probe()
+
     def _note_answer(self, began: float) -> None:
         ended = self._detector.note_answer(began)
         if ended is not None:
@@ -218,4 +256,5 @@
                 await self._store.read(_PROBE_TABLE, "", limit=1)
         except (StoreUnavailableError, TimeoutError):
             return  # the outage goes on; its begin was logged
+        self._note_outcome(None)
         self._note_answer(began)
--- a/src/bankrudder/store/_settling.py
+++ b/src/bankrudder/store/_settling.py
@@ -39,6 +39,7 @@
     is_ours: Callable[[Conflict], bool],
     clock: Clock,
     give_up_s: float,
+    limited_give_up_s: float | None = None,
 ) -> Committed | Conflict | NotCommitted:
     """Commit `transaction` and find out what became of it.
 
@@ -49,6 +50,9 @@
         Asked only after a try of unknown outcome.
     give_up_s : float
         Seconds after which no further try is made.
+    limited_give_up_s : float, optional
+        The same if the last try was turned away by the store's limits: another host
+        may be served. As long as `give_up_s` if not given.
 
     Returns
     -------
@@ -60,11 +64,13 @@
     NotSettledError
         If a try may have taken effect, or may yet, and time is up.
     """
-    until = clock.monotonic() + give_up_s
+    began = clock.monotonic()
+    limited_s = give_up_s if limited_give_up_s is None else limited_give_up_s
     may_be_done = False
     pause_s = FIRST_PAUSE_S
     while True:
         outcome: CommitOutcome = await store.commit(transaction)
+        until = began + give_up_s
         match outcome:
             case Committed():
                 return outcome
@@ -75,6 +81,8 @@
             case NotCommitted(trouble=StoreTrouble.REJECTED):
                 _log.error("store: transaction rejected", may_be_done=may_be_done)
                 break
+            case NotCommitted(trouble=StoreTrouble.RATE_LIMITED):
+                until = began + limited_s
             case CommitUnknown():
                 may_be_done = True
         if clock.monotonic() + pause_s >= until:
--- a/tests/outside/store.py
+++ b/tests/outside/store.py
@@ -22,6 +22,7 @@
     BUSY = "busy"
     SILENT = "silent"
     RESET = "reset"
+    LIMITED = "limited"
 
 
 class StoreRows:
@@ -140,6 +141,8 @@
         match self.mode:
             case GateMode.BUSY:
                 return web.Response(status=503)
+            case GateMode.LIMITED:
+                return web.Response(status=429)
             case GateMode.SILENT:
                 await asyncio.sleep(60)
             case GateMode.RESET:
