A host that cannot reach the store refuses a batch within a second

Change: an acceptance that surely was not carried out is given up after the one wait for the store's return (0.8 s) in place of 2.5 s of tries, and told to come back after 0.1 s, at another host. One of unknown outcome is tried on as before. In an outage for all a refused batch comes back ten times a second at most for each trainer.

--- a/src/bankrudder/batches/_repository.py
+++ b/src/bankrudder/batches/_repository.py
@@ -60,9 +60,10 @@
 """Time for which an acceptance or an end is tried again: within the time that a
 caller waits for it."""
 
-LIMITED_GIVE_UP_S = 0.4
-"""The same for an acceptance that the store's limits turn away: another host may be
-served, and the step of a trainer waits for it."""
+REFUSED_GIVE_UP_S = 0.4
+"""The same for an acceptance that surely was not carried out, as the store is away for
+this host: another one may be served, and the step of a trainer waits for it. A try
+waits for the store's return by itself."""
 
 _HEAD_KEY = "head"
 _OWNER_KEY = "owner"
@@ -126,7 +127,7 @@
             lambda _: False,  # whose write it was does not matter: the batch is kept
             self._clock,
             WRITE_GIVE_UP_S,
-            LIMITED_GIVE_UP_S,
+            REFUSED_GIVE_UP_S,
         )
         match outcome:
             case Committed(version=version):
--- a/src/bankrudder/node/_gateway.py
+++ b/src/bankrudder/node/_gateway.py
@@ -36,6 +36,10 @@
 """When to come back while the store gives no result here: another host may reach
 it, and outages of single calls are short."""
 
+ACCEPT_RETRY_AFTER_S = 0.1
+"""The same for a batch: it arrives at another host then, which may reach the store, and
+this host has waited for the store's return already."""
+
 START_RETRY_AFTER_S = 0.5
 """When to come back while no configuration is known: about the time of a start."""
 
@@ -126,7 +130,7 @@
                 batch=batch.id,
                 reason=error.trouble.value,
             )
-            return NotRun(RejectReason.STORE_UNAVAILABLE, STORE_RETRY_AFTER_S)
+            return NotRun(RejectReason.STORE_UNAVAILABLE, ACCEPT_RETRY_AFTER_S)
         except NotSettledError:
             _log.warning("gateway: batch perhaps accepted", batch=batch.id)
             return Unanswered(RejectReason.STORE_UNAVAILABLE, False)
--- a/src/bankrudder/store/_settling.py
+++ b/src/bankrudder/store/_settling.py
@@ -39,7 +39,7 @@
     is_ours: Callable[[Conflict], bool],
     clock: Clock,
     give_up_s: float,
-    limited_give_up_s: float | None = None,
+    refused_give_up_s: float | None = None,
 ) -> Committed | Conflict | NotCommitted:
     """Commit `transaction` and find out what became of it.
 
@@ -50,9 +50,9 @@
         Asked only after a try of unknown outcome.
     give_up_s : float
         Seconds after which no further try is made.
-    limited_give_up_s : float, optional
-        The same if the last try was turned away by the store's limits: another host
-        may be served. As long as `give_up_s` if not given.
+    refused_give_up_s : float, optional
+        The same if the last try was surely not carried out, as the store is away for
+        this host: another one may be served. As long as `give_up_s` if not given.
 
     Returns
     -------
@@ -65,7 +65,7 @@
         If a try may have taken effect, or may yet, and time is up.
     """
     began = clock.monotonic()
-    limited_s = give_up_s if limited_give_up_s is None else limited_give_up_s
+    refused_s = give_up_s if refused_give_up_s is None else refused_give_up_s
     may_be_done = False
     pause_s = FIRST_PAUSE_S
     while True:
@@ -81,8 +81,8 @@
             case NotCommitted(trouble=StoreTrouble.REJECTED):
                 _log.error("store: transaction rejected", may_be_done=may_be_done)
                 break
-            case NotCommitted(trouble=StoreTrouble.RATE_LIMITED):
-                until = began + limited_s
+            case NotCommitted():
+                until = began + refused_s
             case CommitUnknown():
                 may_be_done = True
         if clock.monotonic() + pause_s >= until:
--- a/tests/node/test_reach.py
+++ b/tests/node/test_reach.py
@@ -43,11 +43,12 @@
     assert await cut.is_ready()
 
 
-async def test_a_batch_is_refused_soon_where_the_store_turns_the_host_away(site):
+@pytest.mark.parametrize("mode", [GateMode.BUSY, GateMode.LIMITED])
+async def test_a_batch_is_refused_soon_where_the_store_is_away_for_the_host(site, mode):
     cut, other = site.hosts[:2]
-    cut.gate.mode = GateMode.LIMITED
+    cut.gate.mode = mode
+    await until(lambda: is_unready(cut), 3.0)
     began = time.monotonic()
     assert await site.submit(cut, "b1") == 503
-    # A store that is away for all is waited for, for two and a half seconds.
     assert time.monotonic() - began < 1.5
     assert await site.submit(other, "b1") == 202
