--- a/tests/node/test_restarts.py
+++ b/tests/node/test_restarts.py
@@ -13,12 +13,17 @@
     site.rows.put("servers", endpoint.id, endpoint.document(service))
 
 
-async def test_samples_go_on_at_engines_that_started_again(site):
+async def load_in_first_runs(site):
+    """Have all engines load version 2 in runs whose birth is known."""
     for engine in site.engines:
         engine.born = 5
         list_again(site, engine, ENGINES)
     site.name_version(2)
     await until(lambda: all(engine.version == 2 for engine in site.engines))
+
+
+async def test_samples_go_on_at_engines_that_started_again(site):
+    await load_in_first_runs(site)
     # The restart is within a heartbeat: the entry never vanishes.
     for engine in site.engines:
         engine.start_again(9)
@@ -29,11 +34,7 @@
 
 
 async def test_a_restart_that_only_the_engine_itself_tells_of(site):
-    for engine in site.engines:
-        engine.born = 5
-        list_again(site, engine, ENGINES)
-    site.name_version(2)
-    await until(lambda: all(engine.version == 2 for engine in site.engines))
+    await load_in_first_runs(site)
     for engine in site.engines:
         engine.start_again(9)
     site.name_version(3)
