Soak: engines that start again under their name, entries that cannot be read

Cause: the soak struck neither, so a build that believes an earlier run's weights was not tried by it. Seeds that are kept draw from the first kinds (--first-kinds), so their schedules stay what they were.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,7 +19,7 @@
 from outside.own_interface import RPC, apply  # noqa: E402
 from outside.site import ENGINES, Site  # noqa: E402
 from soak.clients import Caller, Trainer  # noqa: E402
-from soak.faults import HEAL_S, KINDS, draw  # noqa: E402
+from soak.faults import FIRST_KINDS, HEAL_S, KINDS, draw  # noqa: E402
 from soak.history import History, violations  # noqa: E402
 from soak.keyed import KeyedCaller  # noqa: E402
 from soak.proxy import Proxy  # noqa: E402
@@ -115,11 +115,18 @@
             engine.tells_version = True
             proxy = await Proxy(engine.address).start()
             self.engine_proxies.append(proxy)
-            document = {**engine.document(ENGINES), "address": proxy.address}
-            self.site.rows.put("servers", engine.id, document)
+        for number in range(len(self.site.engines)):
+            self.list_engine(number)
         await apply(self.site)
         await asyncio.sleep(0.5)
 
+    def list_engine(self, number):
+        """Write an engine's entry as it is now."""
+        engine = self.site.engines[number]
+        address = self.engine_proxies[number].address
+        document = {**engine.document(ENGINES), "address": address}
+        self.site.rows.put("servers", engine.id, document)
+
     def _clients(self):
         def rng():
             return random.Random(self._rng.random())
@@ -210,7 +217,12 @@
             arguments.seconds,
             arguments.hosts,
             arguments.engines,
-            draw(random.Random(seed), arguments.seconds, arguments.strikes),
+            draw(
+                random.Random(seed),
+                arguments.seconds,
+                arguments.strikes,
+                FIRST_KINDS if arguments.first_kinds else KINDS,
+            ),
             Path(folder),
         )
         try:
@@ -233,6 +245,11 @@
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--engines", type=int, default=3)
     parser.add_argument("--strikes", type=int, default=10, help="faults or series")
+    parser.add_argument(
+        "--first-kinds",
+        action="store_true",
+        help="draw from the first kinds of faults only, as seeds that are kept do",
+    )
     parser.add_argument("--keep-logs", default="", help="folder for logs of failures")
     arguments = parser.parse_args()
     first = arguments.seed
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """The faults of the soak, struck from outside the daemons."""
 
 import asyncio
+import time
 from dataclasses import dataclass
 
 from outside.site import FREEZE, HANG_UP, THAW, configuration
@@ -21,8 +22,12 @@
     seconds: float
 
 
-def draw(rng, length_s, count):
-    """Draw a schedule; strikes come in series and overlap."""
+def draw(rng, length_s, count, kinds):
+    """Draw a schedule; strikes come in series and overlap.
+
+    ``kinds`` are names of `KINDS`; the same seed draws the same schedule only from the
+    same ones.
+    """
     strikes = []
     for _ in range(count):
         at_s = rng.uniform(1.0, length_s)
@@ -31,7 +36,7 @@
             strikes.append(
                 Strike(
                     min(at_s + number * rng.uniform(0.05, 1.0), length_s),
-                    rng.choice(sorted(KINDS)),
+                    rng.choice(sorted(kinds)),
                     rng.randrange(1000),
                     rng.uniform(0.3, 4.0),
                 )
@@ -146,6 +151,24 @@
     await engine.carry_out_delayed()
 
 
+async def _engine_starts_again(run, strike):
+    """Restart an engine under its name; every other time the list tells so later."""
+    number = strike.target % len(run.site.engines)
+    run.site.engines[number].start_again(time.time_ns() // 1_000_000)
+    run.engine_proxies[number].reset_all()
+    if strike.target % 2:
+        await asyncio.sleep(strike.seconds)
+    run.list_engine(number)
+
+
+async def _entry_unreadable(run, strike):
+    number = strike.target % len(run.site.engines)
+    key = ("servers", "", run.site.engines[number].id)
+    run.site.rows.commit([], [(key, b'{"state": "\xff')], [])
+    await asyncio.sleep(strike.seconds)
+    run.list_engine(number)
+
+
 async def _configure(run, strike):
     run.revision += 1
     run.site.rows.put("op", "config", configuration(run.revision))
@@ -188,3 +211,11 @@
     "order_late": _order_late,
     "configuration_changed": _configure,
 }
+
+FIRST_KINDS = frozenset(KINDS)
+"""What seeds that are kept as tests draw from, so that they stay what they were."""
+
+KINDS |= {
+    "engine_starts_again": _engine_starts_again,
+    "entry_unreadable": _entry_unreadable,
+}
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -16,9 +16,26 @@
 """Seeds and why they are kept."""
 
 
+LATER_SEEDS = {
+    820: "the first one with endpoints that start again under their name, and with "
+    "entries that cannot be read; it never failed",
+}
+"""The same, drawn from all kinds of faults."""
+
+
 @pytest.mark.timeout(180)
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_the_promises_hold(seed):
+    await play(seed, "--first-kinds")
+
+
+@pytest.mark.timeout(180)
+@pytest.mark.parametrize("seed", LATER_SEEDS)
+async def test_the_promises_hold_while_endpoints_start_again(seed):
+    await play(seed)
+
+
+async def play(seed, *options):
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -29,6 +46,7 @@
         "6",
         "--strikes",
         "5",
+        *options,
         cwd=ROOT,
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
