Sight: what was asked, across attempts and hosts; who listens; fewer repeated lines

The logs could not tell whether the requests under which endpoints ended were the same one (each attempt has its own id), nor a refused connection from an endpoint that does not answer, and two hosts' logs of the first 17 s were full of a line for each send to an endpoint that was left out already. Log lines of failed attempts now carry a digest of the content and the number of other requests there; the repeated line is left out. No choice, limit or retry changes.

--- a/src/bankrudder/calls/_service.py
+++ b/src/bankrudder/calls/_service.py
@@ -135,6 +135,7 @@
             received_at=self._clock.monotonic(),
             generation=generation,
             trace=order.trace,
+            identity=(order.caller.name, order.data_class),
         )
 
     async def _answer(
--- a/src/bankrudder/fleet/_sending.py
+++ b/src/bankrudder/fleet/_sending.py
@@ -65,6 +65,9 @@
     """Why an endpoint did not run a request."""
 
     UNREACHABLE = "unreachable"
+    NOT_LISTENING = "not_listening"
+    """Nobody listens at its address: its process has ended, or a link says so."""
+
     FULL = "full"
     OTHER_ENDPOINT = "other_endpoint"
     """The address belongs to another endpoint now."""
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -129,8 +129,8 @@
                     kept_s = self._kept_s(endpoint, request, response)
                     outcome = msgspec.structs.replace(outcome, kept_s=kept_s)
                 return outcome
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            return Refused(RefusalReason.UNREACHABLE)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Refused(_unreached(error))
         except TimeoutError:
             return Lost(LossReason.TIMEOUT)
         except (aiohttp.ClientPayloadError, aiohttp.ClientResponseError):
@@ -149,8 +149,8 @@
             response = await self._request(endpoint, request)
             self._learn_idle_time(endpoint, response)
             outcome = await stream_outcome(response, request)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            outcome = Refused(RefusalReason.UNREACHABLE)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            outcome = Refused(_unreached(error))
         except TimeoutError:
             outcome = Lost(LossReason.TIMEOUT)
         except (aiohttp.ClientError, OSError):
@@ -295,6 +295,15 @@
         )
 
 
+def _unreached(error: aiohttp.ClientError) -> RefusalReason:
+    """Return why there is no connection."""
+    if isinstance(error, aiohttp.ClientConnectorError) and isinstance(
+        error.os_error, ConnectionRefusedError
+    ):
+        return RefusalReason.NOT_LISTENING
+    return RefusalReason.UNREACHABLE
+
+
 def _stated_idle_s(response: aiohttp.ClientResponse) -> float | None:
     """Return for how long a connection may stay idle, None if it is not stated."""
     for part in response.headers.get("Keep-Alive", "").split(","):
--- a/src/bankrudder/platform/_front.py
+++ b/src/bankrudder/platform/_front.py
@@ -46,6 +46,9 @@
 TRACE_HEADER = "traceparent"
 """W3C's header for traces, which callers may send."""
 
+IDENTITY_HEADERS = ("Authorization", names.MODEL, names.PROMPT)
+"""What tells requests of the same path and body apart: caller, model, prompt."""
+
 READ_MARGIN_S = 0.1
 """A held read is answered this long before the caller's time is up."""
 
@@ -250,6 +253,7 @@
         received_at=received_at,
         resume_after=int(last_event) if last_event.isdigit() else -1,
         trace=request.headers.get(TRACE_HEADER, ""),
+        identity=tuple(request.headers.get(name, "") for name in IDENTITY_HEADERS),
     )
 
 
--- a/src/bankrudder/platform/_names.py
+++ b/src/bankrudder/platform/_names.py
@@ -31,6 +31,7 @@
 LONGEST_WAIT_MS = "X-Max-Wait"
 LAST_EVENT = "Last-Event-Id"
 MODEL = "X-Model"
+PROMPT = "X-Prompt-Prefix"
 TOKEN_COUNTS = "X-Token-Counts"
 """Tokens of the prompt and most tokens to generate, separated by a comma."""
 
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from datetime import timedelta
+from functools import cached_property
 
 import structlog
 
+from bankrudder.crashes import ContentId
 from bankrudder.fleet import (
     Answered,
     EndpointClient,
@@ -86,6 +88,10 @@
         self._failed_answers = 0
         self._last_answer: tuple[Answered, TrackedEndpoint] | None = None
 
+    @cached_property
+    def _content(self) -> ContentId:
+        return self._request.content
+
     async def reply(self) -> Reply:
         """Send until there is an answer, or none can come any more."""
         try:
@@ -199,10 +205,12 @@
         _log.info(
             "relay: attempt failed",
             request=self._request.request_id,
+            content=self._content,
             endpoint=target.endpoint.id,
             outcome=describe(outcome),
             runs=self._runs,
             refusals=self._refusals,
+            others=target.in_flight,
         )
         if isinstance(outcome, Answered) and not self._may_repeat():
             return self._relayed(outcome, target)
@@ -223,6 +231,7 @@
         _log.warning(
             "relay: request given up",
             request=self._request.request_id,
+            content=self._content,
             service=self._service,
             reason=reply.reason.value,
             runs=self._runs,
@@ -290,7 +299,10 @@
         case Lost(reason=LossReason.ENDPOINT_RESTARTED):
             pass  # its later run did not fail
         case _:
+            was_left_out = target.is_suspended(now)
             seconds = target.note_failure(now)
+            if was_left_out:
+                return  # a line for each send there hides the lines that matter
             _log.info(
                 "relay: endpoint left out",
                 endpoint=target.endpoint.id,
--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -173,6 +173,7 @@
         _log.info(
             "relay: stream broken off",
             request=self._request.request_id,
+            content=self._request.content,
             endpoint=self._run.target.endpoint.id if self._run else "",
             last_event=self._last_number,
             reason=reason,
@@ -257,6 +258,7 @@
         _log.warning(
             "relay: stream given up",
             request=self._request.request_id,
+            content=self._request.content,
             runs=self._count,
             refusals=self._refusals,
             left_s=round(self._left_s(), 3),
--- a/src/bankrudder/relay/_values.py
+++ b/src/bankrudder/relay/_values.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bankrudder.crashes import ContentId, content_id
 from bankrudder.fleet import EndpointId, Generation, Headers, OutgoingRequest
 
 
@@ -24,6 +25,8 @@
         Number of the last event that the caller has, -1 for none.
     trace : str
         W3C ``traceparent`` of the span that received it, or empty.
+    identity : tuple of str
+        What tells it from requests of the same path and body: the caller, the prompt.
     """
 
     request_id: str
@@ -38,6 +41,12 @@
     resume_after: int = -1
     generation: Generation | None = None
     trace: str = ""
+    identity: tuple[str, ...] = ()
+
+    @property
+    def content(self) -> ContentId:
+        """What it asks, the same for each attempt at any host."""
+        return content_id(self.method, self.host, self.target, self.body, self.identity)
 
     def outgoing(
         self, timeout_s: float, *, may_reuse_connection: bool, resume_after: int = -1
