A request that crashes endpoints is refused after three, at every host

Cause: what an attempt learns of its failure says something of the endpoint and nothing of the request. Callers repeat what was not answered under a new identifier at another host, so each host sent it on; a sample and a reward call were repeated by their owner without a bound.

Change: a digest of what is asked is the same for each attempt. Endpoints that ended under it are counted in rows of the store that all hosts follow; from three on it is refused, with when to come back. An end is a refused connection right after the loss or a later run, never a timeout, a lost answer or a planned stop, and is taken back if the platform goes on listing the endpoint. An answer clears; a worse request explains the ends of those beside it; suspects are kept apart, also on engines. The same guard stands before calls, keyed calls, streams, samples and reward calls.

--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -40,7 +40,11 @@
 
 @dataclass(frozen=True)
 class SlotDemand:
-    """What a sample asks of an engine; lower ranks go first."""
+    """What a sample asks of an engine; lower ranks go first.
+
+    A suspect, under which engines ended, goes to none with another suspect, as nobody
+    could tell then which of them ended it.
+    """
 
     sample: SampleId
     rank: tuple[float, ...]
@@ -49,6 +53,7 @@
     min_version: ModelVersion
     group: GroupId
     data_centres: tuple[DataCentreName, ...] = ()
+    is_suspect: bool = False
 
 
 @dataclass(order=True)
@@ -91,12 +96,15 @@
             return await request.granted
         except asyncio.CancelledError:
             if request.granted.done() and not request.granted.cancelled():
-                self.release(request.granted.result(), demand.group)
+                self.release(request.granted.result(), demand.group, demand.is_suspect)
             raise
 
-    def release(self, target: TrackedEndpoint, group: GroupId) -> None:
+    def release(
+        self, target: TrackedEndpoint, group: GroupId, is_suspect: bool = False
+    ) -> None:
         """Give a slot back."""
         target.in_flight -= 1
+        target.suspects -= is_suspect
         self._count_group(group, target.run, -1)
         self._grant()
 
@@ -155,6 +163,7 @@
                 demand.min_version,
                 demand.data_centres,
                 demand.sample in self._reserved,
+                demand.is_suspect,
             )
             target = None if kind in full else self._choose(demand)
             if target is None:
@@ -162,6 +171,7 @@
                 left.append(request)
                 continue
             target.in_flight += 1
+            target.suspects += demand.is_suspect
             self._reserved.pop(demand.sample, None)
             self._count_group(demand.group, target.run, 1)
             request.granted.set_result(target)
@@ -180,14 +190,14 @@
 
     def _rating(
         self, each: TrackedEndpoint, group: GroupId, usual_s: float
-    ) -> tuple[bool, float, float]:
+    ) -> tuple[bool, bool, float, float]:
         gap_s = each.event_gap_s or usual_s
         if (group, each.run) in self._group_homes:
             gap_s /= SAME_GROUP_FACTOR
         occupied = each.in_flight / each.endpoint.slots
         # Within a tenth engines count as equally quick, and the emptier one goes.
         rating = round(10 * gap_s / usual_s) + 3 * occupied
-        return (not each.is_trusted, rating, occupied)
+        return (not each.is_trusted, each.suspects > 0, rating, occupied)
 
     def _usable(self, demand: SlotDemand) -> list[TrackedEndpoint]:
         """Return the engines that take samples of a demand, full or not."""
@@ -197,6 +207,7 @@
             each
             for each in self._directory.of_service(demand.service, demand.data_centres)
             if not each.is_suspended(now)
+            and not (demand.is_suspect and each.suspects)
             and self._paused.get((each.run, model), 0.0) <= now
             and not each.is_loading(model, now)
             and (each.version_of(model) or 0) >= demand.min_version
--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -23,6 +23,7 @@
     SampleId,
     SampleResult,
 )
+from bankrudder.crashes import CrashGuard
 from bankrudder.fleet import EndpointClient
 from bankrudder.observe import Tracer
 from bankrudder.routing import Route
@@ -77,6 +78,7 @@
         pace: TokenPace,
         scorer: Scorer,
         client: EndpointClient,
+        crashes: CrashGuard,
         clock: Clock,
         tracer: Tracer,
     ):
@@ -105,6 +107,7 @@
                 ranks[sample.id],
                 dispatcher,
                 client,
+                crashes,
                 clock,
                 self._give_up_at,
                 tracer,
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -8,9 +8,11 @@
 from bankrudder.batches._dispatcher import Dispatcher, SlotDemand
 from bankrudder.batches._text import SampleText, fits
 from bankrudder.batches._values import Batch, Progress, Sample
+from bankrudder.crashes import Admission, CrashGuard, content_id
 from bankrudder.fleet import (
     Answered,
     EndpointClient,
+    LossReason,
     Lost,
     OpenedStream,
     OutgoingRequest,
@@ -41,8 +43,15 @@
 EVENTS_BETWEEN_LOOKS = 4
 """Events after which a run looks for a quicker engine again."""
 
+METHOD = "POST"
+"""How samples are asked of engines."""
+
 MIN_RUN_TIMEOUT_S = 0.5
 
+MOST_HELD_S = 1.0
+"""Longest pause between two looks whether a sample under which engines ended may run:
+an answer elsewhere, or another sample that explains it, may clear it at any time."""
+
 STATUS_NEVER_DOABLE = 422
 """An engine answers so if a sample can never be generated."""
 
@@ -78,6 +87,7 @@
         rank: tuple[float, ...],
         dispatcher: Dispatcher,
         client: EndpointClient,
+        crashes: CrashGuard,
         clock: Clock,
         give_up_at: float,
         tracer: Tracer,
@@ -91,6 +101,14 @@
         self._rank = rank
         self._dispatcher = dispatcher
         self._client = client
+        self._crashes = crashes
+        self._content = content_id(
+            METHOD,
+            batch.host,
+            sample.target,
+            sample.body,
+            [f"{name}: {value}" for name, value in sorted(sample.headers)],
+        )
         self._clock = clock
         self._give_up_at = give_up_at
         self._text = SampleText()
@@ -141,10 +159,17 @@
         SampleFailedError
             If it cannot be, or failed as often as the route allows.
         """
+        try:
+            await self._run_until_whole(trace)
+        finally:
+            self._crashes.tell(self._content)
+
+    async def _run_until_whole(self, trace: str) -> None:
         while not self._text.is_whole:
+            is_suspect = await self._held_back()
             asked_at = self._clock.monotonic()
             route = self._current_route()
-            demand = self._demand(route)
+            demand = self._demand(route, is_suspect)
             target = await self._dispatcher.acquire(demand)
             self._waited_s += self._clock.monotonic() - asked_at
             self._run_count += 1
@@ -160,9 +185,29 @@
                     await self._run_until_end(target, demand)
                     span.set(events=len(self._text), is_whole=self._text.is_whole)
             finally:
-                self._dispatcher.release(target, self._sample.group)
-
-    def _demand(self, route: Route) -> SlotDemand:
+                self._dispatcher.release(target, demand.group, demand.is_suspect)
+
+    async def _held_back(self) -> bool:
+        """Wait while the sample may not run; return whether engines ended under it."""
+        is_logged = False
+        while True:
+            verdict = self._crashes.verdict(self._content)
+            if verdict.admission is not Admission.REFUSED:
+                return verdict.admission is Admission.ALONE
+            if not is_logged:
+                is_logged = True
+                _log.warning(
+                    "batches: sample held back",
+                    batch=self._batch.id,
+                    sample=self._sample.id,
+                    content=self._content,
+                    reason="crashes_endpoints",
+                    strikes=verdict.strikes,
+                    retry_after_s=round(verdict.retry_after_s, 1),
+                )
+            await asyncio.sleep(min(verdict.retry_after_s, MOST_HELD_S))
+
+    def _demand(self, route: Route, is_suspect: bool) -> SlotDemand:
         return SlotDemand(
             self._sample.id,
             self._rank,
@@ -171,6 +216,7 @@
             self._batch.min_version,
             self._sample.group,
             route.data_centres,
+            is_suspect,
         )
 
     async def _run_until_end(self, target: TrackedEndpoint, demand: SlotDemand) -> None:
@@ -179,6 +225,7 @@
                 await self._run_on(target, demand)
         except RunEndedError:
             self._log_break(target, "the engine started again")
+            await self._note_lost(target, LossReason.ENDPOINT_RESTARTED)
 
     async def _run_on(self, target: TrackedEndpoint, demand: SlotDemand) -> None:
         async with self._client.open_stream(
@@ -193,7 +240,9 @@
                     self._note_failure(target, reason.value)
                 case Lost(reason=lost):
                     self._note_failure(target, lost.value)
+                    await self._note_lost(target, lost)
                 case Answered(status=status):
+                    self._crashes.note_answer(self._content)
                     self._take_failure(target, status)
 
     @property
@@ -211,7 +260,7 @@
         left_s = self._give_up_at - self._clock.monotonic()
         return OutgoingRequest(
             request_id=self._sample.id,
-            method="POST",
+            method=METHOD,
             target=self._sample.target,
             host=self._batch.host,
             headers=self._sample.headers,
@@ -250,14 +299,19 @@
                     if self._dispatcher.should_move(demand, target, len(self._text)):
                         self._log_break(target, "a free engine is quicker")
                         return
-        except (StreamBrokenError, TimeoutError) as error:
-            self._note_failure(target, str(error) or "no event in time")
+        except StreamBrokenError as error:
+            self._note_failure(target, str(error))
+            await self._note_lost(target, LossReason.BROKEN_OFF)
+            return
+        except TimeoutError:
+            self._note_failure(target, "no event in time")
             return
         except _StaleWeightsError:
             self._log_break(target, "weights too old")
             self._dispatcher.pause(target, self._batch.model)
             return
         self._text.is_whole = True
+        self._crashes.note_answer(self._content)
         target.note_answer(self._clock.monotonic() - began)
 
     def _take_event(
@@ -289,11 +343,15 @@
         target.note_failure(self._clock.monotonic())
         self._log_break(target, reason)
 
+    async def _note_lost(self, target: TrackedEndpoint, reason: LossReason) -> None:
+        await self._crashes.note_lost(self._content, target, reason)
+
     def _log_break(self, target: TrackedEndpoint, reason: str) -> None:
         _log.info(
             "batches: run broken off",
             batch=self._batch.id,
             sample=self._sample.id,
+            content=self._content,
             endpoint=target.endpoint.id,
             events=len(self._text),
             reason=reason,
--- a/src/bankrudder/batches/_scoring.py
+++ b/src/bankrudder/batches/_scoring.py
@@ -7,7 +7,13 @@
 
 from bankrudder.batches._values import RewardCall
 from bankrudder.fleet import EndpointDirectory
-from bankrudder.relay import Forwarder, IncomingRequest, Relayed
+from bankrudder.relay import (
+    Forwarder,
+    IncomingRequest,
+    NotRun,
+    RejectReason,
+    Relayed,
+)
 from bankrudder.routing import RoutingTable, ServiceName
 from bankrudder.world import Clock
 
@@ -18,6 +24,10 @@
 RETRY_PAUSE_S = 0.1
 """Pause after a try without an answer: about two usual answers."""
 
+MOST_HELD_S = 1.0
+"""Longest pause before another try of a call under which endpoints ended: an answer
+elsewhere may clear it at any time."""
+
 _log = structlog.get_logger("batches")
 
 
@@ -90,6 +100,8 @@
                     if failures >= route.max_attempts:
                         raise ScoreFailedError(f"status {status}")
                     await asyncio.sleep(RETRY_PAUSE_S)
+                case NotRun(RejectReason.CRASHES_ENDPOINTS, retry_after_s=seconds):
+                    await asyncio.sleep(min(seconds, MOST_HELD_S))
                 case _:
                     await asyncio.sleep(RETRY_PAUSE_S)
 
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -24,6 +24,7 @@
     BatchId,
     Owner,
 )
+from bankrudder.crashes import CrashGuard
 from bankrudder.fleet import EndpointClient, EndpointDirectory
 from bankrudder.observe import Tracer
 from bankrudder.presence import Presence
@@ -70,6 +71,7 @@
         presence: Presence,
         directory: EndpointDirectory,
         client: EndpointClient,
+        crashes: CrashGuard,
         scorer: Scorer,
         routes: Callable[[], RoutingTable | None],
         clock: Clock,
@@ -86,6 +88,7 @@
         self._presence = presence
         self._directory = directory
         self._client = client
+        self._crashes = crashes
         self._scorer = scorer
         self._clock = clock
         self._dispatcher = Dispatcher(directory, clock)
@@ -233,6 +236,7 @@
             pace=self._pace,
             scorer=self._scorer,
             client=self._client,
+            crashes=self._crashes,
             clock=self._clock,
             tracer=self._tracer,
         )
--- a/src/bankrudder/calls/_service.py
+++ b/src/bankrudder/calls/_service.py
@@ -88,14 +88,15 @@
         route = pool_route(pool, tuple(sorted(data_centres)))
         own = index.caller_class(order.caller.caller_class)
         terms = ClassTerms.from_config(own, index.configuration.caller_classes)
+        request = self._request(order, pool, own)
         if pool.kind is PoolKind.ENGINE:
-            request = self._request(order, pool, own)
+            self._check_crashes(request)
             place = Place(route.services[0].service, route.data_centres)
             async with self._admission.admitted(place, terms, order.deadline):
                 async for event in self._generated(request, route):
                     yield event
             return
-        answer, is_replayed = await self._answer(order, pool, route, own, terms)
+        answer, is_replayed = await self._answer(order, request, pool, route, terms)
         for chunk in _chunks(answer.body):
             yield chunk
         yield AnswerEnd(len(answer.body), (), answer.endpoint, is_replayed)
@@ -114,6 +115,12 @@
                 field="payload",
             )
 
+    def _check_crashes(self, request: IncomingRequest) -> None:
+        """Refuse what would be refused anyway before it waits for a place."""
+        refusal = self._forwarder.refusal(request)
+        if refusal is not None:
+            raise _error_of(refusal)
+
     def _request(
         self, order: CallOrder, pool: Pool, own: CallerClass
     ) -> IncomingRequest:
@@ -141,15 +148,16 @@
     async def _answer(
         self,
         order: CallOrder,
+        request: IncomingRequest,
         pool: Pool,
         route: Route,
-        own: CallerClass,
         terms: ClassTerms,
     ) -> tuple[Answer, bool]:
-        request = self._request(order, pool, own)
         place = Place(route.services[0].service, route.data_centres)
 
         async def run() -> Answer:
+            # Here, and not before: a key that is recorded gets what is recorded.
+            self._check_crashes(request)
             async with self._admission.admitted(place, terms, order.deadline):
                 reply = await self._forwarder.forward(request, route)
             return _answer_of(reply)
@@ -220,6 +228,12 @@
                 "all endpoints are full",
                 retry_after_s=seconds,
             )
+        case NotRun(reason=RejectReason.CRASHES_ENDPOINTS, retry_after_s=seconds):
+            return NotRunError(
+                FailureReason.CRASHES_ENDPOINTS,
+                "endpoints ended under the same request before",
+                retry_after_s=seconds,
+            )
         case NotRun(reason=reason, retry_after_s=seconds):
             return NotRunError(
                 FailureReason.NO_ENDPOINT, reason.value, retry_after_s=seconds
--- /dev/null
+++ b/src/bankrudder/crashes/_values.py
@@ -0,0 +1,50 @@
+"""What is known of endpoints that ended under a request."""
+
+from enum import Enum
+from typing import NewType
+
+import msgspec
+
+from bankrudder.crashes._content import ContentId
+from bankrudder.fleet import EndpointRun
+
+UnixTime = NewType("UnixTime", float)
+"""Seconds of the real-time clock: strikes outlive the host that saw them."""
+
+
+class Strike(msgspec.Struct, frozen=True):
+    """One run of an endpoint that ended while it worked on a content."""
+
+    content: ContentId
+    run: EndpointRun
+    at: UnixTime
+
+
+class Admission(Enum):
+    """Whether a request may be sent to an endpoint."""
+
+    FREE = "free"
+    ALONE = "alone"
+    """To one endpoint at a time: the next crash may be the last that is allowed."""
+
+    REFUSED = "refused"
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """What the strikes of a content say about its next send.
+
+    Attributes
+    ----------
+    strikes : int
+        Runs of endpoints that count against it.
+    retry_after_s : float
+        Seconds until it may be tried again, 0 unless it is refused.
+    """
+
+    admission: Admission
+    strikes: int = 0
+    retry_after_s: float = 0.0
+
+
+FREE = Verdict(Admission.FREE)
+"""What holds for a request under which no endpoint ended."""
--- a/src/bankrudder/failures.py
+++ b/src/bankrudder/failures.py
@@ -65,6 +65,9 @@
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     ENDPOINT_ERROR = "endpoint_error"
     ENDPOINT_TIMEOUT = "endpoint_timeout"
+    CRASHES_ENDPOINTS = "crashes_endpoints"
+    """Endpoints ended under the same request before; it is not sent to another one."""
+
     ANSWER_BROKEN = "answer_broken"
     SAMPLES_GIVEN_UP = "samples_given_up"
     STEP_CONFLICT = "step_conflict"
--- a/src/bankrudder/fleet/_directory.py
+++ b/src/bankrudder/fleet/_directory.py
@@ -191,16 +191,27 @@
         service: ServiceName,
         tried: Collection[EndpointId] = (),
         data_centres: Collection[DataCentreName] = (),
+        is_suspect: bool = False,
     ) -> TrackedEndpoint | None:
         """Return the endpoint that should answer soonest, None without any.
 
-        Endpoints that were tried before come last, suspended ones next to last.
+        Endpoints that were tried before come last, suspended ones next to last, and
+        before them those with a suspect.
+
+        Parameters
+        ----------
+        is_suspect : bool
+            Whether endpoints ended under the request: it goes to none with another such
+            request, as nobody could tell then which of them ended it.
         """
         now = self._clock.monotonic()
         candidates = self.of_service(service, data_centres)
+        if is_suspect:
+            candidates = [each for each in candidates if not each.suspects]
         fresh = [each for each in candidates if each.endpoint.id not in tried]
         sound = [each for each in fresh if not each.is_suspended(now)]
-        return self._best(sound or fresh or candidates, now)
+        safe = [each for each in sound if not each.suspects]
+        return self._best(safe or sound or fresh or candidates, now)
 
     def _best(
         self, endpoints: Sequence[TrackedEndpoint], now: float
--- a/src/bankrudder/fleet/_sending.py
+++ b/src/bankrudder/fleet/_sending.py
@@ -225,6 +225,15 @@
     """It may have been accepted, or may be seconds later."""
 
 
+class Reach(Enum):
+    """What came of trying to connect to an endpoint's address."""
+
+    LISTENING = "listening"
+    NOT_LISTENING = "not_listening"
+    UNKNOWN = "unknown"
+    """Nothing came back in time."""
+
+
 class EndpointClient(Protocol):
     """How endpoints are reached. Nothing is retried here."""
 
@@ -238,6 +247,10 @@
         """Send a request whose answer is a stream; leaving the context ends it."""
         ...
 
+    async def reach(self, endpoint: Endpoint) -> Reach:
+        """Find out whether anybody listens at an endpoint's address."""
+        ...
+
     async def state(self, endpoint: Endpoint) -> EngineState | None:
         """Ask an engine for its state, None if it does not tell."""
         ...
--- a/src/bankrudder/fleet/_tracked.py
+++ b/src/bankrudder/fleet/_tracked.py
@@ -29,6 +29,9 @@
 class TrackedEndpoint:
     """One run of an endpoint: its entry, the requests here, and how they went.
 
+    ``in_flight`` counts the requests of this host there, ``suspects`` those among them
+    under which other endpoints ended: it may end too, so other work goes elsewhere.
+
     Parameters
     ----------
     are_versions_known : bool
@@ -37,6 +40,7 @@
 
     def __init__(self, endpoint: Endpoint, are_versions_known: bool = True):
         self.in_flight = 0
+        self.suspects = 0
         self._endpoint = endpoint
         self._versions: dict[ModelName, ModelVersion] = {}
         if are_versions_known:
@@ -131,6 +135,17 @@
         """Return the slots that nobody is known to use, below 0 if some wait."""
         return self._endpoint.slots - self.in_flight - self.others_load(now)
 
+    def occupy(self, is_suspect: bool = False) -> Callable[[], None]:
+        """Count a request of this host; return what is to be called at its end."""
+        self.in_flight += 1
+        self.suspects += is_suspect
+
+        def leave() -> None:
+            self.in_flight -= 1
+            self.suspects -= is_suspect
+
+        return leave
+
     def update(self, endpoint: Endpoint) -> None:
         """Take a newer entry of the list, of the same run."""
         # An entry without a birth is taken as one of the run that is known.
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -110,6 +110,7 @@
         self._start("view", self._parts.view.run)
         self._start("presence", self._parts.presence.run)
         self._start("batches", self._parts.batches.run)
+        self._start("crashes", self._parts.crashes.run)
         self._start("lease", self._parts.lease.run)
         self._start("orders", self._parts.switcher.run)
         self._start("paces", self._parts.share_paces)
@@ -149,6 +150,8 @@
             "bankrudder_samples_waiting": self._parts.batches.waiting_count,
             "bankrudder_endpoints_listed": len(self._parts.directory),
             "bankrudder_endpoints_unreadable": self._parts.directory.unreadable_count,
+            "bankrudder_crashing_contents": len(self._parts.crashes),
+            "bankrudder_crashing_contents_refused": self._parts.crashes.refused_count,
             "bankrudder_requests_in_progress": self._callers.in_progress,
             "bankrudder_orders_lease_held": int(self._parts.lease.is_valid),
             "bankrudder_hosts_alive": len(self._parts.presence.live_hosts()),
--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -5,7 +5,7 @@
 
 import uuid_utils
 
-from bankrudder import batches, presence
+from bankrudder import batches, crashes, presence
 from bankrudder.batches import (
     BatchReader,
     BatchRepository,
@@ -14,6 +14,7 @@
     ProgressStore,
     Scorer,
 )
+from bankrudder.crashes import CrashGuard
 from bankrudder.feeds import (
     FeedCache,
     FeedMessage,
@@ -95,8 +96,13 @@
             self.store, adapter.documents, self.directory, clock, self.pace
         )
         self.presence = self._make_presence()
-        self.forwarder = Forwarder(self.directory, self._endpoints, clock, self.tracer)
-        self.streams = StreamForwarder(self.directory, self._endpoints, clock)
+        self.crashes = self._make_crash_guard()
+        self.forwarder = Forwarder(
+            self.directory, self._endpoints, self.crashes, clock, self.tracer
+        )
+        self.streams = StreamForwarder(
+            self.directory, self._endpoints, self.crashes, clock
+        )
         self._announcer = LoadAnnouncer(self.store, self.directory, clock)
         self._paces = EnginePaces(self.store, self.directory)
         self.repository = BatchRepository(self.store, clock, settings.store.row_bytes)
@@ -132,6 +138,7 @@
         cleaners = {
             "batches": (batches.CLEANING_PAUSE_S, self._batch_cleaner.clean),
             "hosts": (presence.CLEANING_PAUSE_S, self._host_cleaner.clean),
+            "crashes": (crashes.CLEANING_PAUSE_S, self.crashes.clean),
         }
         return {
             name: self.on_duty(f"cleaning of {name}", pause_s, clean)
@@ -157,6 +164,16 @@
             make_publisher,
         )
 
+    def _make_crash_guard(self) -> CrashGuard:
+        return CrashGuard(
+            self.store,
+            self._endpoints,
+            self.directory,
+            self._clock,
+            lambda: self.view.is_list_current,
+            self.pace,
+        )
+
     def _make_presence(self) -> Presence:
         settings = self._settings
         room = settings.processor_share * settings.processor_speed
@@ -180,6 +197,7 @@
             self.presence,
             self.directory,
             self._endpoints,
+            self.crashes,
             Scorer(self.forwarder, self.directory, self._routes, self._clock),
             self._routes,
             self._clock,
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -20,6 +20,7 @@
     Lost,
     OrderOutcome,
     OutgoingRequest,
+    Reach,
     RefusalReason,
     Refused,
     SendOutcome,
@@ -162,6 +163,19 @@
                 # Closes the connection unless the answer was read to its end.
                 response.close()
 
+    async def reach(self, endpoint: Endpoint) -> Reach:
+        """Find out whether anybody listens at an endpoint's address."""
+        host, _, port = endpoint.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return Reach.NOT_LISTENING
+        except (OSError, TimeoutError):
+            return Reach.UNKNOWN
+        writer.close()
+        return Reach.LISTENING
+
     async def state(self, endpoint: Endpoint) -> EngineState | None:
         """Ask an engine for its state, None if it does not tell."""
         try:
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from bankrudder.crashes import ContentId
+from bankrudder.crashes import Admission, ContentId, CrashGuard, Verdict
 from bankrudder.fleet import (
     Answered,
     EndpointClient,
@@ -41,6 +41,10 @@
 MIN_SEND_S = 0.02
 """A request with less time left than this is not sent any more."""
 
+SUSPECT_PAUSE_S = 0.02
+"""Pause of a request under which endpoints ended while another such request is at each
+endpoint that is left: a part of a usual answer."""
+
 MAX_REFUSALS = 6
 """Endpoints that may refuse one request before it is given up."""
 
@@ -60,7 +64,8 @@
 
     An idempotent request may be sent to a second endpoint while the first has not
     answered, and again after a failure, to no more endpoints than its route allows. Any
-    other one is sent again only while it surely did not run.
+    other one is sent again only while it surely did not run. One under which endpoints
+    end is sent as far as `CrashGuard` allows, whatever its route allows.
     """
 
     def __init__(
@@ -70,10 +75,12 @@
         service: ServiceName,
         directory: EndpointDirectory,
         client: EndpointClient,
+        crashes: CrashGuard,
         clock: Clock,
         tracer: Tracer,
     ):
         self._tracer = tracer
+        self._crashes = crashes
         self._request = request
         self._route = route
         self._service = service
@@ -98,7 +105,10 @@
             while True:
                 self._send_next()
                 if not self._sends:
-                    return self._give_up()
+                    if not self._must_wait():
+                        return self._give_up()
+                    await asyncio.sleep(SUSPECT_PAUSE_S)
+                    continue
                 done = await self._next_outcome()
                 if done is not None:
                     reply = await self._take(*done)
@@ -108,6 +118,7 @@
                     self._runs += len(self._sends)
                     return self._give_up()
         finally:
+            self._crashes.tell(self._content)
             self._cancel()
 
     def _cancel(self) -> None:
@@ -118,13 +129,16 @@
     def _send_next(self) -> None:
         if not self._may_send():
             return
+        is_suspect = self._is_suspect()
         target = self._directory.choose(
-            self._service, self._tried, self._route.data_centres
+            self._service, self._tried, self._route.data_centres, is_suspect
         )
         if target is None:
             return
         self._tried.append(target.endpoint.id)
+        leave = target.occupy(is_suspect)
         task = asyncio.ensure_future(self._send(target))
+        task.add_done_callback(lambda _: leave())
         self._sends[task] = target
 
     def _may_send(self) -> bool:
@@ -134,8 +148,32 @@
             and self._refusals < MAX_REFUSALS
             and sent < self._route.max_attempts
             and (sent == 0 or self._may_repeat())
+            and self._is_admitted()
+        )
+
+    def _is_admitted(self) -> bool:
+        match self._verdict().admission:
+            case Admission.FREE:
+                return True
+            case Admission.ALONE:
+                return not self._sends
+            case Admission.REFUSED:
+                return False
+
+    def _is_suspect(self) -> bool:
+        return self._verdict().admission is Admission.ALONE
+
+    def _must_wait(self) -> bool:
+        """Whether only other suspects keep the request from all endpoints."""
+        return (
+            self._is_suspect()
+            and self._may_send()
+            and any(each.suspects for each in self._endpoints())
         )
 
+    def _verdict(self) -> Verdict:
+        return self._crashes.verdict(self._content)
+
     async def _send(self, target: TrackedEndpoint) -> SendOutcome:
         began = self._clock.monotonic()
         outgoing = self._request.outgoing(
@@ -147,13 +185,9 @@
             request=self._request.request_id,
             endpoint=target.endpoint.id,
         )
-        target.in_flight += 1
-        try:
-            with span:
-                outcome = await self._sent(target, outgoing)
-                span.set(outcome=describe(outcome))
-        finally:
-            target.in_flight -= 1
+        with span:
+            outcome = await self._sent(target, outgoing)
+            span.set(outcome=describe(outcome))
         _note_outcome(target, outcome, began, self._clock.monotonic())
         return outcome
 
@@ -190,6 +224,8 @@
         self, outcome: SendOutcome, target: TrackedEndpoint
     ) -> Relayed | None:
         """Return the reply if the outcome is final."""
+        if isinstance(outcome, Answered):
+            self._crashes.note_answer(self._content)
         match outcome:
             case Answered() if outcome.status < 500:
                 self._log_answer(outcome, target)
@@ -202,6 +238,7 @@
                 self._refusals += 1
             case Lost():
                 self._runs += 1
+                await self._crashes.note_lost(self._content, target, outcome.reason)
         _log.info(
             "relay: attempt failed",
             request=self._request.request_id,
@@ -245,6 +282,9 @@
         return Unanswered(RejectReason.ENDPOINT_FAILED, False)
 
     def _not_run(self) -> NotRun:
+        verdict = self._verdict()
+        if verdict.admission is Admission.REFUSED:
+            return NotRun(RejectReason.CRASHES_ENDPOINTS, verdict.retry_after_s)
         reason = RejectReason.FULL if self._endpoints() else RejectReason.NO_ENDPOINT
         return NotRun(reason, RETRY_AFTER_S)
 
--- a/src/bankrudder/relay/_forwarder.py
+++ b/src/bankrudder/relay/_forwarder.py
@@ -2,13 +2,18 @@
 
 import random
 
+import structlog
+
+from bankrudder.crashes import Admission, CrashGuard
 from bankrudder.fleet import EndpointClient, EndpointDirectory
 from bankrudder.observe import Tracer
 from bankrudder.relay._attempts import Attempts
-from bankrudder.relay._values import IncomingRequest, Reply
+from bankrudder.relay._values import IncomingRequest, NotRun, RejectReason, Reply
 from bankrudder.routing import Route, ServiceName
 from bankrudder.world import Clock
 
+_log = structlog.get_logger("relay")
+
 
 class Forwarder:
     """Sends requests to the endpoints of their route."""
@@ -17,12 +22,14 @@
         self,
         directory: EndpointDirectory,
         client: EndpointClient,
+        crashes: CrashGuard,
         clock: Clock,
         tracer: Tracer,
         rng: random.Random | None = None,
     ):
         self._directory = directory
         self._client = client
+        self._crashes = crashes
         self._clock = clock
         self._tracer = tracer
         self._rng = rng or random.Random()
@@ -35,6 +42,24 @@
             return services[0].service
         return self._rng.choices(services, weights)[0].service
 
+    def refusal(self, request: IncomingRequest) -> NotRun | None:
+        """Return why a request would be refused whatever endpoints are there.
+
+        For callers of `forward` who would make it wait for a place first.
+        """
+        verdict = self._crashes.verdict(request.content)
+        if verdict.admission is not Admission.REFUSED:
+            return None
+        _log.warning(
+            "relay: request refused",
+            request=request.request_id,
+            content=request.content,
+            reason=RejectReason.CRASHES_ENDPOINTS.value,
+            strikes=verdict.strikes,
+            retry_after_s=round(verdict.retry_after_s, 1),
+        )
+        return NotRun(RejectReason.CRASHES_ENDPOINTS, verdict.retry_after_s)
+
     async def forward(self, request: IncomingRequest, route: Route) -> Reply:
         """Return an endpoint's answer, or why there is none."""
         attempts = Attempts(
@@ -43,6 +68,7 @@
             self.pick_service(route),
             self._directory,
             self._client,
+            self._crashes,
             self._clock,
             self._tracer,
         )
--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -7,6 +7,7 @@
 import msgspec
 import structlog
 
+from bankrudder.crashes import Admission, CrashGuard
 from bankrudder.fleet import (
     Answered,
     EndpointClient,
@@ -30,6 +31,7 @@
     MAX_REFUSALS,
     MIN_SEND_S,
     RETRY_AFTER_S,
+    SUSPECT_PAUSE_S,
     route_deadline,
 )
 from bankrudder.relay._values import (
@@ -62,15 +64,15 @@
 class _Run:
     """One stream at one endpoint, open until `close`."""
 
-    def __init__(self, target: TrackedEndpoint):
+    def __init__(self, target: TrackedEndpoint, is_suspect: bool):
         self.target = target
+        self._is_suspect = is_suspect
         self._stack = AsyncExitStack()
 
     async def open(
         self, client: EndpointClient, outgoing: OutgoingRequest
     ) -> StreamOutcome:
-        self.target.in_flight += 1
-        self._stack.callback(self._leave)
+        self._stack.callback(self.target.occupy(self._is_suspect))
         return await self._stack.enter_async_context(
             client.open_stream(self.target.endpoint, outgoing)
         )
@@ -78,18 +80,20 @@
     async def close(self) -> None:
         await self._stack.aclose()
 
-    def _leave(self) -> None:
-        self.target.in_flight -= 1
-
 
 class StreamForwarder:
     """Sends requests for streams; one that may be resumed goes on elsewhere."""
 
     def __init__(
-        self, directory: EndpointDirectory, client: EndpointClient, clock: Clock
+        self,
+        directory: EndpointDirectory,
+        client: EndpointClient,
+        crashes: CrashGuard,
+        clock: Clock,
     ):
         self._directory = directory
         self._client = client
+        self._crashes = crashes
         self._clock = clock
 
     async def forward(
@@ -97,7 +101,13 @@
     ) -> StreamStarted | Reply:
         """Return the stream of an endpoint, or why there is none."""
         runs = _Runs(
-            request, route, service, self._directory, self._client, self._clock
+            request,
+            route,
+            service,
+            self._directory,
+            self._client,
+            self._crashes,
+            self._clock,
         )
         outcome = await runs.open_first()
         if not isinstance(outcome, OpenedStream):
@@ -117,8 +127,11 @@
         service: ServiceName,
         directory: EndpointDirectory,
         client: EndpointClient,
+        crashes: CrashGuard,
         clock: Clock,
     ):
+        self._crashes = crashes
+        self._content = request.content
         self._request = request
         self._route = route
         self._service = service
@@ -163,17 +176,22 @@
                         self._last_number = event.number
                         self._deadline = self._request.deadline
                         yield event
+                    self._crashes.note_answer(self._content)
                     return
-                except (StreamBrokenError, TimeoutError) as error:
-                    opened = await self._resume(str(error) or "no event in time")
+                except StreamBrokenError as error:
+                    await self._note_lost(LossReason.BROKEN_OFF)
+                    opened = await self._resume(str(error))
+                except TimeoutError:
+                    opened = await self._resume("no event in time")
         finally:
+            self._crashes.tell(self._content)
             await self._close()
 
     async def _resume(self, reason: str) -> OpenedStream:
         _log.info(
             "relay: stream broken off",
             request=self._request.request_id,
-            content=self._request.content,
+            content=self._content,
             endpoint=self._run.target.endpoint.id if self._run else "",
             last_event=self._last_number,
             reason=reason,
@@ -206,28 +224,52 @@
 
     async def _open_next(self) -> StreamOutcome | None:
         """Open a run at the next endpoint; None if there is none or no time."""
-        target = self._directory.choose(
-            self._service, self._tried, self._route.data_centres
-        )
-        if target is None or self._left_s() < MIN_SEND_S:
+        if self._refusals >= MAX_REFUSALS or self._admission() is Admission.REFUSED:
             return None
-        if self._refusals >= MAX_REFUSALS:
+        target = await self._choose()
+        if target is None or self._left_s() < MIN_SEND_S:
             return None
         self._tried.append(target.endpoint.id)
-        self._run = _Run(target)
+        self._run = _Run(target, self._admission() is Admission.ALONE)
         outcome = await self._opened(self._run)
         match outcome:
             case Refused(reason=reason):
                 self._refusals += 1
                 if reason is not RefusalReason.FULL:
                     target.note_failure(self._clock.monotonic())
-            case Lost():
+            case Lost(reason=lost):
                 self._count += 1
                 target.note_failure(self._clock.monotonic())
+                await self._note_lost(lost)
+            case Answered():
+                self._count += 1
+                self._crashes.note_answer(self._content)
             case _:
                 self._count += 1
         return outcome
 
+    async def _note_lost(self, reason: LossReason) -> None:
+        if self._run is not None:
+            await self._crashes.note_lost(self._content, self._run.target, reason)
+
+    async def _choose(self) -> TrackedEndpoint | None:
+        """Return the next endpoint; a suspect waits for one without another suspect."""
+        places = self._route.data_centres
+        while True:
+            is_suspect = self._admission() is Admission.ALONE
+            target = self._directory.choose(
+                self._service, self._tried, places, is_suspect
+            )
+            endpoints = self._directory.of_service(self._service, places)
+            if target is not None or not any(each.suspects for each in endpoints):
+                return target
+            if self._left_s() < MIN_SEND_S:
+                return None
+            await asyncio.sleep(SUSPECT_PAUSE_S)
+
+    def _admission(self) -> Admission:
+        return self._crashes.verdict(self._content).admission
+
     async def _opened(self, run: _Run) -> StreamOutcome:
         outgoing = self._request.outgoing(
             max(self._request.deadline - self._clock.monotonic(), MIN_SEND_S),
@@ -254,18 +296,27 @@
             await run.close()
 
     def _given_up(self) -> Reply:
-        is_timeout = self._left_s() < MIN_SEND_S
+        self._crashes.tell(self._content)
+        reply = self._unanswered() if self._count else self._not_run()
         _log.warning(
             "relay: stream given up",
             request=self._request.request_id,
-            content=self._request.content,
+            content=self._content,
+            reason=reply.reason.value,
             runs=self._count,
             refusals=self._refusals,
             left_s=round(self._left_s(), 3),
         )
-        if self._count:
-            return Unanswered(RejectReason.ENDPOINT_FAILED, is_timeout)
-        return NotRun(
-            RejectReason.FULL if self._refusals else RejectReason.NO_ENDPOINT,
-            RETRY_AFTER_S,
+        return reply
+
+    def _unanswered(self) -> Unanswered:
+        return Unanswered(
+            RejectReason.ENDPOINT_FAILED, is_timeout=self._left_s() < MIN_SEND_S
         )
+
+    def _not_run(self) -> NotRun:
+        verdict = self._crashes.verdict(self._content)
+        if verdict.admission is Admission.REFUSED:
+            return NotRun(RejectReason.CRASHES_ENDPOINTS, verdict.retry_after_s)
+        reason = RejectReason.FULL if self._refusals else RejectReason.NO_ENDPOINT
+        return NotRun(reason, RETRY_AFTER_S)
--- a/src/bankrudder/relay/_values.py
+++ b/src/bankrudder/relay/_values.py
@@ -99,6 +99,8 @@
     OUT_OF_TIME = "out_of_time"
     MALFORMED = "malformed"
     ENDPOINT_FAILED = "endpoint_failed"
+    CRASHES_ENDPOINTS = "crashes_endpoints"
+    """Endpoints ended under the same request before, at whatever host."""
 
 
 class NotRun(msgspec.Struct, frozen=True):
--- a/tests/batches/test_dispatcher.py
+++ b/tests/batches/test_dispatcher.py
@@ -210,3 +210,22 @@
     await asyncio.gather(tasks[4], return_exceptions=True)
     dispatcher.release(tasks[0].result(), "g")
     assert sum(directory.get(name).in_flight for name in ("a", "b")) == 3
+
+
+async def test_suspects_are_never_together_on_an_engine(dispatcher, directory):
+    suspects = [
+        asyncio.ensure_future(
+            dispatcher.acquire(
+                SlotDemand(f"x{n}", (0.0,), "s", "m", 1, "g", is_suspect=True)
+            )
+        )
+        for n in range(3)
+    ]
+    assert sorted(name for name in await granted(*suspects) if name) == ["a", "b"]
+    # Others still have the slots beside them.
+    others = [asked(dispatcher, sample=f"y{n}") for n in range(2)]
+    assert sorted(await granted(*others)) == ["a", "b"]
+    running = next(each for each in suspects if each.done())
+    dispatcher.release(running.result(), "g", is_suspect=True)
+    assert None not in await granted(*suspects)
+    assert sum(each.suspects for each in directory.all()) == 2
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -98,3 +98,24 @@
     tracked.note_version("m", 3)
     tracked.note_version("m", 2)
     assert tracked.version_of("m") == 3
+
+
+def test_a_suspect_goes_to_no_endpoint_with_another_suspect(directory):
+    leave = directory.get("a").occupy(is_suspect=True)
+    directory.get("b").occupy(is_suspect=True)
+    for _ in range(5):
+        assert directory.choose("s", (), is_suspect=True).endpoint.id == "c"
+    directory.get("c").occupy(is_suspect=True)
+    assert directory.choose("s", (), is_suspect=True) is None
+    leave()
+    assert directory.choose("s", (), is_suspect=True).endpoint.id == "a"
+
+
+def test_other_requests_keep_away_from_suspects_while_they_can(directory):
+    for name in ("a", "b"):
+        directory.get(name).occupy(is_suspect=True)
+    directory.get("c").in_flight = 3
+    assert chosen(directory) == "c"
+    # Rather beside a suspect than at an endpoint that failed.
+    directory.get("c").note_failure(0.0)
+    assert chosen(directory) in ("a", "b")
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -20,8 +20,13 @@
 
 import pytest
 
+from bankrudder.client import new_key
+from bankrudder.exceptions import BankrudderError
+from bankrudder.failures import FailureKind, FailureReason
 from outside.crashing import CRASHING, CrashingService, three_scorers
-from outside.site import ENGINES, SCORERS, batch, until
+from outside.own_interface import RPC, apply, client
+from outside.site import ENGINES, SCORERS, Site, batch, until
+from outside.store import GateMode
 from outside.trainer_calls import submission
 
 MOST_CRASHES = 3
@@ -118,3 +123,181 @@
     assert len(await site.read_all("b1", 7)) == 7
     await asyncio.sleep(6.0)
     assert engines.runs <= MOST_CRASHES
+
+
+async def test_so_is_a_reward_call(site, services):
+    scorers = services(site, SCORERS, await three_scorers(site))
+    document = batch("b1")
+    document["items"][0]["scorer"]["body"] = base64.b64encode(CRASHING).decode()
+    await site.ask(site.hosts[0], submission("b1", json.dumps(document).encode()))
+    assert len(await site.read_all("b1", 7)) == 7
+    await asyncio.sleep(4.0)
+    assert scorers.runs <= MOST_CRASHES
+
+
+async def test_endpoints_that_come_back_under_their_names_are_counted(site, services):
+    desk = services(site, SCORERS, await three_scorers(site), by_name=True)
+    await asyncio.sleep(0.5)
+    await visit(site, desk)
+    assert desk.runs <= MOST_CRASHES
+
+
+async def test_what_is_known_of_it_outlasts_all_hosts(site, desk):
+    await visit(site, desk, visits=2)
+    assert desk.runs == MOST_CRASHES
+    for host in site.hosts:
+        await host.kill()
+    for host in site.hosts:
+        await host.start()
+    await site.wait_ready()
+    assert await visit(site, desk, visits=3) == [503] * 3
+    assert desk.runs == MOST_CRASHES
+
+
+async def test_a_host_without_the_store_refuses_what_it_saw_itself(site, desk):
+    await asyncio.sleep(0.5)
+    for host in site.hosts:
+        host.gate.mode = GateMode.BUSY
+    for _ in range(3):
+        await until(lambda: desk.is_whole)
+        await ask(site, host=0)
+    for host in site.hosts:
+        host.gate.mode = GateMode.OPEN
+    assert desk.runs <= MOST_CRASHES
+    await asyncio.sleep(2.0)
+    # What the host could not write then is known to the others now.
+    assert (await ask(site, host=1))[0] == 503
+
+
+async def test_requests_beside_it_are_served(site, desk):
+    for scorer in site.scorers:
+        scorer.delay_s = 0.03
+    statuses = []
+
+    async def beside(number):
+        # A caller repeats once, at another host, as the one of the crash does.
+        body = f"beside {number}".encode()
+        status, _, _ = await ask(site, number, body=body)
+        if status != 200:
+            await until(lambda: desk.is_whole)
+            await asyncio.sleep(0.6)
+            status, _, _ = await ask(site, number + 1, body=body)
+        statuses.append(status)
+
+    for _ in range(3):
+        await until(lambda: desk.is_whole)
+        await asyncio.sleep(0.5)
+        calls = [beside(number) for number in range(6)]
+        await asyncio.gather(ask(site), *calls)
+    # One try more tells it from a request that was at the very same ends.
+    assert desk.runs <= MOST_CRASHES + 1
+    assert statuses == [200] * 18
+
+
+async def test_a_key_that_ran_is_never_told_that_it_did_not(tmp_path, services):
+    site = Site(tmp_path, rpc=RPC)
+    try:
+        await site.start()
+        await apply(site)
+        desk = services(site, SCORERS, await three_scorers(site))
+        keys = [new_key() for _ in range(5)]
+        failures = []
+        for key in keys:
+            await until(lambda: desk.is_whole)
+            await asyncio.sleep(0.5)
+            failures.append(await _failure(site, key))
+        assert desk.runs == MOST_CRASHES
+        kinds = [failure.kind for failure in failures]
+        assert kinds[:3] == [FailureKind.OUTCOME_UNKNOWN] * 3
+        assert kinds[3:] == [FailureKind.NOT_RUN] * 2
+        assert failures[3].reason is FailureReason.CRASHES_ENDPOINTS
+        assert failures[3].retry_after_s > 0
+        again = await _failure(site, keys[0])
+        assert again.kind is FailureKind.OUTCOME_UNKNOWN
+    finally:
+        await site.stop()
+
+
+async def _failure(site, key):
+    async with client(site, timeout_s=2.0) as caller:
+        with pytest.raises(BankrudderError) as told:
+            await caller.call("desk", CRASHING, key=key)
+        return told.value.failure
+
+
+BLAMELESS = b"blameless"
+
+
+@pytest.mark.parametrize("fault", ["reset", "truncated"])
+async def test_a_request_whose_answers_are_lost_is_not_refused(site, fault):
+    for number in range(6):
+        for scorer in site.scorers:
+            scorer.fail_next = [fault] * 3
+        status, _, _ = await ask(site, number, body=BLAMELESS)
+        assert status == 502
+    for scorer in site.scorers:
+        scorer.fail_next = []
+    assert (await ask(site, body=BLAMELESS))[0] == 200
+
+
+async def test_a_request_at_slow_endpoints_is_not_refused(site):
+    for scorer in site.scorers:
+        scorer.delay_s = 5.0
+    statuses = [
+        (await ask(site, n, body=BLAMELESS, time_left="300"))[0] for n in range(4)
+    ]
+    assert statuses == [504] * 4
+    for scorer in site.scorers:
+        scorer.delay_s = 0.0
+    assert (await ask(site, body=BLAMELESS))[0] == 200
+
+
+async def test_a_request_cut_by_planned_stops_is_not_refused(site, services):
+    desk = services(site, SCORERS, await three_scorers(site))
+    for number in range(4):
+        await until(lambda: desk.is_whole)
+        await asyncio.sleep(0.5)
+        for scorer in site.scorers:
+            scorer.delay_s = 1.0
+        asked = asyncio.ensure_future(
+            ask(site, number, "/once/1", body=BLAMELESS, time_left="4000")
+        )
+        await until(lambda: any(each.busy for each in site.scorers))
+        for scorer in site.scorers:
+            leaving = {**scorer.document(SCORERS), "state": "draining"}
+            site.rows.put("servers", scorer.id, leaving)
+        await asyncio.sleep(0.5)
+        for scorer in site.scorers:
+            scorer.crash()
+        assert (await asked)[0] == 502
+    await until(lambda: desk.is_whole)
+    await asyncio.sleep(0.5)
+    for scorer in site.scorers:
+        scorer.delay_s = 0.0
+    assert (await ask(site, path="/once/1", body=BLAMELESS))[0] == 200
+
+
+async def test_a_request_that_was_answered_is_not_held_to_what_was_before(site, desk):
+    # Twice it is there when an endpoint ends, again and again, and is answered between.
+    for number in range(3):
+        for _ in range(2):
+            await until(lambda: desk.is_whole)
+            await asyncio.sleep(0.5)
+            await _ends_under(site, number)
+        await until(lambda: desk.is_whole)
+        await asyncio.sleep(0.5)
+        assert (await ask(site, number, "/once/1", body=BLAMELESS))[0] == 200
+
+
+async def _ends_under(site, host):
+    for scorer in site.scorers:
+        scorer.delay_s = 1.0
+    asked = asyncio.ensure_future(
+        ask(site, host, "/once/1", body=BLAMELESS, time_left="4000")
+    )
+    await until(lambda: any(each.busy for each in site.scorers))
+    for scorer in site.scorers:
+        if scorer.busy:
+            scorer.crash()
+        scorer.delay_s = 0.0
+    assert (await asked)[0] == 502
--- a/tests/outside/endpoints.py
+++ b/tests/outside/endpoints.py
@@ -32,6 +32,7 @@
         self.crash_after_s = 0.02
         self.crash_after_events = None
         self.has_crashed = False
+        self.busy = 0
         self._crashing: Any = None
         self._runner: Any = None
 
@@ -97,14 +98,17 @@
         if fault == "full":
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
         self.ran[request_id] += 1
-        if body in self.crash_on and self.crash_after_events is None:
-            asyncio.get_running_loop().call_later(self.crash_after_s, self.crash)
-            await asyncio.sleep(60)
+        self.busy += 1
         try:
+            if body in self.crash_on and self.crash_after_events is None:
+                asyncio.get_running_loop().call_later(self.crash_after_s, self.crash)
+                await asyncio.sleep(60)
             return await self._run(request, request_id, body, fault)
         except asyncio.CancelledError:
             self.broken_off[request_id] += 1
             raise
+        finally:
+            self.busy -= 1
 
     async def _control(self, request, body):
         return web.Response(status=404)
