Only a good answer clears a request; a list just regained proves no life

Two ways in which a request that crashes endpoints could have been let go, found by reading: an endpoint that is slow may answer with an error before what crashes it; and right after an outage of the store the list still names endpoints that ended during it, so that their ends would have been taken back. A refusal names its reason in its body.

--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -242,7 +242,6 @@
                     self._note_failure(target, lost.value)
                     await self._note_lost(target, lost)
                 case Answered(status=status):
-                    self._crashes.note_answer(self._content)
                     self._take_failure(target, status)
 
     @property
--- a/src/bankrudder/crashes/_blame.py
+++ b/src/bankrudder/crashes/_blame.py
@@ -10,7 +10,8 @@
 endpoint at a time; each further end doubles the pause. From one end less on it goes to
 no endpoint that works on another suspect, so that the next end tells them apart.
 
-Who only was beside it must not pay. Any answer to a content clears it. An end is not
+Who only was beside it must not pay. An answer clears a content; an error does not, as
+it may come before what crashes. An end is not
 counted where another content explains it, one that was there too and under which more
 endpoints ended. Where two contents were at the very same ends, nothing tells them apart
 but a try: both wait for `UNSURE_PAUSES_S` only; the next end or answer decides.
--- a/src/bankrudder/crashes/_guard.py
+++ b/src/bankrudder/crashes/_guard.py
@@ -9,7 +9,12 @@
 from bankrudder.crashes._blame import ALONE_FROM
 from bankrudder.crashes._book import CrashBook
 from bankrudder.crashes._content import ContentId
-from bankrudder.crashes._evidence import Evidence, first_evidence, later_evidence
+from bankrudder.crashes._evidence import (
+    SETTLE_S,
+    Evidence,
+    first_evidence,
+    later_evidence,
+)
 from bankrudder.crashes._records import CRASHES_TABLE, row_key, strike_in
 from bankrudder.crashes._values import Admission, Strike, UnixTime, Verdict
 from bankrudder.crashes._writing import StrikeWriter
@@ -68,8 +73,8 @@
 
     Parameters
     ----------
-    is_list_current : callable
-        Whether the platform's list of endpoints is being read.
+    list_current_for_s : callable
+        Seconds for which reads of the platform's list of endpoints have not failed.
     """
 
     def __init__(
@@ -78,13 +83,13 @@
         client: EndpointClient,
         directory: EndpointDirectory,
         clock: Clock,
-        is_list_current: Callable[[], bool],
+        list_current_for_s: Callable[[], float],
         pace: ReadPace,
     ):
         self._client = client
         self._directory = directory
         self._clock = clock
-        self._is_list_current = is_list_current
+        self._list_current_for_s = list_current_for_s
         self._book = CrashBook()
         self._writer = StrikeWriter(store)
         self._cases: list[_Case] = []
@@ -128,7 +133,7 @@
         await asyncio.wait([looking], timeout=LOOK_WAIT_S)
 
     def note_answer(self, content: ContentId) -> None:
-        """Note that an endpoint ran a request and lives: nothing is held against it."""
+        """Note that an endpoint ran a request to a good end: it is not to blame."""
         if content not in self._book:
             return
         strikes = self._book.clear(content)
@@ -210,7 +215,8 @@
         return True
 
     def _is_listed(self, target: TrackedEndpoint) -> bool | None:
-        if not self._is_list_current():
+        # Right after an outage the list still holds what ended during it.
+        if self._list_current_for_s() < SETTLE_S:
             return None
         known = self._directory.get(target.endpoint.id)
         return known is not None and known.run == target.run
--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -170,7 +170,7 @@
             self._endpoints,
             self.directory,
             self._clock,
-            lambda: self.view.is_list_current,
+            lambda: self.view.list_current_for_s(),
             self.pace,
         )
 
--- a/src/bankrudder/node/_world_view.py
+++ b/src/bankrudder/node/_world_view.py
@@ -89,10 +89,9 @@
         """Whether configuration and endpoints are known."""
         return self._routes is not None and self._endpoints.is_loaded
 
-    @property
-    def is_list_current(self) -> bool:
-        """Whether the list of endpoints is known, and its reads work."""
-        return self._endpoints.is_loaded and self._endpoints.lost_since is None
+    def list_current_for_s(self) -> float:
+        """Return the seconds for which reads of the endpoints' list have not failed."""
+        return self._endpoints.current_for_s()
 
     def set_more_routes(self, routes: Iterable[Route]) -> None:
         """Replace the routes of the project's own configuration."""
--- a/src/bankrudder/platform/_front.py
+++ b/src/bankrudder/platform/_front.py
@@ -261,9 +261,11 @@
     match reply:
         case Relayed(status=status, headers=headers, body=body):
             return web.Response(status=status, headers=CIMultiDict(headers), body=body)
-        case NotRun(retry_after_s=seconds):
+        case NotRun(reason=reason, retry_after_s=seconds):
             return web.Response(
-                status=503, headers={names.RETRY_AFTER: f"{seconds:.2f}"}
+                status=503,
+                headers={names.RETRY_AFTER: f"{seconds:.2f}"},
+                text=f"not run: {reason.value}\n",
             )
         case NotFound():
             return web.Response(status=404)
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -224,10 +224,9 @@
         self, outcome: SendOutcome, target: TrackedEndpoint
     ) -> Relayed | None:
         """Return the reply if the outcome is final."""
-        if isinstance(outcome, Answered):
-            self._crashes.note_answer(self._content)
         match outcome:
             case Answered() if outcome.status < 500:
+                self._crashes.note_answer(self._content)
                 self._log_answer(outcome, target)
                 return self._relayed(outcome, target)
             case Answered():
--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -241,9 +241,10 @@
                 self._count += 1
                 target.note_failure(self._clock.monotonic())
                 await self._note_lost(lost)
-            case Answered():
+            case Answered(status=status):
                 self._count += 1
-                self._crashes.note_answer(self._content)
+                if status < 500:
+                    self._crashes.note_answer(self._content)
             case _:
                 self._count += 1
         return outcome
--- a/src/bankrudder/store/_following.py
+++ b/src/bankrudder/store/_following.py
@@ -62,6 +62,7 @@
         self._last_read_at: float | None = None
         self._lost_since: float | None = None
         self._regained_at: float | None = None
+        self._first_read_at = 0.0
 
     @property
     def is_loaded(self) -> bool:
@@ -88,6 +89,15 @@
         """Monotonic time at which reads worked again after the last outage."""
         return self._regained_at
 
+    def current_for_s(self) -> float:
+        """Return the seconds for which no read has failed, 0 before the first one."""
+        if self._last_read_at is None or self._lost_since is not None:
+            return 0.0
+        since = self._regained_at
+        if since is None:
+            since = self._first_read_at
+        return self._clock.monotonic() - since
+
     async def run(self) -> None:
         """Follow until cancelled."""
         version: RowVersion | None = None
@@ -164,6 +174,8 @@
             self._on_removed(key)
 
     def _note_success(self) -> None:
+        if self._last_read_at is None:
+            self._first_read_at = self._clock.monotonic()
         self._last_read_at = self._clock.monotonic()
         if self._lost_since is not None:
             self._regained_at = self._last_read_at
--- a/tests/crashes/test_guard.py
+++ b/tests/crashes/test_guard.py
@@ -30,13 +30,14 @@
     """A guard with a directory of its own."""
 
     def __init__(self, store, clock, endpoints):
+        self.list_current_for_s = 1000.0
         self.directory = EndpointDirectory("north", clock)
         self.guard = CrashGuard(
             store,
             endpoints,
             self.directory,
             clock,
-            lambda: True,
+            lambda: self.list_current_for_s,
             ReadPace(lambda: 1, 2000.0),
         )
         self.running = asyncio.ensure_future(self.guard.run())
@@ -151,6 +152,19 @@
     await until(lambda: kept(rows) == [])
 
 
+async def test_a_list_that_was_read_again_just_now_proves_nothing(
+    make_host, hand_clock
+):
+    host = make_host()
+    host.list_current_for_s = 1.0
+    await host.lose("e1", "e2", "e3")
+    hand_clock.advance(SETTLE_S)
+    await asyncio.sleep(0.8)
+    assert host.admission() is Admission.REFUSED
+    host.list_current_for_s = SETTLE_S
+    await until(lambda: host.admission() is Admission.FREE)
+
+
 async def test_endpoints_that_are_gone_from_the_list_have_ended(make_host, hand_clock):
     host = make_host()
     await host.lose("e1", "e2", "e3")
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -87,9 +87,9 @@
     assert desk.runs <= MOST_CRASHES
     assert statuses[-3:] == [503] * 3
     began = time.monotonic()
-    status, headers, _ = await ask(site)
+    status, headers, body = await ask(site)
     assert time.monotonic() - began < AT_ONCE_S
-    assert status == 503
+    assert (status, body) == (503, b"not run: crashes_endpoints\n")
     assert float(headers["Retry-After"]) > 0
     lines = [
         line
