--- a/src/bankrudder/crashes/_evidence.py
+++ b/src/bankrudder/crashes/_evidence.py
@@ -16,6 +16,11 @@
 of one that ended after three heartbeats, about three seconds, and two more where the
 store was away."""
 
+OPEN_S = 3.0
+"""Time in which a later run shows of an endpoint that seemed to live: it was back
+before it was looked at, and is listed with its next heartbeat. What ends later is
+another end."""
+
 FINAL_S = 60.0
 """Time after which an endpoint that is not listed again has ended: cut links heal in
 some tens of seconds."""
@@ -36,9 +41,11 @@
 
 def first_evidence(target: TrackedEndpoint, reach: Reach) -> Evidence:
     """Return what is known as soon as a connection was tried."""
+    if _was_to_end(target):
+        return Evidence.LIVES
     if target.has_ended:
         return Evidence.ENDED
-    if not _was_to_stay(target):
+    if not target.is_listed:
         return Evidence.LIVES
     if reach is Reach.NOT_LISTENING:
         return Evidence.PROBABLY_ENDED
@@ -59,17 +66,17 @@
     is_listed : bool or None
         Whether the platform lists this run now, None while that is not known.
     """
+    if _was_to_end(target):
+        return Evidence.LIVES
     if target.has_ended:
         return Evidence.ENDED
-    if target.endpoint.readiness is Readiness.DRAINING:
-        return Evidence.LIVES
-    if age_s < SETTLE_S:
-        return before
-    if is_listed or before is Evidence.OPEN:
+    if before is Evidence.OPEN:
+        return before if age_s < OPEN_S else Evidence.LIVES
+    if is_listed and age_s >= SETTLE_S:
         return Evidence.LIVES
-    return Evidence.ENDED if age_s >= FINAL_S else before
+    return before if age_s < FINAL_S else Evidence.ENDED
 
 
-def _was_to_stay(target: TrackedEndpoint) -> bool:
-    """Whether its end would not be a planned one."""
-    return target.is_listed and target.endpoint.readiness is Readiness.READY
+def _was_to_end(target: TrackedEndpoint) -> bool:
+    """Whether its end is a planned one."""
+    return target.endpoint.readiness is Readiness.DRAINING
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -142,6 +142,18 @@
     assert desk.runs <= MOST_CRASHES
 
 
+async def test_hosts_that_are_told_by_another_host_know_of_it(tmp_path, services):
+    site = Site(tmp_path, min_readers=2)
+    try:
+        await site.start()
+        await asyncio.sleep(1.5)
+        desk = services(site, SCORERS, await three_scorers(site))
+        await visit(site, desk)
+        assert desk.runs <= MOST_CRASHES
+    finally:
+        await site.stop()
+
+
 async def test_what_is_known_of_it_outlasts_all_hosts(site, desk):
     await visit(site, desk, visits=2)
     assert desk.runs == MOST_CRASHES
