find follows what was asked; make explain shows a request that crashes endpoints

An engineer with the id of one refused attempt could not see the attempts before it, which bear other ids at other hosts.

--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 	diff --recursive --brief --exclude=__init__.py --exclude=__pycache__ \
 	    build/proto/bankrudder/v1 $(GENERATED)
 
-# Three kinds of failed request, explained from their ids by logs alone.
+# Four kinds of failed request, explained from their ids by logs alone.
 explain: $(STAMP)
 	$(BIN)/python bench/explain.py
 
--- a/bench/explain.py
+++ b/bench/explain.py
@@ -1,8 +1,8 @@
-"""Three kinds of failed request, each brought about and explained from its id.
+"""Four kinds of failed request, each brought about and explained from its id.
 
 Starts a small site on loopback, lets a call be refused, a call that may run once lose
-its answer, and a step come late, and shows for each what ``bankrudder find`` prints of
-the hosts' logs.
+its answer, a step come late, and a request crash endpoints, and shows for each what
+``bankrudder find`` prints of the hosts' logs.
 """
 
 import asyncio
@@ -17,7 +17,8 @@
 sys.path[:0] = [str(ROOT / "src"), str(ROOT / "tests")]
 
 from bankrudder.cli import main as command  # noqa: E402
-from outside.site import Site, check_results, until  # noqa: E402
+from outside.crashing import CRASHING, CrashingService, three_scorers  # noqa: E402
+from outside.site import SCORERS, Site, check_results, until  # noqa: E402
 
 
 async def ask(site, request_id, faults):
@@ -64,13 +65,32 @@
     return "late-1"
 
 
+async def crash(site):
+    """Let a request crash endpoints until it is refused; return its last id."""
+    service = CrashingService(site, SCORERS, await three_scorers(site))
+    for number in range(4):
+        await until(lambda: service.is_whole)
+        await asyncio.sleep(0.5)
+        status, headers, body = await site.call(
+            site.hosts[number % 3],
+            "POST",
+            "/once/1",
+            body=CRASHING,
+            headers={"X-Request-Deadline": "1500", "X-Request-Id": f"crash-{number}"},
+        )
+        told = f"Retry-After {headers.get('Retry-After')}, {body.decode().strip()}"
+        print(f"the caller got {status}, {told}")
+    await service.stop()
+    return "crash-3"
+
+
 async def explain():
     """Bring the failures about, one after the other; return the ids without lines."""
     missing = []
     with tempfile.TemporaryDirectory(prefix="explain-") as folder:
         site = await Site(Path(folder)).start()
         try:
-            for bring_about in (refuse, lose, delay):
+            for bring_about in (refuse, lose, crash, delay):
                 print(f"\n== {(bring_about.__doc__ or '').partition(';')[0]}")
                 wanted = await bring_about(site)
                 await asyncio.sleep(0.2)
--- a/src/bankrudder/cli/_logs.py
+++ b/src/bankrudder/cli/_logs.py
@@ -9,7 +9,7 @@
 from bankrudder.cli._files import read_file
 from bankrudder.cli._output import Output
 
-ID_FIELDS = ("request", "batch", "sample", "call")
+ID_FIELDS = ("request", "batch", "sample", "call", "content")
 """Fields of a line that name what it is about."""
 
 _SHOWN_FIRST = ("timestamp", "logged_by", "level", "event")
@@ -28,14 +28,14 @@
 def lines_about(wanted: str, lines: Iterable[Line]) -> list[Line]:
     """Return the lines about `wanted` and its batch, in the order of their times.
 
-    Lines about other samples of the batch are left out.
+    Lines about other samples of the batch are left out, and of the lines about the same
+    content those about other requests.
     """
     lines = list(lines)
     direct = [line for line in lines if _is_about(line, wanted)]
     batches = {line["batch"] for line in direct if "batch" in line and "sample" in line}
-    whole = [
-        line for line in lines if line.get("batch") in batches and "sample" not in line
-    ]
+    contents = {line["content"] for line in direct if "content" in line}
+    whole = [line for line in lines if _is_of_all(line, batches, contents)]
     found = {id(line): line for line in [*direct, *whole]}
     return sorted(found.values(), key=lambda line: str(line.get("timestamp", "")))
 
@@ -44,6 +44,13 @@
     return any(line.get(field) == wanted for field in ID_FIELDS)
 
 
+def _is_of_all(line: Line, batches: set[object], contents: set[object]) -> bool:
+    """Whether a line is about a whole batch, or about whoever asks a content."""
+    if "sample" in line or "request" in line:
+        return False
+    return line.get("batch") in batches or line.get("content") in contents
+
+
 def _lines_of(data: bytes) -> Iterable[Line]:
     for text in data.splitlines():
         # A collector may write something in front of the line.
--- a/tests/cli/test_find.py
+++ b/tests/cli/test_find.py
@@ -16,6 +16,19 @@
     },
     {"timestamp": "2", "event": "relay: answered", "request": "q1"},
     {"timestamp": "4", "event": "batches: accepted", "batch": "b2"},
+    {
+        "timestamp": "5",
+        "event": "relay: attempt failed",
+        "request": "q2",
+        "content": "c",
+    },
+    {"timestamp": "6", "event": "crashes: endpoint left a request", "content": "c"},
+    {
+        "timestamp": "7",
+        "event": "relay: attempt failed",
+        "request": "q3",
+        "content": "c",
+    },
 ]
 
 
@@ -35,6 +48,14 @@
     assert events("q1") == ["2"]
 
 
+def test_a_request_is_shown_with_what_is_known_of_its_content():
+    assert events("q2") == ["5", "6"]
+
+
+def test_a_content_is_shown_with_all_attempts():
+    assert events("c") == ["5", "6", "7"]
+
+
 def test_logs_of_hosts_are_merged_and_other_lines_passed_over(tmp_path, capsys):
     first = tmp_path / "a.log"
     first.write_text(f"12.5 host-a {json.dumps(LINES[0])}\nTraceback\n{{cut")
--- a/tests/node/test_explain.py
+++ b/tests/node/test_explain.py
@@ -8,7 +8,7 @@
 
 ROOT = Path(__file__).parents[2]
 PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
-PARTS = "relay|batches|node|store|presence|leases|fleet|orders|gateway"
+PARTS = "crashes|relay|batches|node|store|presence|leases|fleet|orders|gateway"
 EVENT = re.compile(f"`((?:{PARTS}): [a-z ]+)`")
 METRIC = re.compile(r"`(bankrudder_[a-z_]+)`")
 
@@ -29,17 +29,19 @@
     assert [name for name in METRIC.findall(PAGE) if f'"{name}"' not in text] == []
 
 
-async def test_the_three_failures_are_explained_by_the_logs():
+async def test_the_four_failures_are_explained_by_the_logs():
     process = await asyncio.create_subprocess_exec(
         sys.executable, str(ROOT / "bench" / "explain.py"), stdout=subprocess.PIPE
     )
     output, _ = await process.communicate()
     text = output.decode()
     assert process.returncode == 0
-    refused, lost, late = text.split("\n== ")[1:]
+    refused, lost, crashed, late = text.split("\n== ")[1:]
     assert "outcome=refused: full" in refused
     assert "reason=full runs=0" in refused
     assert "outcome=lost: no_answer runs=1" in lost
     assert "reason=endpoint_failed runs=1" in lost
     assert "batches: taken over" in late
     assert "sample done" in late
+    assert crashed.count("crashes: endpoint ended under a request") == 3
+    assert "reason=crashes_endpoints runs=0" in crashed
