--- a/src/bankrudder/crashes/_guard.py
+++ b/src/bankrudder/crashes/_guard.py
@@ -44,9 +44,6 @@
 """Time after which an endpoint is looked at whose request was given up here: it may go
 on with it, and end. A few times a usual answer."""
 
-LOOK_KEPT_S = 0.2
-"""Time for which one look at an endpoint serves all requests that it left."""
-
 SETTLE_PAUSE_S = 0.5
 """How often losses are looked at again."""
 
@@ -204,8 +201,8 @@
         if look is None:
             look = asyncio.ensure_future(self._client.reach(target.endpoint))
             self._looks[run] = look
-            loop = asyncio.get_running_loop()
-            loop.call_later(LOOK_KEPT_S, self._looks.pop, run, None)
+            # It serves all requests that the endpoint left at once, and no later ones.
+            look.add_done_callback(lambda _: self._looks.pop(run, None))
         return await asyncio.shield(look)
 
     async def _settle_repeatedly(self) -> None:
--- a/tests/crashes/test_guard.py
+++ b/tests/crashes/test_guard.py
@@ -163,6 +163,15 @@
     assert len(host.guard) == 9
 
 
+async def test_a_later_loss_is_looked_at_anew(make_host, endpoints):
+    host = make_host()
+    endpoints.reaches = Reach.LISTENING
+    await host.lose("e1")
+    endpoints.reaches = Reach.NOT_LISTENING
+    await host.lose("e1")
+    assert (endpoints.looks, len(host.guard)) == (2, 1)
+
+
 async def test_an_endpoint_that_is_still_listed_lives(make_host, hand_clock, rows):
     host = make_host()
     await host.lose("e1", "e2", "e3")
