--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -8,7 +8,7 @@
 from bankrudder.batches._dispatcher import Dispatcher, SlotDemand
 from bankrudder.batches._text import SampleText, fits
 from bankrudder.batches._values import Batch, Progress, Sample
-from bankrudder.crashes import Admission, CrashGuard, content_id
+from bankrudder.crashes import Admission, CrashGuard, Send, content_id
 from bankrudder.fleet import (
     Answered,
     EndpointClient,
@@ -116,6 +116,7 @@
         self._run_count = 0
         self._waited_s = 0.0
         self._longest_gap_s = 0.0
+        self._began = 0.0
         if progress is not None and fits(
             progress, batch.min_version, single=self._is_single_version
         ):
@@ -220,6 +221,7 @@
         )
 
     async def _run_until_end(self, target: TrackedEndpoint, demand: SlotDemand) -> None:
+        self._began = self._clock.monotonic()
         try:
             async with within_run(target):
                 await self._run_on(target, demand)
@@ -343,7 +345,8 @@
         self._log_break(target, reason)
 
     async def _note_lost(self, target: TrackedEndpoint, reason: LossReason) -> None:
-        await self._crashes.note_lost(self._content, target, reason)
+        send = Send(self._content, target, self._began)
+        await self._crashes.note_lost(send, reason)
 
     def _log_break(self, target: TrackedEndpoint, reason: str) -> None:
         _log.info(
--- a/src/bankrudder/crashes/__init__.py
+++ b/src/bankrudder/crashes/__init__.py
@@ -5,7 +5,14 @@
 from bankrudder.crashes._content import ContentId, content_id
 from bankrudder.crashes._evidence import Evidence, first_evidence, later_evidence
 from bankrudder.crashes._guard import CLEANING_PAUSE_S, CrashGuard
-from bankrudder.crashes._values import FREE, Admission, Strike, UnixTime, Verdict
+from bankrudder.crashes._values import (
+    FREE,
+    Admission,
+    Send,
+    Strike,
+    UnixTime,
+    Verdict,
+)
 
 __all__ = [
     "Admission",
@@ -16,6 +23,7 @@
     "Evidence",
     "FREE",
     "LIMIT",
+    "Send",
     "Strike",
     "UnixTime",
     "Verdict",
--- a/src/bankrudder/crashes/_blame.py
+++ b/src/bankrudder/crashes/_blame.py
@@ -7,9 +7,11 @@
 visits to a service of three; with this it ends three, once.
 
 Answer: runs of endpoints that ended under a content are counted over all attempts and
-hosts. Once `LIMIT` ended, the content is refused for `SURE_PAUSE_S`, then tried at one
-endpoint at a time; each further end doubles the pause. From one end less on it goes to
-no endpoint that works on another suspect, so that the next end tells them apart.
+hosts, one after the other: ends whose sends overlapped count once, since a common cause
+may end many endpoints that work on a popular request. Once `LIMIT` ended, the content is
+refused for `SURE_PAUSE_S`, then tried at one endpoint at a time; each further end
+doubles the pause. From one end less on it goes to no endpoint that works on another
+suspect, so that the next end tells them apart.
 
 Who only was beside it must not pay. An answer clears a content; an error does not, as
 it may come before what crashes. An end is not
@@ -18,16 +20,20 @@
 but a try: both wait for `UNSURE_PAUSES_S` only; the next end or answer decides.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from bankrudder.crashes._content import ContentId
-from bankrudder.crashes._values import FREE, Admission, UnixTime, Verdict
+from bankrudder.crashes._values import FREE, Admission, Strike, UnixTime, Verdict
 from bankrudder.fleet import EndpointRun
 
 LIMIT = 3
 """Endpoints that may end under a content. One is lost by chance every day in a large
 fleet, two in a row by a bad minute; three small services have no more than these."""
 
+OVERLAP_SLACK_S = 0.05
+"""By so much a send may seem to have begun before the end that it followed: the times
+are taken by two clocks, and a busy host may stand still between them."""
+
 ALONE_FROM = LIMIT - 1
 """Ends from which a content is at one endpoint at a time: a second send beside the
 first could end two more."""
@@ -48,7 +54,7 @@
 KEEP_S = 24 * 3600.0
 """How long strikes are kept after the last one, below and from the limit on."""
 
-Strikes = Mapping[ContentId, Mapping[EndpointRun, UnixTime]]
+Strikes = Mapping[ContentId, Mapping[EndpointRun, Strike]]
 
 
 def judge(content: ContentId, strikes: Strikes, now: UnixTime) -> Verdict:
@@ -57,12 +63,12 @@
     if not own:
         return FREE
     counted = _unexplained(content, strikes)
-    count = len(counted)
-    if count < ALONE_FROM:
-        return Verdict(Admission.FREE, count)
+    if len(counted) < ALONE_FROM:
+        return Verdict(Admission.FREE, len(counted))
+    count = _in_succession(own[run] for run in counted)
     if count < LIMIT:
         return Verdict(Admission.ALONE, count)
-    last = max(own[run] for run in counted)
+    last = max(own[run].at for run in counted)
     pause_s = _pause_s(count - LIMIT, _is_sure(content, counted, strikes))
     # A clock that was set back must not make the pause longer than it is.
     left_s = min(last + pause_s - now, pause_s)
@@ -71,10 +77,21 @@
     return Verdict(Admission.REFUSED, count, left_s)
 
 
-def is_outdated(runs: Mapping[EndpointRun, UnixTime], now: UnixTime) -> bool:
+def is_outdated(runs: Mapping[EndpointRun, Strike], now: UnixTime) -> bool:
     """Whether the strikes of a content are too old to be kept."""
     keep_s = KEEP_S if len(runs) >= LIMIT else KEEP_FEW_S
-    return now - max(runs.values()) > keep_s
+    return now - max(strike.at for strike in runs.values()) > keep_s
+
+
+def _in_succession(strikes: Iterable[Strike]) -> int:
+    """Return the most ends of which each came under a send after the one before."""
+    count = 0
+    last: UnixTime | None = None
+    for strike in sorted(strikes, key=lambda each: each.at):
+        if last is None or strike.began >= last - OVERLAP_SLACK_S:
+            count += 1
+            last = strike.at
+    return count
 
 
 def _unexplained(content: ContentId, strikes: Strikes) -> frozenset[EndpointRun]:
--- a/src/bankrudder/crashes/_book.py
+++ b/src/bankrudder/crashes/_book.py
@@ -19,7 +19,7 @@
     """Strikes by content, bounded; decides nothing but what to forget."""
 
     def __init__(self) -> None:
-        self._strikes: dict[ContentId, dict[EndpointRun, UnixTime]] = {}
+        self._strikes: dict[ContentId, dict[EndpointRun, Strike]] = {}
 
     def __len__(self) -> int:
         return len(self._strikes)
@@ -35,19 +35,19 @@
 
     def strikes(self, content: ContentId) -> Iterator[Strike]:
         """Yield the strikes of a content."""
-        for run, at in self._strikes.get(content, {}).items():
-            yield Strike(content, run, at)
+        yield from self._strikes.get(content, {}).values()
 
     def add(self, strike: Strike) -> list[Strike]:
         """Take a strike; return those that were forgotten for it."""
         # The latest content stands last.
         runs = self._strikes.pop(strike.content, {})
         self._strikes[strike.content] = runs
-        runs[strike.run] = max(strike.at, runs.get(strike.run, strike.at))
+        # Several requests may have been there: the first one tells of the run.
+        runs.setdefault(strike.run, strike)
         forgotten = []
         if len(runs) > MAX_RUNS:
-            oldest = min(runs, key=lambda run: runs[run])
-            forgotten.append(Strike(strike.content, oldest, runs.pop(oldest)))
+            oldest = min(runs, key=lambda run: runs[run].at)
+            forgotten.append(runs.pop(oldest))
         if len(self._strikes) > MAX_CONTENTS:
             forgotten += self.clear(next(iter(self._strikes)))
         return forgotten
--- a/src/bankrudder/crashes/_guard.py
+++ b/src/bankrudder/crashes/_guard.py
@@ -7,7 +7,6 @@
 import msgspec
 import structlog
 
-from bankrudder.crashes._blame import ALONE_FROM
 from bankrudder.crashes._book import CrashBook
 from bankrudder.crashes._content import ContentId
 from bankrudder.crashes._evidence import (
@@ -17,7 +16,7 @@
     later_evidence,
 )
 from bankrudder.crashes._records import CRASHES_TABLE, row_key, strike_in
-from bankrudder.crashes._values import Admission, Strike, UnixTime, Verdict
+from bankrudder.crashes._values import Admission, Send, Strike, UnixTime, Verdict
 from bankrudder.crashes._writing import StrikeWriter
 from bankrudder.fleet import (
     EndpointClient,
@@ -62,13 +61,20 @@
 
 
 class _Case(msgspec.Struct):
-    """One request that an endpoint left without an answer."""
+    """One request that an endpoint left without an answer, ``at`` a monotonic time."""
 
-    content: ContentId
-    target: TrackedEndpoint
-    began: float
+    send: Send
+    at: float
     evidence: Evidence
 
+    @property
+    def content(self) -> ContentId:
+        return self.send.content
+
+    @property
+    def target(self) -> TrackedEndpoint:
+        return self.send.target
+
 
 class CrashGuard:
     """Knows under which contents endpoints ended, here and at other hosts.
@@ -120,21 +126,19 @@
         """Return whether a request may be sent now."""
         return self._book.verdict(content, self._now())
 
-    async def note_lost(
-        self, content: ContentId, target: TrackedEndpoint, reason: LossReason
-    ) -> None:
+    async def note_lost(self, send: Send, reason: LossReason) -> None:
         """Note that an endpoint left a request without an answer.
 
         Returns once it is known whether the endpoint ended, or after `LOOK_WAIT_S`.
         """
         if reason not in SUSPICIOUS:
             return
-        looking = self._start(self._look(content, target))
+        looking = self._start(self._look(send, self._clock.monotonic()))
         await asyncio.wait([looking], timeout=LOOK_WAIT_S)
 
-    def note_left(self, content: ContentId, target: TrackedEndpoint) -> None:
+    def note_left(self, send: Send) -> None:
         """Note that a request was broken off here while an endpoint worked on it."""
-        self._start(self._look_later(content, target))
+        self._start(self._look_later(send, self._clock.monotonic()))
 
     def note_answer(self, content: ContentId) -> None:
         """Note that an endpoint ran a request to a good end: it is not to blame."""
@@ -171,21 +175,21 @@
         task.add_done_callback(self._looking.discard)
         return task
 
-    async def _look_later(self, content: ContentId, target: TrackedEndpoint) -> None:
+    async def _look_later(self, send: Send, at: float) -> None:
         await asyncio.sleep(LEFT_LOOK_S)
-        await self._look(content, target)
+        await self._look(send, at)
         # No attempt is left that could tell the other hosts.
-        self.tell(content)
+        self.tell(send.content)
 
-    async def _look(self, content: ContentId, target: TrackedEndpoint) -> None:
-        began = self._clock.monotonic()
+    async def _look(self, send: Send, at: float) -> None:
+        target = send.target
         reach = Reach.UNKNOWN
         if not target.has_ended:
             reach = await self._reach(target)
-        case = _Case(content, target, began, first_evidence(target, reach))
+        case = _Case(send, at, first_evidence(target, reach))
         _log.info(
             "crashes: endpoint left a request",
-            content=content,
+            content=send.content,
             endpoint=target.endpoint.id,
             reach=reach.value,
             evidence=case.evidence.value,
@@ -212,7 +216,7 @@
 
     def _is_open(self, case: _Case) -> bool:
         """Look at a loss again; return whether it has to be looked at once more."""
-        age_s = self._clock.monotonic() - case.began
+        age_s = self._clock.monotonic() - case.at
         before = case.evidence
         if before in (Evidence.ENDED, Evidence.LIVES):
             return False
@@ -238,7 +242,7 @@
         return known is not None and known.run == target.run
 
     def _strike(self, case: _Case) -> None:
-        strike = Strike(case.content, case.target.run, self._now())
+        strike = self._strike_of(case)
         self._forget_all(self._book.add(strike))
         verdict = self.verdict(case.content)
         _log.warning(
@@ -249,13 +253,19 @@
             admission=verdict.admission.value,
             retry_after_s=round(verdict.retry_after_s, 1),
         )
-        if verdict.strikes >= ALONE_FROM:
+        if verdict.admission is not Admission.FREE:
             self.tell(case.content)
 
+    def _strike_of(self, case: _Case) -> Strike:
+        """Return the strike of a loss, with the times of all hosts' clocks."""
+        at = self._now() - (self._clock.monotonic() - case.at)
+        began = at - (case.at - case.send.began)
+        return Strike(case.content, case.target.run, UnixTime(began), UnixTime(at))
+
     def _withdraw(self, case: _Case) -> None:
         if not self._book.remove(case.content, case.target.run):
             return
-        self._forget(Strike(case.content, case.target.run, self._now()))
+        self._forget(self._strike_of(case))
         _log.info(
             "crashes: endpoint lives, strike withdrawn",
             content=case.content,
--- a/src/bankrudder/crashes/_records.py
+++ b/src/bankrudder/crashes/_records.py
@@ -23,6 +23,7 @@
 class _CrashRow(msgspec.Struct, frozen=True, omit_defaults=True):
     content: ContentId
     endpoint: EndpointId
+    began: UnixTime
     at: UnixTime
     born: Birth | None = None
 
@@ -36,7 +37,8 @@
 
 def row_of(strike: Strike) -> Put:
     """Return the row that keeps a strike."""
-    row = _CrashRow(strike.content, strike.run.endpoint, strike.at, strike.run.born)
+    run = strike.run
+    row = _CrashRow(strike.content, run.endpoint, strike.began, strike.at, run.born)
     return Put(row_key(strike), msgspec.json.encode(row))
 
 
@@ -49,4 +51,4 @@
         If it holds none.
     """
     row = msgspec.json.decode(value, type=_CrashRow)
-    return Strike(row.content, EndpointRun(row.endpoint, row.born), row.at)
+    return Strike(row.content, EndpointRun(row.endpoint, row.born), row.began, row.at)
--- a/src/bankrudder/crashes/_values.py
+++ b/src/bankrudder/crashes/_values.py
@@ -6,17 +6,34 @@
 import msgspec
 
 from bankrudder.crashes._content import ContentId
-from bankrudder.fleet import EndpointRun
+from bankrudder.fleet import EndpointRun, TrackedEndpoint
 
 UnixTime = NewType("UnixTime", float)
 """Seconds of the real-time clock: strikes outlive the host that saw them."""
 
 
+class Send(msgspec.Struct, frozen=True):
+    """A request at one endpoint; ``began`` is the monotonic time of its sending."""
+
+    content: ContentId
+    target: TrackedEndpoint
+    began: float
+
+
 class Strike(msgspec.Struct, frozen=True):
-    """One run of an endpoint that ended while it worked on a content."""
+    """One run of an endpoint that ended while it worked on a content.
+
+    Attributes
+    ----------
+    began : UnixTime
+        When the request was sent there.
+    at : UnixTime
+        When the loss of the endpoint was noticed.
+    """
 
     content: ContentId
     run: EndpointRun
+    began: UnixTime
     at: UnixTime
 
 
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from bankrudder.crashes import Admission, ContentId, CrashGuard, Verdict
+from bankrudder.crashes import Admission, ContentId, CrashGuard, Send, Verdict
 from bankrudder.fleet import (
     Answered,
     EndpointClient,
@@ -88,7 +88,7 @@
         self._client = client
         self._clock = clock
         self._deadline = route_deadline(request, route)
-        self._sends: dict[asyncio.Task[SendOutcome], TrackedEndpoint] = {}
+        self._sends: dict[asyncio.Task[SendOutcome], Send] = {}
         self._tried: list[EndpointId] = []
         self._runs = 0
         self._refusals = 0
@@ -124,10 +124,10 @@
 
     def _cancel(self) -> None:
         """Break off all sends; their endpoints see the connections close."""
-        for task, target in self._sends.items():
+        for task, send in self._sends.items():
             task.cancel()
             if not self._is_answered:
-                self._crashes.note_left(self._content, target)
+                self._crashes.note_left(send)
 
     def _send_next(self) -> None:
         if not self._may_send():
@@ -142,7 +142,7 @@
         leave = target.occupy(is_suspect)
         task = asyncio.ensure_future(self._send(target))
         task.add_done_callback(lambda _: leave())
-        self._sends[task] = target
+        self._sends[task] = Send(self._content, target, self._clock.monotonic())
 
     def _may_send(self) -> bool:
         sent = self._runs + len(self._sends)
@@ -203,7 +203,7 @@
         except RunEndedError:
             return Lost(LossReason.ENDPOINT_RESTARTED)
 
-    async def _next_outcome(self) -> tuple[SendOutcome, TrackedEndpoint] | None:
+    async def _next_outcome(self) -> tuple[SendOutcome, Send] | None:
         """Wait for a send to end; None when it is time for another one, or too late."""
         wait_s = self._left_s()
         if self._may_send():
@@ -223,10 +223,9 @@
         target = timedelta(seconds=self._route.target_s)
         return hedge_after(target, usual).total_seconds()
 
-    async def _take(
-        self, outcome: SendOutcome, target: TrackedEndpoint
-    ) -> Relayed | None:
+    async def _take(self, outcome: SendOutcome, send: Send) -> Relayed | None:
         """Return the reply if the outcome is final."""
+        target = send.target
         match outcome:
             case Answered() if outcome.status < 500:
                 self._is_answered = True
@@ -241,7 +240,7 @@
                 self._refusals += 1
             case Lost():
                 self._runs += 1
-                await self._crashes.note_lost(self._content, target, outcome.reason)
+                await self._crashes.note_lost(send, outcome.reason)
         _log.info(
             "relay: attempt failed",
             request=self._request.request_id,
--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -7,7 +7,7 @@
 import msgspec
 import structlog
 
-from bankrudder.crashes import Admission, CrashGuard
+from bankrudder.crashes import Admission, CrashGuard, Send
 from bankrudder.fleet import (
     Answered,
     EndpointClient,
@@ -64,8 +64,9 @@
 class _Run:
     """One stream at one endpoint, open until `close`."""
 
-    def __init__(self, target: TrackedEndpoint, is_suspect: bool):
-        self.target = target
+    def __init__(self, send: Send, is_suspect: bool):
+        self.send = send
+        self.target = send.target
         self._is_suspect = is_suspect
         self._stack = AsyncExitStack()
 
@@ -197,7 +198,7 @@
         """End the run that is open, if any."""
         self._crashes.tell(self._content)
         if self._run is not None and not self._is_answered:
-            self._crashes.note_left(self._content, self._run.target)
+            self._crashes.note_left(self._run.send)
         await self._close()
 
     async def _resume(self, reason: str) -> OpenedStream:
@@ -243,7 +244,8 @@
         if target is None or self._left_s() < MIN_SEND_S:
             return None
         self._tried.append(target.endpoint.id)
-        self._run = _Run(target, self._admission() is Admission.ALONE)
+        send = Send(self._content, target, self._clock.monotonic())
+        self._run = _Run(send, self._admission() is Admission.ALONE)
         outcome = await self._opened(self._run)
         match outcome:
             case Refused(reason=reason):
@@ -264,7 +266,7 @@
 
     async def _note_lost(self, reason: LossReason) -> None:
         if self._run is not None:
-            await self._crashes.note_lost(self._content, self._run.target, reason)
+            await self._crashes.note_lost(self._run.send, reason)
 
     async def _choose(self) -> TrackedEndpoint | None:
         """Return the next endpoint; a suspect waits for one without another suspect."""
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -334,3 +334,25 @@
             scorer.crash()
         scorer.delay_s = 0.0
     assert (await asked)[0] == 502
+
+
+async def test_a_request_that_many_make_does_not_pay_for_a_common_end(site, desk):
+    # All endpoints end at once, each with the same popular request in progress.
+    await asyncio.sleep(0.5)
+    for scorer in site.scorers:
+        scorer.delay_s = 1.0
+    asked = [
+        asyncio.ensure_future(
+            ask(site, host, "/once/1", body=BLAMELESS, time_left="4000")
+        )
+        for host in range(9)
+    ]
+    await until(lambda: all(each.busy for each in site.scorers))
+    for scorer in site.scorers:
+        scorer.crash()
+        scorer.delay_s = 0.0
+    assert {(await each)[0] for each in asked} == {502}
+    await until(lambda: desk.is_whole)
+    await asyncio.sleep(0.5)
+    for host in range(3):
+        assert (await ask(site, host, "/once/1", body=BLAMELESS))[0] == 200
