--- a/src/bankrudder/crashes/_blame.py
+++ b/src/bankrudder/crashes/_blame.py
@@ -8,8 +8,8 @@
 
 Answer: runs of endpoints that ended under a content are counted over all attempts and
 hosts, one after the other: ends whose sends overlapped count once, since a common cause
-may end many endpoints that work on a popular request. Once `LIMIT` ended, the content is
-refused for `SURE_PAUSE_S`, then tried at one endpoint at a time; each further end
+may end many endpoints that work on a popular request. Once `LIMIT` ended, the content
+is refused for `SURE_PAUSE_S`, then tried at one endpoint at a time; each further end
 doubles the pause. From one end less on it goes to no endpoint that works on another
 suspect, so that the next end tells them apart.
 
@@ -30,10 +30,6 @@
 """Endpoints that may end under a content. One is lost by chance every day in a large
 fleet, two in a row by a bad minute; three small services have no more than these."""
 
-OVERLAP_SLACK_S = 0.05
-"""By so much a send may seem to have begun before the end that it followed: the times
-are taken by two clocks, and a busy host may stand still between them."""
-
 ALONE_FROM = LIMIT - 1
 """Ends from which a content is at one endpoint at a time: a second send beside the
 first could end two more."""
@@ -88,7 +84,7 @@
     count = 0
     last: UnixTime | None = None
     for strike in sorted(strikes, key=lambda each: each.at):
-        if last is None or strike.began >= last - OVERLAP_SLACK_S:
+        if last is None or strike.began >= last:
             count += 1
             last = strike.at
     return count
--- a/src/bankrudder/crashes/_guard.py
+++ b/src/bankrudder/crashes/_guard.py
@@ -43,6 +43,9 @@
 """Time after which an endpoint is looked at whose request was given up here: it may go
 on with it, and end. A few times a usual answer."""
 
+CLOCK_STEP_S = 0.5
+"""Change of the time of day against the steady clock that means that it was set."""
+
 SETTLE_PAUSE_S = 0.5
 """How often losses are looked at again."""
 
@@ -100,6 +103,7 @@
         self._list_current_for_s = list_current_for_s
         self._book = CrashBook()
         self._writer = StrikeWriter(store)
+        self._wall_offset = clock.wall() - clock.monotonic()
         self._cases: list[_Case] = []
         self._looks: dict[EndpointRun, asyncio.Task[Reach]] = {}
         self._looking: set[asyncio.Task[None]] = set()
@@ -258,9 +262,23 @@
 
     def _strike_of(self, case: _Case) -> Strike:
         """Return the strike of a loss, with the times of all hosts' clocks."""
-        at = self._now() - (self._clock.monotonic() - case.at)
-        began = at - (case.at - case.send.began)
-        return Strike(case.content, case.target.run, UnixTime(began), UnixTime(at))
+        return Strike(
+            case.content,
+            case.target.run,
+            self._unix_time(case.send.began),
+            self._unix_time(case.at),
+        )
+
+    def _unix_time(self, monotonic: float) -> UnixTime:
+        """Return a time of this host's steady clock as other hosts understand it.
+
+        Which of two times of one host was first stays as it is: both clocks are read
+        anew only after one of them was set.
+        """
+        offset = self._clock.wall() - self._clock.monotonic()
+        if abs(offset - self._wall_offset) > CLOCK_STEP_S:
+            self._wall_offset = offset
+        return UnixTime(monotonic + self._wall_offset)
 
     def _withdraw(self, case: _Case) -> None:
         if not self._book.remove(case.content, case.target.run):
