--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -6,6 +6,7 @@
 import structlog
 
 from bankrudder.batches._dispatcher import Dispatcher, SlotDemand
+from bankrudder.batches._silence import silence_s, timed
 from bankrudder.batches._text import SampleText, fits
 from bankrudder.batches._values import Batch, Progress, Sample
 from bankrudder.crashes import Admission, CrashGuard, Send, content_id
@@ -28,18 +29,6 @@
 from bankrudder.routing import Route
 from bankrudder.world import Clock, ModelVersion
 
-FIRST_EVENT_TIMEOUT_S = 1.5
-"""Longest wait for a run's first event: an engine that takes new weights makes runs
-wait for about a second."""
-
-SILENT_GAPS = 15.0
-LEAST_SILENCE_S = 0.6
-MOST_SILENCE_S = 1.5
-"""A later event is late after so many times the engine's usual time between two, within
-these bounds. On engines of 0.04 s none of 7,700 samples had a gap of over 0.29 s that
-was not the end of its run, with engines that turned 3.5 times slower and loads among
-them; the longest bound holds where nothing is known."""
-
 EVENTS_BETWEEN_LOOKS = 4
 """Events after which a run looks for a quicker engine again."""
 
@@ -283,7 +272,7 @@
         looked_at: float | None = None
         count = 0
         try:
-            async for event in _timed(events, lambda: _silence_s(target.event_gap_s)):
+            async for event in timed(events, lambda: silence_s(target.event_gap_s)):
                 now = self._clock.monotonic()
                 self._longest_gap_s = max(self._longest_gap_s, now - last)
                 last = now
@@ -358,25 +347,3 @@
             events=len(self._text),
             reason=reason,
         )
-
-
-async def _timed(
-    events: AsyncIterator[StreamEvent], silence_s: Callable[[], float]
-) -> AsyncIterator[StreamEvent]:
-    """Yield events; raises `TimeoutError` if the next one is not there in time."""
-    limit_s = FIRST_EVENT_TIMEOUT_S
-    while True:
-        try:
-            async with asyncio.timeout(limit_s):
-                event = await anext(events)
-        except StopAsyncIteration:
-            return
-        yield event
-        limit_s = silence_s()
-
-
-def _silence_s(gap_s: float | None) -> float:
-    """Return after how many seconds an event is late."""
-    if gap_s is None:
-        return MOST_SILENCE_S
-    return min(max(SILENT_GAPS * gap_s, LEAST_SILENCE_S), MOST_SILENCE_S)
--- /dev/null
+++ b/src/bankrudder/batches/_silence.py
@@ -0,0 +1,40 @@
+"""How long an engine may be silent within a run."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+
+from bankrudder.fleet import StreamEvent
+
+FIRST_EVENT_TIMEOUT_S = 1.5
+"""Longest wait for a run's first event: an engine that takes new weights makes runs
+wait for about a second."""
+
+SILENT_GAPS = 15.0
+LEAST_SILENCE_S = 0.6
+MOST_SILENCE_S = 1.5
+"""A later event is late after so many times the engine's usual time between two, within
+these bounds. On engines of 0.04 s none of 7,700 samples had a gap of over 0.29 s that
+was not the end of its run, with engines that turned 3.5 times slower and loads among
+them; the longest bound holds where nothing is known."""
+
+
+async def timed(
+    events: AsyncIterator[StreamEvent], silence_s: Callable[[], float]
+) -> AsyncIterator[StreamEvent]:
+    """Yield events; raises `TimeoutError` if the next one is not there in time."""
+    limit_s = FIRST_EVENT_TIMEOUT_S
+    while True:
+        try:
+            async with asyncio.timeout(limit_s):
+                event = await anext(events)
+        except StopAsyncIteration:
+            return
+        yield event
+        limit_s = silence_s()
+
+
+def silence_s(gap_s: float | None) -> float:
+    """Return after how many seconds an event is late."""
+    if gap_s is None:
+        return MOST_SILENCE_S
+    return min(max(SILENT_GAPS * gap_s, LEAST_SILENCE_S), MOST_SILENCE_S)
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -15,7 +15,6 @@
     LossReason,
     Lost,
     OutgoingRequest,
-    RefusalReason,
     Refused,
     RunEndedError,
     SendOutcome,
@@ -24,6 +23,7 @@
 )
 from bankrudder.observe import Tracer
 from bankrudder.relay._hedging import hedge_after
+from bankrudder.relay._outcomes import describe, note_outcome, refusal_of
 from bankrudder.relay._values import (
     IncomingRequest,
     NotRun,
@@ -191,7 +191,7 @@
         with span:
             outcome = await self._sent(target, outgoing)
             span.set(outcome=describe(outcome))
-        _note_outcome(target, outcome, began, self._clock.monotonic())
+        note_outcome(target, outcome, began, self._clock.monotonic())
         return outcome
 
     async def _sent(
@@ -284,9 +284,9 @@
         return Unanswered(RejectReason.ENDPOINT_FAILED, False)
 
     def _not_run(self) -> NotRun:
-        verdict = self._verdict()
-        if verdict.admission is Admission.REFUSED:
-            return NotRun(RejectReason.CRASHES_ENDPOINTS, verdict.retry_after_s)
+        refusal = refusal_of(self._verdict())
+        if refusal is not None:
+            return refusal
         reason = RejectReason.FULL if self._endpoints() else RejectReason.NO_ENDPOINT
         return NotRun(reason, RETRY_AFTER_S)
 
@@ -321,44 +321,3 @@
     """Return the time by which the caller must have a first answer."""
     deadline = min(request.deadline, request.received_at + route.timeout_s)
     return deadline - ANSWER_MARGIN_S
-
-
-def _note_outcome(
-    target: TrackedEndpoint, outcome: SendOutcome, began: float, now: float
-) -> None:
-    """Let what became of a send count in the later choices of its endpoint."""
-    match outcome:
-        case Answered():
-            if outcome.load is not None:
-                target.note_load(outcome.load, now)
-            target.note_answer(now - began)
-            target.note_connection(now + outcome.kept_s)
-        case Refused(reason=RefusalReason.FULL):
-            if outcome.load is not None:
-                target.note_load(outcome.load, now)
-        case Refused(reason=RefusalReason.REJECTED):
-            pass
-        case Lost(reason=LossReason.ENDPOINT_RESTARTED):
-            pass  # its later run did not fail
-        case _:
-            was_left_out = target.is_suspended(now)
-            seconds = target.note_failure(now)
-            if was_left_out:
-                return  # a line for each send there hides the lines that matter
-            _log.info(
-                "relay: endpoint left out",
-                endpoint=target.endpoint.id,
-                outcome=describe(outcome),
-                seconds=seconds,
-            )
-
-
-def describe(outcome: SendOutcome) -> str:
-    """Return what became of a send, for a log line."""
-    match outcome:
-        case Answered(status=status):
-            return f"status {status}"
-        case Refused(reason=reason):
-            return f"refused: {reason.value}"
-        case Lost(reason=lost):
-            return f"lost: {lost.value}"
--- a/src/bankrudder/relay/_forwarder.py
+++ b/src/bankrudder/relay/_forwarder.py
@@ -4,11 +4,12 @@
 
 import structlog
 
-from bankrudder.crashes import Admission, CrashGuard
+from bankrudder.crashes import CrashGuard
 from bankrudder.fleet import EndpointClient, EndpointDirectory
 from bankrudder.observe import Tracer
 from bankrudder.relay._attempts import Attempts
-from bankrudder.relay._values import IncomingRequest, NotRun, RejectReason, Reply
+from bankrudder.relay._outcomes import refusal_of
+from bankrudder.relay._values import IncomingRequest, NotRun, Reply
 from bankrudder.routing import Route, ServiceName
 from bankrudder.world import Clock
 
@@ -48,17 +49,18 @@
         For callers of `forward` who would make it wait for a place first.
         """
         verdict = self._crashes.verdict(request.content)
-        if verdict.admission is not Admission.REFUSED:
+        refusal = refusal_of(verdict)
+        if refusal is None:
             return None
         _log.warning(
             "relay: request refused",
             request=request.request_id,
             content=request.content,
-            reason=RejectReason.CRASHES_ENDPOINTS.value,
+            reason=refusal.reason.value,
             strikes=verdict.strikes,
             retry_after_s=round(verdict.retry_after_s, 1),
         )
-        return NotRun(RejectReason.CRASHES_ENDPOINTS, verdict.retry_after_s)
+        return refusal
 
     async def forward(self, request: IncomingRequest, route: Route) -> Reply:
         """Return an endpoint's answer, or why there is none."""
--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -34,6 +34,7 @@
     SUSPECT_PAUSE_S,
     route_deadline,
 )
+from bankrudder.relay._outcomes import refusal_of
 from bankrudder.relay._values import (
     IncomingRequest,
     NotRun,
@@ -331,8 +332,8 @@
         )
 
     def _not_run(self) -> NotRun:
-        verdict = self._crashes.verdict(self._content)
-        if verdict.admission is Admission.REFUSED:
-            return NotRun(RejectReason.CRASHES_ENDPOINTS, verdict.retry_after_s)
+        refusal = refusal_of(self._crashes.verdict(self._content))
+        if refusal is not None:
+            return refusal
         reason = RejectReason.FULL if self._refusals else RejectReason.NO_ENDPOINT
         return NotRun(reason, RETRY_AFTER_S)
