--- a/src/bankrudder/crashes/_blame.py
+++ b/src/bankrudder/crashes/_blame.py
@@ -14,10 +14,10 @@
 suspect, so that the next end tells them apart.
 
 Who only was beside it must not pay. An answer clears a content; an error does not, as
-it may come before what crashes. An end is not
-counted where another content explains it, one that was there too and under which more
-endpoints ended. Where two contents were at the very same ends, nothing tells them apart
-but a try: both wait for `UNSURE_PAUSES_S` only; the next end or answer decides.
+it may come before what crashes. An end is not counted where another content explains
+it, one that was there too and under which more endpoints ended. Where two contents were
+at the very same ends, nothing tells them apart but a try: both wait for
+`UNSURE_PAUSES_S` only; the next end or answer decides.
 """
 
 from collections.abc import Iterable, Mapping
@@ -28,7 +28,7 @@
 
 LIMIT = 3
 """Endpoints that may end under a content. One is lost by chance every day in a large
-fleet, two in a row by a bad minute; three small services have no more than these."""
+fleet, two in a row in a bad minute; a small service has no more than these."""
 
 ALONE_FROM = LIMIT - 1
 """Ends from which a content is at one endpoint at a time: a second send beside the
