--- a/tests/store/test_following.py
+++ b/tests/store/test_following.py
@@ -77,3 +77,16 @@
     await until(lambda: copy == {"config": b'{"version": 2}'})
     assert follower.lost_since is None
     assert follower.regained_at is not None
+
+
+async def test_a_failed_read_begins_the_time_without_one_anew(rows, gate, follower):
+    rows.put("op", "config", {"version": 1})
+    assert follower.current_for_s() == 0.0
+    await until(lambda: follower.current_for_s() > 0.3)
+    gate.mode = GateMode.BUSY
+    await until(lambda: follower.lost_since is not None)
+    failed_at = time.monotonic()
+    assert follower.current_for_s() == 0.0
+    gate.mode = GateMode.OPEN
+    await until(lambda: follower.current_for_s() > 0.0)
+    assert follower.current_for_s() <= time.monotonic() - failed_at
