Workspaces and their keys: who may run what, told to endpoints by name alone

Cause: requests of a deployment with workspaces ran with whatever key came, the key was passed on to endpoints, and nobody told them the workspace.

Change: `workspaces` decides from a key's digest alone (admitted as W, no key, unknown key); the listener takes the key off, everything behind it knows the name only. Batches are kept with their workspace: any of its keys reads and ends them at any host, another workspace's caller gets the 404 of a batch that does not exist. A host that knows no configuration answers 503. What a request asks is told apart by workspace, not by key.

Two ways for a key that was added just now: refuse by what is known here (up to a second wrong, and callers do not come back after a 401), or look at the newest configuration before a refusal. Kept: the look, shared by all who wait, five hundredths of the store's reads at most over all hosts; beyond a hundred waiting requests it is refused unseen. A host that cannot look says 503: it may have missed the key, another host knows.

Ruled out: matching by the text of the key (it would stand in memory, rows and logs); looking for each request (a flood of unknown keys would buy reads of the store).

A header with bytes that are no text made the digest of a request's content raise; it no longer does.

--- a/src/bankrudder/batches/_reading.py
+++ b/src/bankrudder/batches/_reading.py
@@ -13,7 +13,7 @@
     SampleId,
 )
 from bankrudder.store import StoreUnavailableError
-from bankrudder.world import Clock
+from bankrudder.world import Clock, WorkspaceName
 
 Kept = TypeVar("Kept")
 
@@ -66,6 +66,17 @@
         results = await self._repository.results(batch_id, after)
         return ResultPage(head.sample_count, results, after + len(results))
 
+    async def workspace_of(self, batch_id: BatchId) -> WorkspaceName | None:
+        """Return whose batch it is, None if there is no such batch.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If that cannot be told now.
+        """
+        head = await self._head(batch_id)
+        return head.workspace if head is not None else None
+
     async def sample(self, batch_id: BatchId, sample_id: SampleId) -> Sample | None:
         """Return a sample, None if there is no such batch or sample."""
         batch = self._batches.get(batch_id)
--- a/src/bankrudder/batches/_repository.py
+++ b/src/bankrudder/batches/_repository.py
@@ -109,7 +109,7 @@
         chunks = self._split(body) if len(body) <= MAX_INLINE_BYTES else []
         if not chunks:
             await self._put_object(batch.id, digest, body)
-        head = BatchHead(digest, len(batch.samples), len(chunks))
+        head = BatchHead(digest, len(batch.samples), len(chunks), batch.workspace)
         transaction = Transaction(
             expectations=(Expectation(_head_key(batch.id), ABSENT),),
             puts=(
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -96,7 +96,10 @@
             batch.host,
             sample.target,
             sample.body,
-            [f"{name}: {value}" for name, value in sorted(sample.headers)],
+            [
+                batch.workspace,
+                *(f"{name}: {value}" for name, value in sorted(sample.headers)),
+            ],
         )
         self._clock = clock
         self._give_up_at = give_up_at
@@ -258,6 +261,7 @@
             timeout_s=max(left_s, MIN_RUN_TIMEOUT_S),
             resume_after=self._text.last_number,
             generation=self._sample.generation,
+            workspace=self._batch.workspace,
         )
 
     async def _take_stream(
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -139,6 +139,7 @@
         _log.info(
             "batches: accepted" if outcome.fence else "batches: accepted before",
             batch=batch.id,
+            workspace=batch.workspace,
             samples=len(batch.samples),
             min_version=batch.min_version,
             is_same=outcome.is_same,
--- a/src/bankrudder/batches/_values.py
+++ b/src/bankrudder/batches/_values.py
@@ -7,7 +7,12 @@
 
 from bankrudder.fleet import Generation, Headers
 from bankrudder.routing import ModelName, RouteName
-from bankrudder.world import DataCentreName, ModelVersion
+from bankrudder.world import (
+    NO_WORKSPACE,
+    DataCentreName,
+    ModelVersion,
+    WorkspaceName,
+)
 
 BatchId = NewType("BatchId", str)
 SampleId = NewType("SampleId", str)
@@ -59,6 +64,8 @@
         Where it may be worked on; empty for anywhere.
     trace : str
         W3C ``traceparent`` of the span that received it, or empty.
+    workspace : WorkspaceName
+        Whose batch it is: its callers may read and end it, and endpoints are told.
     """
 
     id: BatchId
@@ -70,9 +77,10 @@
     samples: tuple[Sample, ...]
     data_centres: tuple[DataCentreName, ...] = ()
     trace: str = ""
+    workspace: WorkspaceName = NO_WORKSPACE
 
 
-class BatchHead(msgspec.Struct, frozen=True):
+class BatchHead(msgspec.Struct, frozen=True, omit_defaults=True):
     """What is kept about a batch beside its samples.
 
     Attributes
@@ -81,11 +89,14 @@
         SHA-256 of the samples, to recognise the batch when it comes again.
     chunks : int
         Rows that hold the samples, 0 if an object does.
+    workspace : WorkspaceName
+        Whose batch it is.
     """
 
     digest: str
     sample_count: int
     chunks: int
+    workspace: WorkspaceName = NO_WORKSPACE
 
 
 class Owner(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/bankrudder/crashes/_content.py
+++ b/src/bankrudder/crashes/_content.py
@@ -30,7 +30,7 @@
     """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     for part in (method, host.lower(), target, *identity):
-        encoded = part.encode()
+        encoded = part.encode("utf-8", "surrogateescape")
         digest.update(len(encoded).to_bytes(4))
         digest.update(encoded)
     digest.update(body)
--- a/src/bankrudder/fleet/_sending.py
+++ b/src/bankrudder/fleet/_sending.py
@@ -9,7 +9,7 @@
 
 from bankrudder.fleet._values import Birth, Endpoint, ReportedLoad
 from bankrudder.routing import ModelName
-from bankrudder.world import ModelVersion
+from bankrudder.world import NO_WORKSPACE, ModelVersion, WorkspaceName
 
 Headers = tuple[tuple[str, str], ...]
 """Names and values, in the order in which they came."""
@@ -47,6 +47,8 @@
         Number of the last event that is already here, -1 for none.
     generation : Generation or None
         What to generate; None if the headers say it, or it is no engine's request.
+    workspace : WorkspaceName
+        Whose request it is; whatever the headers say of that is not passed on.
     """
 
     request_id: str
@@ -59,6 +61,7 @@
     may_reuse_connection: bool = True
     resume_after: int = -1
     generation: Generation | None = None
+    workspace: WorkspaceName = NO_WORKSPACE
 
 
 class RefusalReason(Enum):
--- a/src/bankrudder/node/_gateway.py
+++ b/src/bankrudder/node/_gateway.py
@@ -15,6 +15,7 @@
     SampleId,
 )
 from bankrudder.node._instruments import Instruments
+from bankrudder.node._latest_keys import LatestKeys
 from bankrudder.observe import Span, Tracer
 from bankrudder.relay import (
     Forwarder,
@@ -27,10 +28,12 @@
     StreamForwarder,
     StreamStarted,
     Unanswered,
+    Unauthorized,
 )
 from bankrudder.routing import Route, RoutingTable
 from bankrudder.store import NotSettledError, StoreUnavailableError
-from bankrudder.world import Clock
+from bankrudder.workspaces import Admitted, ApiKey, Denial, Refusal
+from bankrudder.world import NO_WORKSPACE, Clock, WorkspaceName
 
 STORE_RETRY_AFTER_S = 0.5
 """When to come back while the store gives no result here: another host may reach
@@ -59,10 +62,12 @@
         reader: BatchReader,
         repository: BatchRepository,
         instruments: Instruments,
+        latest_keys: LatestKeys,
         tracer: Tracer,
         clock: Clock,
     ):
         self._tracer = tracer
+        self._latest_keys = latest_keys
         self._routes = routes
         self._is_ready = is_ready
         self._forwarder = forwarder
@@ -95,6 +100,42 @@
             return NotRun(RejectReason.NO_CONFIGURATION, START_RETRY_AFTER_S)
         return table.match(host, path) or NotFound(RejectReason.NO_ROUTE)
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether callers must show a key of a workspace."""
+        table = self._routes()
+        return table is not None and table.has_workspaces
+
+    async def admit(
+        self, key: ApiKey | None, *, is_public: bool
+    ) -> Admitted | Unauthorized | NotRun:
+        """Return whose request it is, or why it may not run."""
+        decision = self._decide(key, is_public)
+        if decision == Denial(Refusal.UNKNOWN_KEY):
+            if not await self._latest_keys.look():
+                return NotRun(RejectReason.STORE_UNAVAILABLE, STORE_RETRY_AFTER_S)
+            decision = self._decide(key, is_public)
+        if isinstance(decision, Denial):
+            _log.info("gateway: request not allowed", reason=decision.reason.value)
+            return Unauthorized(decision.reason)
+        return decision
+
+    async def admit_to_batches(
+        self, key: ApiKey | None
+    ) -> Admitted | Unauthorized | NotRun:
+        """Do the same for a call that names a batch, and so no route."""
+        table = self._routes()
+        is_public = table is not None and table.takes_public_batches()
+        return await self.admit(key, is_public=is_public)
+
+    def _decide(
+        self, key: ApiKey | None, is_public: bool
+    ) -> Admitted | Denial | NotRun:
+        table = self._routes()
+        if table is None or not table.configuration.revision:
+            return NotRun(RejectReason.NO_CONFIGURATION, START_RETRY_AFTER_S)
+        return table.admit(key, is_public=is_public)
+
     async def forward(self, request: IncomingRequest, route: Route) -> Reply:
         """Return an endpoint's answer to a request, or why there is none."""
         with self._span("gateway.request", request, route) as span:
@@ -117,7 +158,11 @@
 
     def _span(self, name: str, request: IncomingRequest, route: Route) -> Span:
         return self._tracer.span(
-            name, request.trace, request=request.request_id, route=route.name
+            name,
+            request.trace,
+            request=request.request_id,
+            route=route.name,
+            workspace=request.workspace,
         )
 
     async def accept(self, batch: Batch) -> Reply | None:
@@ -144,28 +189,34 @@
         self._instruments.note_request(route.kind, reply, seconds)
 
     async def results(
-        self, batch_id: BatchId, after: int, wait_s: float
+        self, batch_id: BatchId, after: int, wait_s: float, asker: WorkspaceName
     ) -> ResultPage | NotRun | NotFound:
-        """Return results of a batch from a position on."""
+        """Return results of a batch of a workspace from a position on."""
         try:
+            if not await self._may_see(batch_id, asker):
+                return NotFound(RejectReason.NO_ROUTE)
             page = await self._reader.results(batch_id, after, wait_s)
         except StoreUnavailableError as error:
             return _not_known(batch_id, error)
         return page if page is not None else NotFound(RejectReason.NO_ROUTE)
 
     async def sample_body(
-        self, batch_id: BatchId, sample_id: SampleId
+        self, batch_id: BatchId, sample_id: SampleId, asker: WorkspaceName
     ) -> bytes | NotRun | NotFound:
-        """Return the body of a sample."""
+        """Return the body of a sample of a workspace."""
         try:
+            if not await self._may_see(batch_id, asker):
+                return NotFound(RejectReason.NO_ROUTE)
             sample = await self._reader.sample(batch_id, sample_id)
         except StoreUnavailableError as error:
             return _not_known(batch_id, error)
         return sample.body if sample is not None else NotFound(RejectReason.NO_ROUTE)
 
-    async def end(self, batch_id: BatchId) -> Reply | None:
-        """End a batch; None means that it is ended."""
+    async def end(self, batch_id: BatchId, asker: WorkspaceName) -> Reply | None:
+        """End a batch of a workspace; None means that it is ended."""
         try:
+            if not await self._may_see(batch_id, asker):
+                return NotFound(RejectReason.NO_ROUTE)
             is_known = await self._repository.end(batch_id)
         except StoreUnavailableError as error:
             return _not_known(batch_id, error)
@@ -173,6 +224,13 @@
             return Unanswered(RejectReason.STORE_UNAVAILABLE, False)
         return None if is_known else NotFound(RejectReason.NO_ROUTE)
 
+    async def _may_see(self, batch_id: BatchId, asker: WorkspaceName) -> bool:
+        """Whether there is such a batch for callers of a workspace."""
+        owner = await self._reader.workspace_of(batch_id)
+        if owner is None:
+            return False
+        return not self.has_workspaces or owner in (NO_WORKSPACE, asker)
+
 
 def _not_known(batch_id: BatchId, error: StoreUnavailableError) -> NotRun:
     _log.warning(
--- a/src/bankrudder/node/_instruments.py
+++ b/src/bankrudder/node/_instruments.py
@@ -12,6 +12,7 @@
     Reply,
     StreamStarted,
     Unanswered,
+    Unauthorized,
 )
 from bankrudder.routing import RouteKind
 from bankrudder.world import HostId
@@ -77,6 +78,8 @@
             return "not_run", reason.value
         case NotFound(reason=reason):
             return "not_found", reason.value
+        case Unauthorized(reason=refusal):
+            return "unauthorized", refusal.value
         case Unanswered(reason=reason):
             return "unanswered", reason.value
         case Malformed():
--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -30,6 +30,7 @@
 from bankrudder.node._feeds import RowMeanings
 from bankrudder.node._gateway import Gateway
 from bankrudder.node._instruments import Instruments
+from bankrudder.node._latest_keys import LatestKeys
 from bankrudder.node._reach import is_cut_off
 from bankrudder.node._settings import FeedSettings, NodeSettings
 from bankrudder.node._world_view import WorldView
@@ -59,10 +60,16 @@
     RecoveringStore,
     TableFollower,
 )
+from bankrudder.workspaces import UnknownKeyRefresh
 from bankrudder.world import Clock
 
 ORDERS_LEASE = "orders"
 
+KEY_LOOKS_SHARE = 0.05
+KEY_LOOKS_PAUSE_S = 0.2
+"""Share of the store's reads that looks for unknown keys may take, and the least pause
+between two of them: about the time in which an answer is most useful."""
+
 Work = Callable[[], Awaitable[None]]
 
 
@@ -260,10 +267,18 @@
             BatchReader(self.repository, self._clock),
             self.repository,
             self.instruments,
+            self._make_latest_keys(),
             self.tracer,
             self._clock,
         )
 
+    def _make_latest_keys(self) -> LatestKeys:
+        # Every host looks for itself, also where one reads for the others.
+        pause_s = self._probe_pace().pause(KEY_LOOKS_SHARE, KEY_LOOKS_PAUSE_S)
+        return LatestKeys(
+            self.view.refresh_configuration, UnknownKeyRefresh(pause_s, self._clock)
+        )
+
     def _is_of_use(self) -> bool:
         """Whether requests that arrive here can be served."""
         return (
--- a/src/bankrudder/node/_world_view.py
+++ b/src/bankrudder/node/_world_view.py
@@ -114,6 +114,18 @@
             if each.last_read_at is not None
         }
 
+    async def refresh_configuration(self) -> None:
+        """Put the newest configuration in force, beside the following.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If it cannot be read.
+        """
+        documents = self._documents
+        key = RowKey(documents.configuration_table, "", documents.configuration_key)
+        await self._configuration.refresh_row(key)
+
     async def run(self) -> None:
         """Follow until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/src/bankrudder/platform/_answers.py
+++ b/src/bankrudder/platform/_answers.py
@@ -47,6 +47,9 @@
 )
 """Headers that concern one connection only, or that are set anew for each send."""
 
+NOT_SENT = NOT_FORWARDED | {names.WORKSPACE.lower()}
+"""The same for requests: a caller does not say whose request it is."""
+
 
 LEAST_URGENT = 9
 """The last of the priorities that engines know."""
@@ -55,9 +58,7 @@
 def request_headers(endpoint: Endpoint, request: OutgoingRequest) -> CIMultiDict[str]:
     """Return the headers that an endpoint receives."""
     headers = CIMultiDict(
-        (name, value)
-        for name, value in request.headers
-        if name.lower() not in NOT_FORWARDED
+        (name, value) for name, value in request.headers if name.lower() not in NOT_SENT
     )
     headers["Host"] = request.host
     headers[names.REQUEST_ID] = request.request_id
@@ -65,6 +66,8 @@
     headers[names.EXPECTED_ENDPOINT] = endpoint.id
     if request.resume_after >= 0:
         headers[names.LAST_EVENT] = str(request.resume_after)
+    if request.workspace:
+        headers[names.WORKSPACE] = request.workspace
     if request.generation is not None:
         _set_generation(headers, request.generation)
     return headers
--- a/src/bankrudder/platform/_batch_documents.py
+++ b/src/bankrudder/platform/_batch_documents.py
@@ -17,7 +17,11 @@
 )
 from bankrudder.platform import _names as names
 from bankrudder.routing import ModelName, Route
-from bankrudder.world import ModelVersion
+from bankrudder.world import NO_WORKSPACE, ModelVersion, WorkspaceName
+
+_NOT_KEPT = frozenset({names.AUTHORIZATION.lower(), names.WORKSPACE.lower()})
+"""Headers of samples that are dropped: a key must be neither stored nor passed on, and
+a caller does not say whose request it is."""
 
 _STATES = {ResultState.SUCCEEDED: "succeeded", ResultState.ABORTED: "aborted"}
 
@@ -73,8 +77,14 @@
     next: int
 
 
-def decode_batch(batch_id: str, route: Route, host: str, body: bytes) -> Batch:
-    """Decode a batch.
+def decode_batch(
+    batch_id: str,
+    route: Route,
+    host: str,
+    body: bytes,
+    workspace: WorkspaceName = NO_WORKSPACE,
+) -> Batch:
+    """Decode a batch of a workspace.
 
     Raises
     ------
@@ -98,6 +108,7 @@
         min_version=ModelVersion(wire.min_version),
         target_groups=wire.target_groups,
         samples=samples,
+        workspace=workspace,
     )
 
 
@@ -135,7 +146,11 @@
     return Sample(
         id=SampleId(wire.id),
         target=wire.path,
-        headers=tuple(wire.headers.items()),
+        headers=tuple(
+            (name, value)
+            for name, value in wire.headers.items()
+            if name.lower() not in _NOT_KEPT
+        ),
         body=base64.b64decode(wire.body),
         # A sample without a group is one by itself.
         group=GroupId(wire.group or wire.id),
--- a/src/bankrudder/platform/_documents.py
+++ b/src/bankrudder/platform/_documents.py
@@ -21,7 +21,8 @@
     ServiceName,
     WeightedService,
 )
-from bankrudder.world import Address, DataCentreName, ModelVersion
+from bankrudder.workspaces import ApiKey, DuplicateKeyError, KeyIndex, Workspace
+from bankrudder.world import Address, DataCentreName, ModelVersion, WorkspaceName
 
 _KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -59,6 +60,7 @@
     backends: list[_WireShare] = []
     resumable: bool = False
     single_version: bool = False
+    public: bool = False
 
 
 class _WireModel(msgspec.Struct):
@@ -76,6 +78,12 @@
     engine: _WireEngine | None = None
 
 
+class _WireWorkspace(msgspec.Struct):
+    name: _Text
+    api_keys: list[_Text] = []
+    priority: Annotated[int, msgspec.Meta(ge=0)] | None = None
+
+
 class _WireLimits(msgspec.Struct):
     max_header_bytes: int = 16384
     max_body_bytes: int = 32 << 20
@@ -88,6 +96,7 @@
     routes: list[_WireRoute] = []
     services: list[_WireService] = []
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    tenants: list[_WireWorkspace] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _WireEndpoint(msgspec.Struct):
@@ -155,6 +164,7 @@
             wire.limits.header_timeout_ms / 1000,
             wire.limits.idle_timeout_ms / 1000,
         ),
+        workspaces=_workspaces(wire.tenants),
     )
 
 
@@ -196,6 +206,24 @@
     return ModelState(ModelName(wire.name), ModelVersion(wire.version))
 
 
+def _workspaces(
+    wire: list[_WireWorkspace] | msgspec.UnsetType,
+) -> tuple[Workspace, ...] | None:
+    if isinstance(wire, msgspec.UnsetType):
+        return None
+    workspaces = tuple(_workspace(each) for each in wire)
+    try:
+        KeyIndex(workspaces)
+    except DuplicateKeyError as error:
+        raise UnreadableDocumentError(str(error)) from None
+    return workspaces
+
+
+def _workspace(wire: _WireWorkspace) -> Workspace:
+    keys = tuple(ApiKey(each).digest for each in wire.api_keys)
+    return Workspace(WorkspaceName(wire.name), keys, wire.priority)
+
+
 def _route(wire: _WireRoute) -> Route:
     shares = wire.backends or [_WireShare(wire.service)]
     return Route(
@@ -214,6 +242,7 @@
         priority=wire.priority,
         is_resumable=wire.resumable,
         is_single_version=wire.single_version,
+        is_public=wire.public,
     )
 
 
--- a/src/bankrudder/platform/_front.py
+++ b/src/bankrudder/platform/_front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import structlog
 from aiohttp import StreamReader, web
 from aiohttp.abc import AbstractStreamWriter
@@ -26,9 +27,11 @@
     Reply,
     StreamStarted,
     Unanswered,
+    Unauthorized,
 )
 from bankrudder.routing import Route, RouteKind
-from bankrudder.world import Address, Clock
+from bankrudder.workspaces import Admitted, ApiKey, parse_bearer
+from bankrudder.world import Address, Clock, WorkspaceName
 
 KEEP_ALIVE_S = 20.0
 """An idle connection of a caller is kept for longer than callers reuse one."""
@@ -46,9 +49,12 @@
 TRACE_HEADER = "traceparent"
 """W3C's header for traces, which callers may send."""
 
-IDENTITY_HEADERS = ("Authorization", names.MODEL, names.PROMPT)
+IDENTITY_HEADERS = (names.AUTHORIZATION, names.MODEL, names.PROMPT)
 """What tells requests of the same path and body apart: caller, model, prompt."""
 
+AUTHENTICATE_HEADER = "WWW-Authenticate"
+"""HTTP's header that names the scheme by which callers show their key."""
+
 READ_MARGIN_S = 0.1
 """A held read is answered this long before the caller's time is up."""
 
@@ -116,15 +122,20 @@
             return await self._sample_body(request, path)
         incoming = _incoming(request, body, received_at)
         route = self._gateway.route(incoming.host, incoming.path)
+        if not isinstance(route, Route):
+            return _response(route)
+        admitted = await self._gateway.admit(_key(request), is_public=route.is_public)
+        if not isinstance(admitted, Admitted):
+            return _response(admitted)
+        if self._gateway.has_workspaces:
+            incoming = _of_workspace(incoming, admitted.workspace)
         match route:
             case Route(kind=RouteKind.ROLLOUT):
                 return await self._accept_batch(incoming, route)
             case Route(kind=RouteKind.STREAM):
                 return await self._stream(request, incoming, route)
-            case Route():
-                return _response(await self._gateway.forward(incoming, route))
             case _:
-                return _response(route)
+                return _response(await self._gateway.forward(incoming, route))
 
     async def _stream(
         self, request: web.BaseRequest, incoming: IncomingRequest, route: Route
@@ -157,7 +168,11 @@
     ) -> web.Response:
         try:
             batch = decode_batch(
-                incoming.request_id, route, incoming.host, incoming.body
+                incoming.request_id,
+                route,
+                incoming.host,
+                incoming.body,
+                incoming.workspace,
             )
         except MalformedBatchError as error:
             return _response(Malformed(error.field))
@@ -165,9 +180,12 @@
         return web.Response(status=202) if reply is None else _response(reply)
 
     async def _batch_call(self, request: web.BaseRequest, path: str) -> web.Response:
+        admitted = await self._gateway.admit_to_batches(_key(request))
+        if not isinstance(admitted, Admitted):
+            return _response(admitted)
         batch_id = BatchId(path.removeprefix(names.BATCH_PATH_PREFIX))
         if request.method == "DELETE":
-            reply = await self._gateway.end(batch_id)
+            reply = await self._gateway.end(batch_id, admitted.workspace)
             return web.Response(status=200) if reply is None else _response(reply)
         after = request.query.get("after", "0")
         if not after.isdigit():
@@ -175,16 +193,22 @@
         wait_ms = request.headers.get(names.LONGEST_WAIT_MS, "0")
         wait_s = float(wait_ms) / 1000 if wait_ms.isdigit() else 0.0
         page = await self._gateway.results(
-            batch_id, int(after), max(wait_s - READ_MARGIN_S, 0.0)
+            batch_id,
+            int(after),
+            max(wait_s - READ_MARGIN_S, 0.0),
+            admitted.workspace,
         )
         if isinstance(page, NotRun | NotFound):
             return _response(page)
         return web.Response(body=encode_page(page), content_type="application/json")
 
     async def _sample_body(self, request: web.BaseRequest, path: str) -> web.Response:
+        admitted = await self._gateway.admit_to_batches(_key(request))
+        if not isinstance(admitted, Admitted):
+            return _response(admitted)
         batch_id = BatchId(path.removeprefix(names.SAMPLE_PATH_PREFIX))
         sample_id = SampleId(request.query.get("id", ""))
-        found = await self._gateway.sample_body(batch_id, sample_id)
+        found = await self._gateway.sample_body(batch_id, sample_id, admitted.workspace)
         if isinstance(found, NotRun | NotFound):
             return _response(found)
         return web.Response(body=found)
@@ -257,6 +281,25 @@
     )
 
 
+def _key(request: web.BaseRequest) -> ApiKey | None:
+    return parse_bearer(request.headers.getall(names.AUTHORIZATION, []))
+
+
+def _of_workspace(
+    incoming: IncomingRequest, workspace: WorkspaceName
+) -> IncomingRequest:
+    """Return a request without its key, which nobody behind this listener needs."""
+    headers = tuple(
+        (name, value)
+        for name, value in incoming.headers
+        if name.lower() != names.AUTHORIZATION.lower()
+    )
+    _, *prompt = incoming.identity
+    return msgspec.structs.replace(
+        incoming, headers=headers, workspace=workspace, identity=(workspace, *prompt)
+    )
+
+
 def _response(reply: Reply) -> web.Response:
     match reply:
         case Relayed(status=status, headers=headers, body=body):
@@ -269,6 +312,12 @@
             )
         case NotFound():
             return web.Response(status=404)
+        case Unauthorized(reason=refusal):
+            return web.Response(
+                status=401,
+                headers={AUTHENTICATE_HEADER: "Bearer"},
+                text=f"not allowed: {refusal.value}\n",
+            )
         case Malformed(field=field):
             return web.Response(status=400, text=f"malformed: {field}\n")
         case Unanswered(is_timeout=is_timeout):
--- a/src/bankrudder/platform/_names.py
+++ b/src/bankrudder/platform/_names.py
@@ -15,6 +15,10 @@
 DROP_OBJECT_PATH = "/bankrudder/blob-drop/"
 
 REQUEST_ID = "X-Request-Id"
+AUTHORIZATION = "Authorization"
+WORKSPACE = "X-Tenant"
+"""Name of the workspace, set anew for endpoints whatever a caller sent."""
+
 TIME_LEFT_MS = "X-Request-Deadline"
 """Milliseconds that are left, not a point in time."""
 
--- a/src/bankrudder/relay/__init__.py
+++ b/src/bankrudder/relay/__init__.py
@@ -11,6 +11,7 @@
     Relayed,
     Reply,
     Unanswered,
+    Unauthorized,
 )
 
 __all__ = [
@@ -25,4 +26,5 @@
     "StreamForwarder",
     "StreamStarted",
     "Unanswered",
+    "Unauthorized",
 ]
--- a/src/bankrudder/relay/_values.py
+++ b/src/bankrudder/relay/_values.py
@@ -6,6 +6,8 @@
 
 from bankrudder.crashes import ContentId, content_id
 from bankrudder.fleet import EndpointId, Generation, Headers, OutgoingRequest
+from bankrudder.workspaces import Refusal
+from bankrudder.world import NO_WORKSPACE, WorkspaceName
 
 
 class IncomingRequest(msgspec.Struct, frozen=True):
@@ -27,6 +29,8 @@
         W3C ``traceparent`` of the span that received it, or empty.
     identity : tuple of str
         What tells it from requests of the same path and body: the caller, the prompt.
+    workspace : WorkspaceName
+        Whose request it is, which endpoints are told.
     """
 
     request_id: str
@@ -42,6 +46,7 @@
     generation: Generation | None = None
     trace: str = ""
     identity: tuple[str, ...] = ()
+    workspace: WorkspaceName = NO_WORKSPACE
 
     @property
     def content(self) -> ContentId:
@@ -63,6 +68,7 @@
             may_reuse_connection=may_reuse_connection,
             resume_after=resume_after,
             generation=self.generation,
+            workspace=self.workspace,
         )
 
 
@@ -122,6 +128,12 @@
     reason: RejectReason
 
 
+class Unauthorized(msgspec.Struct, frozen=True):
+    """The caller shows no key of a workspace, by the newest configuration."""
+
+    reason: Refusal
+
+
 class Malformed(msgspec.Struct, frozen=True):
     """The request is wrong."""
 
@@ -141,4 +153,4 @@
     is_timeout: bool
 
 
-Reply = Relayed | NotRun | NotFound | Malformed | Unanswered
+Reply = Relayed | NotRun | NotFound | Unauthorized | Malformed | Unanswered
--- a/src/bankrudder/routing/_table.py
+++ b/src/bankrudder/routing/_table.py
@@ -4,10 +4,12 @@
 
 from bankrudder.routing._values import (
     Route,
+    RouteKind,
     RoutingConfiguration,
     Service,
     ServiceName,
 )
+from bankrudder.workspaces import Admitted, ApiKey, Denial, KeyIndex
 
 
 class RoutingTable:
@@ -17,6 +19,11 @@
     ----------
     more_routes : iterable of Route
         Routes beside those of the configuration, under host names of their own.
+
+    Raises
+    ------
+    DuplicateKeyError
+        If a key stands at two workspaces.
     """
 
     def __init__(
@@ -24,6 +31,8 @@
     ):
         self._configuration = configuration
         self._more_routes = tuple(more_routes)
+        workspaces = configuration.workspaces
+        self._keys = None if workspaces is None else KeyIndex(workspaces)
         self._services = {each.name: each for each in configuration.services}
         self._targets = {
             each.service for route in self.routes for each in route.services
@@ -42,6 +51,23 @@
         """All routes."""
         return self._configuration.routes + self._more_routes
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether requests need keys of workspaces."""
+        return self._keys is not None
+
+    def admit(self, key: ApiKey | None, *, is_public: bool) -> Admitted | Denial:
+        """Decide whether a request may run, and for which workspace."""
+        if self._keys is None:
+            return Admitted()
+        return self._keys.admit(key, is_public=is_public)
+
+    def takes_public_batches(self) -> bool:
+        """Whether any route takes batches without a key."""
+        return any(
+            each.kind is RouteKind.ROLLOUT and each.is_public for each in self.routes
+        )
+
     def service(self, name: ServiceName) -> Service | None:
         """Return a service, None if it is not configured."""
         return self._services.get(name)
--- a/src/bankrudder/routing/_values.py
+++ b/src/bankrudder/routing/_values.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from bankrudder.workspaces import Workspace
 from bankrudder.world import DataCentreName
 
 ServiceName = NewType("ServiceName", str)
@@ -58,6 +59,8 @@
         Whether one sample must be made by one version of the weights.
     data_centres : tuple of DataCentreName
         Where its requests may be processed; empty for anywhere.
+    is_public : bool
+        Whether its requests need no key of a workspace.
     """
 
     name: RouteName
@@ -74,6 +77,7 @@
     is_resumable: bool = False
     is_single_version: bool = False
     data_centres: tuple[DataCentreName, ...] = ()
+    is_public: bool = False
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -102,9 +106,16 @@
 
 
 class RoutingConfiguration(msgspec.Struct, frozen=True):
-    """One whole configuration, as operators put it in force."""
+    """One whole configuration, as operators put it in force.
+
+    Attributes
+    ----------
+    workspaces : tuple of Workspace or None
+        Who may send requests; None lets everybody.
+    """
 
     revision: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: CallerLimits = CallerLimits()
+    workspaces: tuple[Workspace, ...] | None = None
--- a/src/bankrudder/store/_following.py
+++ b/src/bankrudder/store/_following.py
@@ -130,6 +130,12 @@
         """
         await self._take_all()
 
+    async def refresh_row(self, key: RowKey) -> None:
+        """Take one row as it is in the store now; raises as `refresh`."""
+        page = await self._store.read(key.table, key.part, key.key, key.key + "\0")
+        for row in page.rows:
+            self._take(row)
+
     async def _read_all(self) -> RowVersion:
         # The version is read first: what changes during the reads comes again.
         version = (await self._store.read(self._table, "", limit=1)).version
--- /dev/null
+++ b/src/bankrudder/workspaces/__init__.py
@@ -0,0 +1,24 @@
+"""Workspaces and their keys: whose request it is, and whether it may run."""
+
+from bankrudder.workspaces._admission import (
+    Admitted,
+    Denial,
+    KeyIndex,
+    Refusal,
+)
+from bankrudder.workspaces._keys import ApiKey, KeyDigest, parse_bearer
+from bankrudder.workspaces._refreshing import UnknownKeyRefresh
+from bankrudder.workspaces._values import DuplicateKeyError, Workspace
+
+__all__ = [
+    "Admitted",
+    "ApiKey",
+    "Denial",
+    "DuplicateKeyError",
+    "KeyDigest",
+    "KeyIndex",
+    "Refusal",
+    "UnknownKeyRefresh",
+    "Workspace",
+    "parse_bearer",
+]
--- a/src/bankrudder/world/__init__.py
+++ b/src/bankrudder/world/__init__.py
@@ -5,6 +5,7 @@
 from bankrudder.world._configuration import Configuration
 from bankrudder.world._endpoints import Contract, Pool, PoolKind
 from bankrudder.world._ids import (
+    NO_WORKSPACE,
     Address,
     CallerClassName,
     CallerName,
@@ -18,6 +19,7 @@
     RegionName,
     Revision,
     StepNumber,
+    WorkspaceName,
 )
 from bankrudder.world._limits import RpcLimits
 from bankrudder.world._places import DataCentre, DataClass
@@ -48,6 +50,7 @@
     "Job",
     "JobName",
     "ModelVersion",
+    "NO_WORKSPACE",
     "Pool",
     "PoolKind",
     "PoolName",
@@ -61,4 +64,5 @@
     "StepShape",
     "SystemClock",
     "VersionSpan",
+    "WorkspaceName",
 ]
--- a/src/bankrudder/world/_ids.py
+++ b/src/bankrudder/world/_ids.py
@@ -25,4 +25,11 @@
 Revision = NewType("Revision", int)
 """Number of a configuration, growing by one with each accepted change."""
 
+WorkspaceName = NewType("WorkspaceName", str)
+"""Name of a group of callers that share keys, batches and an account of usage."""
+
+NO_WORKSPACE = WorkspaceName("")
+"""Whose a request is that runs for no workspace: its route is open to all, or there are
+no workspaces."""
+
 StepNumber = NewType("StepNumber", int)
--- a/tests/outside/endpoints.py
+++ b/tests/outside/endpoints.py
@@ -23,6 +23,7 @@
         self.address = ""
         self.arrivals = []
         self.arrival_times = []
+        self.headers = []
         self.ran: Counter[str] = Counter()
         self.broken_off: Counter[str] = Counter()
         self.fail_next = []
@@ -96,6 +97,7 @@
             return await self._control(request, body)
         request_id = request.headers.get("X-Request-Id", "")
         self.arrival_times.append((time.monotonic(), request_id))
+        self.headers.append((request_id, request.headers.copy()))
         self.arrivals.append((request_id, request.method, request.path_qs, body))
         fault = self.fail_next.pop(0) if self.fail_next else ""
         if fault == "full":
--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -33,9 +33,12 @@
 class HostProcess:
     """One daemon and its own gate to the store."""
 
-    def __init__(self, name, data_centre, gate, folder, rpc=None, min_readers=0):
+    def __init__(
+        self, name, data_centre, gate, folder, rpc=None, min_readers=0, duties=None
+    ):
         self.name = name
         self._rpc = rpc
+        self._duties = duties
         self._min_readers = min_readers
         self.gate = gate
         self.store_proxy = None
@@ -92,6 +95,8 @@
                 "address": self._feed_address,
                 "min_hosts": self._min_readers,
             }
+        if self._duties:
+            more["duties"] = self._duties
         settings = {
             "host": self.name,
             "data_centre": self._data_centre,
@@ -171,7 +176,8 @@
     ``data_centres`` are taken in turn by the hosts, the engines and the scorers;
     ``rpc`` holds the settings of the project's own interface beside its address;
     from ``min_readers`` hosts on, one reads the store for the others; the first
-    ``suspendable`` hosts can be suspended.
+    ``suspendable`` hosts can be suspended; ``duties`` holds the settings of the
+    platform's interface for duties.
     """
 
     def __init__(
@@ -184,7 +190,9 @@
         rpc=None,
         min_readers=0,
         suspendable=0,
+        duties=None,
     ):
+        self._duties = duties
         self._suspendable = suspendable
         self._min_readers = min_readers
         self._data_centres = data_centres
@@ -226,6 +234,7 @@
                 self._folder,
                 self._rpc,
                 self._min_readers,
+                self._duties,
             )
             host.is_suspendable = number < self._suspendable
             if behind is not None:
@@ -276,23 +285,24 @@
         )
         return status, body
 
-    async def submit(self, host, batch_id, **changes):
+    async def submit(self, host, batch_id, key="", **changes):
         """Submit a batch; return the status."""
         body = json.dumps(batch(batch_id, **changes)).encode()
-        status, _ = await self.ask(host, submission(batch_id, body))
+        status, _ = await self.ask(host, submission(batch_id, body).with_key(key))
         return status
 
-    async def read(self, host, batch_id, after=0):
+    async def read(self, host, batch_id, after=0, key=""):
         """Read results once; return status and document."""
-        status, body = await self.ask(host, reading(batch_id, after, wait_ms=500))
+        call = reading(batch_id, after, wait_ms=500).with_key(key)
+        status, body = await self.ask(host, call)
         return status, json.loads(body) if status == 200 else None
 
-    async def end(self, host, batch_id):
+    async def end(self, host, batch_id, key=""):
         """End a batch; return the status."""
-        status, _ = await self.ask(host, ending(batch_id))
+        status, _ = await self.ask(host, ending(batch_id).with_key(key))
         return status
 
-    async def read_all(self, batch_id, count, hosts=None, limit_s=15.0):
+    async def read_all(self, batch_id, count, hosts=None, limit_s=15.0, key=""):
         """Read at the hosts in turn until all results are there; return them."""
         hosts = hosts or self.hosts
         results: list[Any] = []
@@ -303,7 +313,7 @@
             turn += 1
             try:
                 status, page = await self.read(
-                    hosts[turn % len(hosts)], batch_id, len(results)
+                    hosts[turn % len(hosts)], batch_id, len(results), key
                 )
             except (aiohttp.ClientError, TimeoutError):
                 status, page = 0, None
--- a/tests/outside/trainer_calls.py
+++ b/tests/outside/trainer_calls.py
@@ -11,6 +11,13 @@
     body: bytes = b""
     headers: dict[str, str] | None = None
 
+    def with_key(self, key: str) -> "Call":
+        """Return the call of a caller with a key of a workspace, if it has one."""
+        if not key:
+            return self
+        credentials = {"Authorization": f"Bearer {key}"}
+        return self._replace(headers={**(self.headers or {}), **credentials})
+
 
 def submission(batch_id: str, body: bytes) -> Call:
     """Return the call that submits a batch."""
