Usage of workspaces, reported window by window by the host that holds the duty

Change: `duties` makes calls to the platform under a lease, looked at right before each call; none outlasts it. `usage` counts each request once for its workspace and window, keeps the counts in rows as they grow, and settles a report's body in the store before it is sent first.

Ruled out by a failing test: an offset of some 0.25 s in the windows of the whole-host tests was the stand-in of the store, whose clock stood still; it runs now.

--- /dev/null
+++ b/src/bankrudder/duties/__init__.py
@@ -0,0 +1,15 @@
+"""Calls to the platform that one host at a time may make."""
+
+from bankrudder.duties._duty import Duty
+from bankrudder.duties._port import DutyApi, DutyCall, DutyOutcome, DutyTicket
+from bankrudder.duties._values import UsageReport, UsageWindow
+
+__all__ = [
+    "Duty",
+    "DutyApi",
+    "DutyCall",
+    "DutyOutcome",
+    "DutyTicket",
+    "UsageReport",
+    "UsageWindow",
+]
--- a/src/bankrudder/leases/_lease.py
+++ b/src/bankrudder/leases/_lease.py
@@ -128,6 +128,13 @@
         """Whether this host may act now; check right before each act."""
         return bool(self._fence) and self._clock.monotonic() < self._valid_until
 
+    @property
+    def left_s(self) -> float:
+        """Seconds for which this host may act, 0 if it may not."""
+        if not self._fence:
+            return 0.0
+        return max(self._valid_until - self._clock.monotonic(), 0.0)
+
     def set_duration(self, seconds: float) -> None:
         """Change the length of the lease from the next renewal on."""
         self._duration_s = seconds
--- a/src/bankrudder/node/__init__.py
+++ b/src/bankrudder/node/__init__.py
@@ -6,10 +6,12 @@
 from bankrudder.node._main import run_daemon
 from bankrudder.node._node import Node
 from bankrudder.node._settings import (
+    DutySettings,
     FeedSettings,
     NodeSettings,
     RpcSettings,
     StoreSettings,
+    UsageSettings,
     load_settings,
     parse_settings,
 )
@@ -19,6 +21,7 @@
     "Adapter",
     "CallerListening",
     "Documents",
+    "DutySettings",
     "FeedSettings",
     "Gateway",
     "Listener",
@@ -27,6 +30,7 @@
     "RpcSettings",
     "StoreSettings",
     "UnreadableDocumentError",
+    "UsageSettings",
     "WorldView",
     "load_settings",
     "parse_settings",
--- a/src/bankrudder/node/_adapter.py
+++ b/src/bankrudder/node/_adapter.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from bankrudder.duties import DutyApi
 from bankrudder.fleet import EndpointClient
 from bankrudder.node._documents import Documents
 from bankrudder.node._gateway import Gateway
@@ -44,6 +45,11 @@
         """The client of endpoints."""
         ...
 
+    @property
+    def duties(self) -> DutyApi | None:
+        """The client of the interface for duties, None if there is none."""
+        ...
+
     @property
     def documents(self) -> Documents:
         """Where documents are, and how they are decoded."""
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -84,7 +84,7 @@
         self._settings = msgspec.structs.replace(
             self._settings, grace_s=settings.grace_s, lease_ms=settings.lease_ms
         )
-        self._parts.lease.set_duration(settings.lease_ms / 1000)
+        self._parts.set_lease_duration(settings.lease_ms / 1000)
 
     def stop(self) -> None:
         """Begin a planned stop."""
@@ -114,6 +114,9 @@
         self._start("lease", self._parts.lease.run)
         self._start("orders", self._parts.switcher.run)
         self._start("paces", self._parts.share_paces)
+        if self._parts.usage is not None:
+            for name, work in self._parts.usage.works().items():
+                self._start(name, work)
         for name, clean in self._parts.cleaning().items():
             self._start(f"cleaning {name}", clean)
         if self._settings.feeds is not None:
@@ -191,7 +194,7 @@
             self._interface.leave()
         self._parts.presence.leave()
         await asyncio.gather(
-            self._parts.presence.announce(), self._parts.lease.release()
+            self._parts.presence.announce(), self._parts.release_leases()
         )
         await self._wait(
             began + BATCHES_SHARE * grace_s,
@@ -208,6 +211,8 @@
             lambda: self._in_progress == 0,
             began + NOTICE_S,
         )
+        if self._parts.usage is not None:
+            await self._parts.usage.keeper.keep()
         for task in self._tasks:
             task.cancel()
         await self._callers.stop()
--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -15,6 +15,7 @@
     Scorer,
 )
 from bankrudder.crashes import CrashGuard
+from bankrudder.duties import DutyApi
 from bankrudder.feeds import (
     FeedCache,
     FeedMessage,
@@ -33,6 +34,7 @@
 from bankrudder.node._latest_keys import LatestKeys
 from bankrudder.node._reach import is_cut_off
 from bankrudder.node._settings import FeedSettings, NodeSettings
+from bankrudder.node._usage import USAGE_LEASE, UsageParts
 from bankrudder.node._world_view import WorldView
 from bankrudder.observe import Tracer
 from bankrudder.orders import (
@@ -60,6 +62,7 @@
     RecoveringStore,
     TableFollower,
 )
+from bankrudder.usage import StoreClock, TrueTime
 from bankrudder.workspaces import UnknownKeyRefresh
 from bankrudder.world import Clock
 
@@ -102,20 +105,27 @@
         self.view = WorldView(
             self.store, adapter.documents, self.directory, clock, self.pace
         )
+        self._store_clock = StoreClock(clock)
         self.presence = self._make_presence()
+        self.usage = self._make_usage(adapter.duties)
+        meter = self.usage.book if self.usage is not None else None
         self.crashes = self._make_crash_guard()
         self.forwarder = Forwarder(
-            self.directory, self._endpoints, self.crashes, clock, self.tracer
+            self.directory,
+            self._endpoints,
+            self.crashes,
+            clock,
+            self.tracer,
+            meter=meter,
         )
         self.streams = StreamForwarder(
-            self.directory, self._endpoints, self.crashes, clock
+            self.directory, self._endpoints, self.crashes, clock, meter
         )
         self._announcer = LoadAnnouncer(self.store, self.directory, clock)
         self._paces = EnginePaces(self.store, self.directory)
         self.repository = BatchRepository(self.store, clock, settings.store.row_bytes)
         self.batches = self._make_batches()
-        self._lease_order = DrawnOrder(ORDERS_LEASE)
-        self.lease = self._make_lease()
+        self.lease = self._make_lease(ORDERS_LEASE, self.presence.set_holds_lease)
         self.switcher = self._make_switcher()
         self._batch_cleaner = Cleaner(
             self.store, self.repository, self.lease, settings.status_retention_s
@@ -131,6 +141,21 @@
 
         return repeat
 
+    async def release_leases(self) -> None:
+        """Give up all duties before a planned stop."""
+        await asyncio.gather(*(each.release() for each in self._leases()))
+
+    def set_lease_duration(self, seconds: float) -> None:
+        """Change the length of all leases."""
+        for each in self._leases():
+            each.set_duration(seconds)
+
+    def _leases(self) -> list[Lease]:
+        leases = [self.lease]
+        if self.usage is not None:
+            leases.append(self.usage.lease)
+        return leases
+
     async def share_paces(self) -> None:
         """Tell how quick the engines are, and learn it while giving orders."""
         while True:
@@ -194,6 +219,33 @@
             settings.rpc.address if settings.rpc is not None else NO_ADDRESS,
             settings.feeds.address if settings.feeds is not None else NO_ADDRESS,
             self.pace,
+            self._store_clock.note,
+            self._wall_ahead_s,
+        )
+
+    def _wall_ahead_s(self) -> float | None:
+        """Tell the others of this host's clock if what they do needs it."""
+        if self._settings.duties is None:
+            return None
+        ahead_s = self._store_clock.wall_ahead_s()
+        return None if ahead_s is None else round(ahead_s, 4)
+
+    def _make_usage(self, api: DutyApi | None) -> UsageParts | None:
+        duties = self._settings.duties
+        if api is None or duties is None or duties.usage is None:
+            return None
+        time = TrueTime(self._store_clock, self.presence.wall_ahead_of_all, self._clock)
+        return UsageParts(
+            self._settings,
+            duties,
+            duties.usage,
+            api,
+            self._make_lease(USAGE_LEASE, lambda _: None),
+            self.lifetime,
+            self.presence,
+            self.store,
+            time,
+            self._clock,
         )
 
     def _make_batches(self) -> BatchService:
@@ -222,23 +274,24 @@
             on_removed=lambda _: None,
         )
 
-    def _make_lease(self) -> Lease:
+    def _make_lease(self, name: str, on_change: Callable[[bool], None]) -> Lease:
+        order = DrawnOrder(name)
+
+        def is_candidate() -> bool:
+            return self._settings.host in self.presence.duty_hosts(order, CANDIDATES)
+
         return Lease(
             self.store,
-            ORDERS_LEASE,
+            name,
             self._settings.host,
             self.lifetime,
-            self._is_lease_candidate,
+            is_candidate,
             self._clock,
             self._settings.lease_ms / 1000,
-            self.presence.set_holds_lease,
+            on_change,
             self._settings.callers_address,
         )
 
-    def _is_lease_candidate(self) -> bool:
-        hosts = self.presence.duty_hosts(self._lease_order, CANDIDATES)
-        return self._settings.host in hosts
-
     def _make_switcher(self) -> VersionSwitcher:
         planner = LoadPlanner(
             self.view.named_versions,
--- a/src/bankrudder/node/_settings.py
+++ b/src/bankrudder/node/_settings.py
@@ -57,6 +57,37 @@
     min_hosts: int = 100
 
 
+class UsageSettings(_Part, frozen=True):
+    """Reports of what each workspace used.
+
+    Attributes
+    ----------
+    window_s : float
+        Length of the time that one report is about.
+    late_s : float
+        Time after its end by which the report is due.
+    """
+
+    window_s: float
+    late_s: float
+
+
+class DutySettings(_Part, frozen=True):
+    """The platform's interface for what one host at a time has to tell it.
+
+    Attributes
+    ----------
+    calls_per_s : float
+        Calls that it takes from all hosts together, a second.
+    usage : UsageSettings or None
+        None if nobody asks for reports.
+    """
+
+    address: Address
+    calls_per_s: float = 10.0
+    usage: UsageSettings | None = None
+
+
 class RpcSettings(_Part, frozen=True):
     """The project's own interface, over gRPC.
 
@@ -98,6 +129,8 @@
         Least severe lines that are written; a reload changes it.
     rpc : RpcSettings or None
         The project's own interface; None for none.
+    duties : DutySettings or None
+        The platform's interface for duties; None if it has none.
     traces : TraceExport
         Where finished spans go besides memory.
     """
@@ -116,6 +149,7 @@
     feeds: FeedSettings | None = None
     log_level: LogLevel = LogLevel.INFO
     rpc: RpcSettings | None = None
+    duties: DutySettings | None = None
     traces: TraceExport = NoTraceExport()
 
 
@@ -180,6 +214,8 @@
             yield _WrongValue(field, address, problem)
         seen.add(address)
     others = [("store.address", settings.store.address)]
+    if settings.duties is not None:
+        others.append(("duties.address", settings.duties.address))
     match settings.traces:
         case OtlpTraceExport(address):
             others.append(("traces.address", address))
@@ -211,6 +247,11 @@
     }
     if settings.feeds is not None:
         values["feeds.min_hosts"] = settings.feeds.min_hosts
+    if settings.duties is not None:
+        values["duties.calls_per_s"] = settings.duties.calls_per_s
+        if settings.duties.usage is not None:
+            usage = msgspec.structs.asdict(settings.duties.usage)
+            values |= {f"duties.usage.{name}": each for name, each in usage.items()}
     if settings.rpc is not None:
         limits = msgspec.structs.asdict(settings.rpc.limits)
         values |= {f"rpc.limits.{name}": value for name, value in limits.items()}
--- /dev/null
+++ b/src/bankrudder/node/_usage.py
@@ -0,0 +1,75 @@
+"""The parts that count what workspaces use, and report it."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from bankrudder.duties import Duty, DutyApi
+from bankrudder.leases import Lease, repeat_on_duty
+from bankrudder.node._settings import DutySettings, NodeSettings, UsageSettings
+from bankrudder.presence import Lifetime, Presence
+from bankrudder.store import Store
+from bankrudder.usage import (
+    REPORT_PAUSE_S,
+    TrueTime,
+    UsageBook,
+    UsageKeeper,
+    UsageReporter,
+    UsageRows,
+    UsageTerms,
+)
+from bankrudder.world import Clock
+
+USAGE_LEASE = "usage"
+
+
+class UsageParts:
+    """Counting on each host, and the duty of one to report."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        duties: DutySettings,
+        usage: UsageSettings,
+        api: DutyApi,
+        lease: Lease,
+        lifetime: Lifetime,
+        presence: Presence,
+        store: Store,
+        time: TrueTime,
+        clock: Clock,
+    ):
+        terms = UsageTerms(
+            timedelta(seconds=usage.window_s), timedelta(seconds=usage.late_s)
+        )
+        forgotten_s = usage.window_s + usage.late_s
+        rows = UsageRows(store, clock)
+        self.lease = lease
+        self.book = UsageBook(terms, time)
+        self.keeper = UsageKeeper(
+            self.book, rows, settings.host, lifetime, presence.host_count
+        )
+        duty = Duty(USAGE_LEASE, api, lease, settings.host, duties.calls_per_s, clock)
+        self._reporter = UsageReporter(
+            duty,
+            rows,
+            terms,
+            time,
+            lambda: lease.fence,
+            lambda seconds: presence.is_everyone_heard(seconds, forgotten_s),
+        )
+
+    def works(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return what runs all the time, by its name."""
+        return {
+            "usage lease": self.lease.run,
+            "usage counts": self.keeper.run,
+            "usage reports": self._report,
+        }
+
+    async def _report(self) -> None:
+        await repeat_on_duty(
+            "reports of usage",
+            lambda: self.lease.is_valid,
+            REPORT_PAUSE_S,
+            self._reporter.look,
+        )
--- a/src/bankrudder/platform/_adapter.py
+++ b/src/bankrudder/platform/_adapter.py
@@ -2,6 +2,7 @@
 
 from typing import Self
 
+from bankrudder.duties import DutyApi
 from bankrudder.fleet import Endpoint, ModelState
 from bankrudder.node import Gateway, NodeSettings, run_daemon
 from bankrudder.platform import _names as names
@@ -10,6 +11,7 @@
     decode_endpoint,
     decode_named_version,
 )
+from bankrudder.platform._duty_api import HttpDutyApi
 from bankrudder.platform._endpoint_client import HttpEndpointClient
 from bankrudder.platform._front import CallerListener, ReadinessListener
 from bankrudder.platform._store import PlatformStore
@@ -45,6 +47,8 @@
         self._store = PlatformStore.from_config(settings.store.address)
         self._endpoints = HttpEndpointClient()
         self._documents = PlatformDocuments()
+        duties = settings.duties
+        self._duties = HttpDutyApi(duties.address) if duties is not None else None
 
     @classmethod
     def from_config(cls, settings: NodeSettings) -> Self:
@@ -61,6 +65,11 @@
         """The client of endpoints."""
         return self._endpoints
 
+    @property
+    def duties(self) -> DutyApi | None:
+        """The client of the interface for duties, None if there is none."""
+        return self._duties
+
     @property
     def documents(self) -> PlatformDocuments:
         """Where documents are, and how they are decoded."""
@@ -82,6 +91,8 @@
         """Close all connections."""
         await self._store.close()
         await self._endpoints.close()
+        if self._duties is not None:
+            await self._duties.close()
 
 
 def main() -> None:
--- /dev/null
+++ b/src/bankrudder/platform/_duty_api.py
@@ -0,0 +1,95 @@
+"""The platform's interface for duties over HTTP."""
+
+import socket
+import struct
+
+import aiohttp
+import msgspec
+
+from bankrudder.duties import DutyCall, DutyOutcome, DutyTicket, UsageReport
+from bankrudder.platform import _names as names
+from bankrudder.world import Address
+
+CONNECT_TIMEOUT_S = 0.4
+"""Longest wait for a connection: a hundred times a usual one."""
+
+IDLE_S = 2.0
+"""Idle connections are closed after this time, before they can fall silent."""
+
+_DROP_UNSENT = struct.pack("ii", 1, 0)
+"""Closing resets the connection, so that what a cut link holds up never arrives."""
+
+
+class HttpDutyApi:
+    """Makes calls of duties."""
+
+    def __init__(self, address: Address):
+        self._base = f"http://{address}"
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def call(self, call: DutyCall, ticket: DutyTicket) -> DutyOutcome:
+        """Make a call."""
+        path, body = _wire(call)
+        timeout = aiohttp.ClientTimeout(
+            total=ticket.timeout_s, sock_connect=CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self._opened().post(
+                self._base + path,
+                data=body,
+                headers={
+                    names.HOLDER: ticket.holder,
+                    names.FENCE: str(ticket.fence),
+                    "Content-Type": "application/json",
+                },
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                return _outcome(response.status)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return DutyOutcome.REFUSED
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return DutyOutcome.UNKNOWN
+
+    def _opened(self) -> aiohttp.ClientSession:
+        # The session is made here because it needs the running loop.
+        if self._session is None:
+            connector = aiohttp.TCPConnector(
+                limit=1, keepalive_timeout=IDLE_S, socket_factory=_resetting_socket
+            )
+            self._session = aiohttp.ClientSession(
+                connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+            )
+        return self._session
+
+
+def _resetting_socket(info: aiohttp.AddrInfoType) -> socket.socket:
+    family, kind, protocol, _, _ = info
+    made = socket.socket(family, kind, protocol)
+    made.setblocking(False)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DROP_UNSENT)
+    return made
+
+
+def _wire(call: DutyCall) -> tuple[str, bytes]:
+    match call:
+        case UsageReport(window=window, counts=counts):
+            body = {"window_index": window, "instance_counts": counts}
+            return names.USAGE_PATH, msgspec.json.encode(body)
+
+
+def _outcome(status: int) -> DutyOutcome:
+    match status:
+        case 200 | 201 | 202 | 204:
+            return DutyOutcome.DONE
+        case 429 | 503:
+            return DutyOutcome.REFUSED
+        case _ if status < 500:
+            return DutyOutcome.REJECTED
+        case _:
+            return DutyOutcome.UNKNOWN
--- a/src/bankrudder/platform/_names.py
+++ b/src/bankrudder/platform/_names.py
@@ -2,6 +2,7 @@
 
 ORDERS_PATH = "/bankrudder/order"
 STATE_PATH = "/bankrudder/report"
+USAGE_PATH = "/usage"
 READINESS_PATH = "/bankrudder/readiness"
 BATCH_PATH_PREFIX = "/bankrudder/lots/"
 SAMPLE_PATH_PREFIX = "/bankrudder/items/"
@@ -32,6 +33,9 @@
 WEIGHT_VERSION = "X-Weight-Versions"
 """One integer, in spite of its plural."""
 
+HOLDER = "X-Duty-Holder"
+FENCE = "X-Fencing-Token"
+
 LONGEST_WAIT_MS = "X-Max-Wait"
 LAST_EVENT = "Last-Event-Id"
 MODEL = "X-Model"
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -77,7 +77,10 @@
         rpc_address: Address = NO_ADDRESS,
         feed_address: Address = NO_ADDRESS,
         pace: ReadPace | None = None,
+        on_written: Callable[[float, float], None] = lambda *_: None,
+        wall_ahead_s: Callable[[], float | None] = lambda: None,
     ):
+        self._wall_ahead_s = wall_ahead_s
         pace = pace or ReadPace(lambda: 1, READS_PER_S)
         self._pause_s = pace.pause(READ_SHARE, FOLLOW_PAUSE_S)
         self._feed_address = feed_address
@@ -96,7 +99,12 @@
         self._versions: dict[HostId, RowVersion] = {}
         self._ended: deque[Lifetime] = deque(maxlen=KEPT_ENDED)
         self._sender = HeartbeatSender(
-            store, host, clock, compose=self._compose, rhythm=self._rhythm
+            store,
+            host,
+            clock,
+            compose=self._compose,
+            rhythm=self._rhythm,
+            on_written=on_written,
         )
         self._follower = TableFollower(
             store,
@@ -222,6 +230,32 @@
             if max(seen_at, regained_at) < since and host != self._host
         ]
 
+    def is_everyone_heard(self, seconds: float, forgotten_s: float) -> bool:
+        """Whether each other host that may still come back was heard of of late.
+
+        Parameters
+        ----------
+        seconds : float
+            How lately.
+        forgotten_s : float
+            Silence after which a host is not waited for any more.
+        """
+        since = self._clock.monotonic() - seconds
+        forgotten = self._clock.monotonic() - forgotten_s
+        return not any(
+            forgotten < seen_at < since
+            for host, (_, seen_at) in self._seen.items()
+            if host != self._host
+        )
+
+    def wall_ahead_of_all(self) -> list[float]:
+        """Return how far each host's time of day is ahead of the store's clock."""
+        return [
+            beat.wall_ahead_s
+            for beat, _ in self._seen.values()
+            if beat.wall_ahead_s is not None
+        ]
+
     def host_count(self) -> int:
         """Return the number of hosts that are known."""
         return len(self._seen)
@@ -333,6 +367,7 @@
             self._rpc_address,
             self._revision,
             self._feed_address,
+            self._wall_ahead_s(),
         )
 
     def _is_fresh(self, host: HostId) -> bool:
--- a/src/bankrudder/presence/_sending.py
+++ b/src/bankrudder/presence/_sending.py
@@ -51,6 +51,9 @@
         Returns the heartbeat of a number, counted from one in each run.
     rhythm : callable
         Returns how often heartbeats are sent; asked before each wait.
+    on_written : callable, optional
+        Told the steady time at which a heartbeat was sent, and the store's time in the
+        answer, for each that was written.
     """
 
     def __init__(
@@ -60,12 +63,14 @@
         clock: Clock,
         compose: Callable[[int], Heartbeat],
         rhythm: Callable[[], Rhythm],
+        on_written: Callable[[float, float], None] = lambda *_: None,
     ):
         self._store = store
         self._host = host
         self._clock = clock
         self._compose = compose
         self._rhythm = rhythm
+        self._on_written = on_written
         self._count = 0
         self._was_answered = False
         self._failures = 0
@@ -118,8 +123,11 @@
         self._count += 1
         key = RowKey(HOSTS_TABLE, "", self._host)
         put = Put(key, msgspec.json.encode(self._compose(self._count)))
+        sent_at = self._clock.monotonic()
         outcome = await self._store.commit(Transaction(puts=(put,)))
         was_written = isinstance(outcome, Committed)
+        if isinstance(outcome, Committed):
+            self._on_written(sent_at, outcome.store_time_s)
         self._was_answered = True
         if self._failures and was_written:
             self._works_since = self._clock.monotonic()
--- a/src/bankrudder/presence/_values.py
+++ b/src/bankrudder/presence/_values.py
@@ -43,6 +43,9 @@
     feed_address : Address
         Where it passes changes of the store on if it reads for others, empty if it
         cannot.
+    wall_ahead_s : float or None
+        How far its time of day is ahead of the store's clock, None if it does not
+        say so.
     """
 
     lifetime: Lifetime
@@ -56,3 +59,4 @@
     rpc_address: Address = NO_ADDRESS
     revision: Revision = Revision(0)
     feed_address: Address = NO_ADDRESS
+    wall_ahead_s: float | None = None
--- a/src/bankrudder/relay/__init__.py
+++ b/src/bankrudder/relay/__init__.py
@@ -1,6 +1,7 @@
 """Requests of callers: what they are, and forwarding them to endpoints."""
 
 from bankrudder.relay._forwarder import Forwarder
+from bankrudder.relay._metering import NoMeter, RunMeter
 from bankrudder.relay._streaming import StreamForwarder, StreamStarted
 from bankrudder.relay._values import (
     IncomingRequest,
@@ -18,11 +19,13 @@
     "Forwarder",
     "IncomingRequest",
     "Malformed",
+    "NoMeter",
     "NotFound",
     "NotRun",
     "RejectReason",
     "Relayed",
     "Reply",
+    "RunMeter",
     "StreamForwarder",
     "StreamStarted",
     "Unanswered",
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -23,6 +23,7 @@
 )
 from bankrudder.observe import Tracer
 from bankrudder.relay._hedging import hedge_after
+from bankrudder.relay._metering import RunMeter
 from bankrudder.relay._outcomes import describe, note_outcome, refusal_of
 from bankrudder.relay._values import (
     IncomingRequest,
@@ -78,8 +79,11 @@
         crashes: CrashGuard,
         clock: Clock,
         tracer: Tracer,
+        meter: RunMeter,
     ):
         self._tracer = tracer
+        self._meter = meter
+        self._began_at: float | None = None
         self._crashes = crashes
         self._request = request
         self._route = route
@@ -121,14 +125,22 @@
         finally:
             self._crashes.tell(self._content)
             self._cancel()
+            if self._began_at is not None:
+                self._meter.note_begun(self._request.workspace, self._began_at)
 
     def _cancel(self) -> None:
         """Break off all sends; their endpoints see the connections close."""
         for task, send in self._sends.items():
             task.cancel()
             if not self._is_answered:
+                self._note_begun(send)
                 self._crashes.note_left(send)
 
+    def _note_begun(self, send: Send) -> None:
+        """Note when the request began to run, or may have: at the first such send."""
+        if self._began_at is None:
+            self._began_at = send.began
+
     def _send_next(self) -> None:
         if not self._may_send():
             return
@@ -229,21 +241,25 @@
         match outcome:
             case Answered() if outcome.status < 500:
                 self._is_answered = True
+                self._note_begun(send)
                 self._crashes.note_answer(self._content)
                 self._log_answer(outcome, target)
                 return self._relayed(outcome, target)
             case Answered():
                 self._runs += 1
+                self._note_begun(send)
                 self._failed_answers += 1
                 self._last_answer = (outcome, target)
             case Refused():
                 self._refusals += 1
             case Lost():
                 self._runs += 1
+                self._note_begun(send)
                 await self._crashes.note_lost(send, outcome.reason)
         _log.info(
             "relay: attempt failed",
             request=self._request.request_id,
+            workspace=self._request.workspace,
             content=self._content,
             endpoint=target.endpoint.id,
             outcome=describe(outcome),
@@ -270,6 +286,7 @@
         _log.warning(
             "relay: request given up",
             request=self._request.request_id,
+            workspace=self._request.workspace,
             content=self._content,
             service=self._service,
             reason=reply.reason.value,
@@ -304,6 +321,7 @@
         _log.info(
             "relay: answered",
             request=self._request.request_id,
+            workspace=self._request.workspace,
             endpoint=target.endpoint.id,
             status=answer.status,
             attempts=len(self._tried),
--- a/src/bankrudder/relay/_forwarder.py
+++ b/src/bankrudder/relay/_forwarder.py
@@ -8,6 +8,7 @@
 from bankrudder.fleet import EndpointClient, EndpointDirectory
 from bankrudder.observe import Tracer
 from bankrudder.relay._attempts import Attempts
+from bankrudder.relay._metering import NoMeter, RunMeter
 from bankrudder.relay._outcomes import refusal_of
 from bankrudder.relay._values import IncomingRequest, NotRun, Reply
 from bankrudder.routing import Route, ServiceName
@@ -27,7 +28,9 @@
         clock: Clock,
         tracer: Tracer,
         rng: random.Random | None = None,
+        meter: RunMeter | None = None,
     ):
+        self._meter = meter or NoMeter()
         self._directory = directory
         self._client = client
         self._crashes = crashes
@@ -73,5 +76,6 @@
             self._crashes,
             self._clock,
             self._tracer,
+            self._meter,
         )
         return await attempts.reply()
--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -34,6 +34,7 @@
     SUSPECT_PAUSE_S,
     route_deadline,
 )
+from bankrudder.relay._metering import NoMeter, RunMeter
 from bankrudder.relay._outcomes import refusal_of
 from bankrudder.relay._values import (
     IncomingRequest,
@@ -92,7 +93,9 @@
         client: EndpointClient,
         crashes: CrashGuard,
         clock: Clock,
+        meter: RunMeter | None = None,
     ):
+        self._meter = meter or NoMeter()
         self._directory = directory
         self._client = client
         self._crashes = crashes
@@ -110,6 +113,7 @@
             self._client,
             self._crashes,
             self._clock,
+            self._meter,
         )
         try:
             outcome = await runs.open_first()
@@ -136,7 +140,10 @@
         client: EndpointClient,
         crashes: CrashGuard,
         clock: Clock,
+        meter: RunMeter,
     ):
+        self._meter = meter
+        self._has_begun = False
         self._crashes = crashes
         self._content = request.content
         self._request = request
@@ -182,6 +189,7 @@
                         if event.number <= self._last_number:
                             raise StreamBrokenError("event came again")
                         self._last_number = event.number
+                        self._note_begun()
                         self._deadline = self._request.deadline
                         yield event
                     self._is_answered = True
@@ -195,6 +203,12 @@
         finally:
             await self.leave()
 
+    def _note_begun(self) -> None:
+        """Note that the request runs: it does from its first event on."""
+        if not self._has_begun:
+            self._has_begun = True
+            self._meter.note_begun(self._request.workspace, self._clock.monotonic())
+
     async def leave(self) -> None:
         """End the run that is open, if any."""
         self._crashes.tell(self._content)
@@ -206,6 +220,7 @@
         _log.info(
             "relay: stream broken off",
             request=self._request.request_id,
+            workspace=self._request.workspace,
             content=self._content,
             endpoint=self._run.target.endpoint.id if self._run else "",
             last_event=self._last_number,
@@ -318,6 +333,7 @@
         _log.warning(
             "relay: stream given up",
             request=self._request.request_id,
+            workspace=self._request.workspace,
             content=self._content,
             reason=reply.reason.value,
             runs=self._count,
--- /dev/null
+++ b/src/bankrudder/usage/__init__.py
@@ -0,0 +1,18 @@
+"""How much each workspace used, reported to the platform window by window."""
+
+from bankrudder.usage._counting import UsageBook
+from bankrudder.usage._keeping import UsageKeeper, UsageRows
+from bankrudder.usage._reporting import REPORT_PAUSE_S, UsageReporter
+from bankrudder.usage._time import StoreClock, TrueTime
+from bankrudder.usage._windows import UsageTerms
+
+__all__ = [
+    "REPORT_PAUSE_S",
+    "StoreClock",
+    "TrueTime",
+    "UsageBook",
+    "UsageKeeper",
+    "UsageReporter",
+    "UsageRows",
+    "UsageTerms",
+]
--- /dev/null
+++ b/src/bankrudder/usage/_keeping.py
@@ -0,0 +1,243 @@
+"""Counts and reports in the store.
+
+- ``usage``: in the part of each window one row for each run of a host, with its counts.
+- ``usage_reports``: one row for each window, with the body of its report. The body is
+  settled there before it is sent first, so whoever sends it again sends the very same.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+import msgspec
+import structlog
+
+from bankrudder.duties import UsageWindow
+from bankrudder.presence import Lifetime
+from bankrudder.store import (
+    ABSENT,
+    Committed,
+    Conflict,
+    Expectation,
+    NotCommitted,
+    NotSettledError,
+    Put,
+    Row,
+    RowKey,
+    RowVersion,
+    Store,
+    StoreUnavailableError,
+    Transaction,
+    commit_settled,
+)
+from bankrudder.usage._counting import UsageBook
+from bankrudder.world import Clock, HostId, WorkspaceName
+
+USAGE_TABLE = "usage"
+REPORTS_TABLE = "usage_reports"
+
+KEEP_PAUSE_S = 0.5
+"""Least pause between two writes of a host's counts: what its sudden loss may lose."""
+
+KEPT_PER_S = 75.0
+"""Writes of counts by all hosts together, a second: half of what one part of the store
+takes, as all hosts write to the part of the window that has just ended."""
+
+GIVE_UP_S = 2.5
+"""Time for which a write of unknown outcome is tried again."""
+
+REMOVED_AT_ONCE = 90
+"""Rows that one transaction removes at most, below the store's bound."""
+
+KEPT_REPORTS = 720
+"""Reports that stay readable, an hour at the usual length of a window."""
+
+_log = structlog.get_logger("usage")
+
+
+class ReportRow(msgspec.Struct, frozen=True):
+    """Value of a report's row; its body never changes."""
+
+    counts: dict[WorkspaceName, int]
+    is_done: bool = False
+
+
+class KeptReport(msgspec.Struct, frozen=True):
+    """A report as it is in the store."""
+
+    window: UsageWindow
+    row: ReportRow
+    version: RowVersion
+
+
+class UsageRows:
+    """Reads and writes the rows; decides nothing.
+
+    Each call raises `StoreUnavailableError` or `NotSettledError` if it is not known to
+    have been done.
+    """
+
+    def __init__(self, store: Store, clock: Clock):
+        self._store = store
+        self._clock = clock
+
+    async def put_counts(
+        self,
+        window: UsageWindow,
+        writer: str,
+        counts: Mapping[WorkspaceName, int],
+        before: RowVersion,
+    ) -> RowVersion:
+        """Replace the counts of one run of a host; return the row's version.
+
+        The version that is expected keeps a write that the store carries out late from
+        undoing a newer one.
+        """
+        key = RowKey(USAGE_TABLE, str(window), writer)
+        value = msgspec.json.encode(counts)
+        version = before
+        while True:
+            outcome = await self._settled(key, version, value)
+            match outcome:
+                case Committed(version=written):
+                    return written
+                case Conflict():
+                    # Only this run writes the row: an earlier write came late.
+                    row = outcome.row(key)
+                    version = row.version if row is not None else ABSENT
+
+    async def counts(self, window: UsageWindow) -> dict[WorkspaceName, int]:
+        """Return the counts of all hosts."""
+        total: Counter[WorkspaceName] = Counter()
+        for row in await self._rows(USAGE_TABLE, str(window)):
+            total.update(msgspec.json.decode(row.value, type=dict[WorkspaceName, int]))
+        return dict(total)
+
+    async def oldest_counted(self) -> UsageWindow | None:
+        """Return the oldest window of which there are counts."""
+        parts = await self._store.parts(USAGE_TABLE)
+        return min((UsageWindow(int(each)) for each in parts), default=None)
+
+    async def settle(
+        self, window: UsageWindow, counts: dict[WorkspaceName, int]
+    ) -> KeptReport:
+        """Make `counts` the report of a window, if none was settled before."""
+        key = _report_key(window)
+        row = ReportRow(counts)
+        outcome = await self._settled(key, ABSENT, msgspec.json.encode(row))
+        match outcome:
+            case Committed(version=version):
+                return KeptReport(window, row, version)
+            case Conflict():
+                before = outcome.row(key)
+                if before is None:
+                    raise NotSettledError
+                return _kept(before)
+
+    async def note_done(self, report: KeptReport) -> None:
+        """Note that the platform took a report, and drop the counts behind it."""
+        done = msgspec.structs.replace(report.row, is_done=True)
+        key = _report_key(report.window)
+        await self._settled(key, report.version, msgspec.json.encode(done))
+        await self._remove(await self._rows(USAGE_TABLE, str(report.window)))
+
+    async def reports(self) -> list[KeptReport]:
+        """Return all reports that are kept, the oldest first."""
+        return [_kept(row) for row in await self._rows(REPORTS_TABLE, "")]
+
+    async def drop_reports_before(self, window: UsageWindow) -> None:
+        """Remove reports that nobody asks for any more."""
+        rows = await self._rows(REPORTS_TABLE, "", end=_report_key(window).key)
+        await self._remove(rows)
+
+    async def _settled(
+        self, key: RowKey, before: RowVersion, value: bytes
+    ) -> Committed | Conflict:
+        outcome = await commit_settled(
+            self._store,
+            Transaction((Expectation(key, before),), (Put(key, value),)),
+            lambda conflict: any(row.value == value for row in conflict.rows),
+            self._clock,
+            GIVE_UP_S,
+        )
+        if isinstance(outcome, NotCommitted):
+            raise StoreUnavailableError(outcome.trouble)
+        return outcome
+
+    async def _rows(self, table: str, part: str, end: str = "") -> list[Row]:
+        rows: list[Row] = []
+        start = ""
+        while True:
+            page = await self._store.read(table, part, start, end)
+            rows += page.rows
+            if not page.has_more or not page.rows:
+                return rows
+            start = page.rows[-1].key.key + "\0"
+
+    async def _remove(self, rows: list[Row]) -> None:
+        keys = [row.key for row in rows]
+        for start in range(0, len(keys), REMOVED_AT_ONCE):
+            some = tuple(keys[start : start + REMOVED_AT_ONCE])
+            await self._store.commit(Transaction(removals=some))
+
+
+class UsageKeeper:
+    """Writes the counts of one run of this host as they grow.
+
+    Parameters
+    ----------
+    hosts : callable
+        Number of hosts that are known.
+    """
+
+    def __init__(
+        self,
+        book: UsageBook,
+        rows: UsageRows,
+        host: HostId,
+        lifetime: Lifetime,
+        hosts: Callable[[], int],
+    ):
+        self._book = book
+        self._rows = rows
+        self._writer = f"{host}.{lifetime}"
+        self._hosts = hosts
+        self._versions: dict[UsageWindow, RowVersion] = {}
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        while True:
+            await asyncio.sleep(self.pause_s())
+            await self.keep()
+
+    def pause_s(self) -> float:
+        """Return the pause between two writes of a host."""
+        return max(KEEP_PAUSE_S, self._hosts() / KEPT_PER_S)
+
+    async def keep(self) -> None:
+        """Write all counts that grew since the last time."""
+        changed = self._book.changed
+        for window in changed:
+            counts = self._book.take(window)
+            before = self._versions.get(window, ABSENT)
+            try:
+                version = await self._rows.put_counts(
+                    window, self._writer, counts, before
+                )
+            except (StoreUnavailableError, NotSettledError):
+                self._book.put_back(window)
+                _log.warning("usage: counts not kept yet", window=window, counts=counts)
+                return
+            self._versions[window] = version
+        if changed:
+            self._book.forget_before(changed[-1])
+            self._versions = {changed[-1]: self._versions[changed[-1]]}
+
+
+def _report_key(window: UsageWindow) -> RowKey:
+    return RowKey(REPORTS_TABLE, "", f"{window:012d}")
+
+
+def _kept(row: Row) -> KeptReport:
+    value = msgspec.json.decode(row.value, type=ReportRow)
+    return KeptReport(UsageWindow(int(row.key.key)), value, row.version)
--- a/tests/outside/store.py
+++ b/tests/outside/store.py
@@ -8,12 +8,16 @@
 import base64
 import json
 import random
+import time
 from contextlib import suppress
 from enum import Enum
 from typing import Any
 
 from aiohttp import web
 
+CLOCK_AHEAD_MS = 40_000_000.0
+"""How far the store's steady clock is ahead of the machine's."""
+
 
 class GateMode(Enum):
     """How a gate treats calls."""
@@ -192,7 +196,8 @@
         if self.hang_replies:
             await asyncio.sleep(60)
         if conflicting is None:
-            return web.json_response({"ver": self.rows.version, "now_ms": 1000})
+            now_ms = 1000 * time.monotonic() + CLOCK_AHEAD_MS
+            return web.json_response({"ver": self.rows.version, "now_ms": now_ms})
         rows = [_wire(*each) for each in conflicting]
         return web.json_response({"rows": rows, "ver": self.rows.version}, status=412)
 
--- a/tests/platform/test_words.py
+++ b/tests/platform/test_words.py
@@ -14,6 +14,7 @@
     "client",
     "config",
     "feeds",
+    "duties",
     "fleet",
     "leases",
     "logs",
@@ -27,7 +28,9 @@
     "steps",
     "store",
     "tls",
+    "usage",
     "wire",
+    "workspaces",
     "world",
 )
 """All packages but the adapter."""
--- /dev/null
+++ b/tests/usage/test_windows.py
@@ -0,0 +1,53 @@
+"""When a window ends, and when it is reported."""
+
+from datetime import timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bankrudder.usage import UsageTerms
+
+TERMS = UsageTerms(timedelta(seconds=5), timedelta(seconds=10))
+
+
+@given(st.floats(0, 4e9), st.sampled_from([0.5, 1.0, 5.0, 60.0]))
+def test_each_moment_is_in_one_window(moment, length_s):
+    terms = UsageTerms(timedelta(seconds=length_s), timedelta(seconds=10))
+    window = terms.window_at(moment)
+    assert terms.end_of(window) - length_s <= moment < terms.end_of(window)
+
+
+def test_windows_are_counted_from_the_epoch():
+    assert TERMS.window_at(0.0) == 0
+    assert TERMS.window_at(5.0) == 1
+    assert TERMS.end_of(353_445_120) == 5 * 353_445_121
+
+
+@pytest.mark.parametrize(
+    ("after_s", "is_everyone_heard", "is_ripe"),
+    [
+        (-1.0, True, False),
+        (3.9, True, False),
+        (4.0, True, True),
+        (4.0, False, False),
+        (7.9, False, False),
+        (8.0, False, True),
+        (600.0, False, True),
+    ],
+)
+def test_a_window_waits_for_silent_hosts_and_not_past_its_due_time(
+    after_s, is_everyone_heard, is_ripe
+):
+    window = TERMS.window_at(1_700_000_000.0)
+    now = TERMS.end_of(window) + after_s
+    assert TERMS.is_ripe(window, now, is_everyone_heard=is_everyone_heard) is is_ripe
+
+
+@pytest.mark.parametrize("factor", [0.25, 1.0, 4.0])
+def test_the_times_follow_what_the_platform_asks(factor):
+    terms = UsageTerms(timedelta(seconds=5 * factor), timedelta(seconds=10 * factor))
+    end = terms.end_of(terms.window_at(1_700_000_000.0))
+    window = terms.window_at(1_700_000_000.0)
+    assert terms.is_ripe(window, end + 4.1 * factor, is_everyone_heard=True)
+    assert not terms.is_ripe(window, end + 3.9 * factor, is_everyone_heard=True)
