Callers of the own interface belong to workspaces; bounds and prices of scaling are read

The own configuration lists workspaces, callers may belong to one (checked, in the schema and the difference), and calls and steps run for it by the same path as requests of the platform's front. What endpoints may be ordered, and for what price, is decoded, with a typed error for what makes no sense. What a host says of its clock stays the same until it moves by 5 ms: where one host reads for others such heartbeats are passed on as a few bytes. `Workspace` of the adapter is `WorkspaceKeys` now, as it holds keys.

--- a/src/bankrudder/calls/_service.py
+++ b/src/bankrudder/calls/_service.py
@@ -142,7 +142,8 @@
             received_at=self._clock.monotonic(),
             generation=generation,
             trace=order.trace,
-            identity=(order.caller.name, order.data_class),
+            identity=(order.caller.workspace or order.caller.name, order.data_class),
+            workspace=order.caller.workspace,
         )
 
     async def _answer(
--- a/src/bankrudder/config/_check.py
+++ b/src/bankrudder/config/_check.py
@@ -10,6 +10,7 @@
 from bankrudder.exceptions import InvalidError
 from bankrudder.failures import FailureReason
 from bankrudder.world import (
+    NO_WORKSPACE,
     Caller,
     CallerClass,
     CallerRole,
@@ -95,6 +96,7 @@
         self._all = configuration
         self._centres = {d.name for d in configuration.data_centres}
         self._data_classes = {d.name: d for d in configuration.data_classes}
+        self._workspaces = {w.name for w in configuration.workspaces}
         self._classes = {c.name for c in configuration.caller_classes}
         self._callers = {c.name: c for c in configuration.callers}
         self._pools = {p.name: p for p in configuration.pools}
@@ -153,6 +155,10 @@
         yield from _reference(
             f"{path}.caller_class", caller.caller_class, self._classes, "caller class"
         )
+        if caller.workspace != NO_WORKSPACE:
+            yield from _reference(
+                f"{path}.workspace", caller.workspace, self._workspaces, "workspace"
+            )
         if not _SHA256.fullmatch(caller.token_sha256):
             yield _finding(
                 f"{path}.token_sha256",
--- a/src/bankrudder/config/_difference.py
+++ b/src/bankrudder/config/_difference.py
@@ -16,6 +16,7 @@
     callers: tuple[str, ...] = ()
     pools: tuple[str, ...] = ()
     jobs: tuple[str, ...] = ()
+    workspaces: tuple[str, ...] = ()
 
 
 class ConfigurationDifference(msgspec.Struct, frozen=True):
--- a/src/bankrudder/platform/_documents.py
+++ b/src/bankrudder/platform/_documents.py
@@ -17,11 +17,12 @@
     RouteKind,
     RouteName,
     RoutingConfiguration,
+    Scaling,
     Service,
     ServiceName,
     WeightedService,
 )
-from bankrudder.workspaces import ApiKey, DuplicateKeyError, KeyIndex, Workspace
+from bankrudder.workspaces import ApiKey, DuplicateKeyError, KeyIndex, WorkspaceKeys
 from bankrudder.world import Address, DataCentreName, ModelVersion, WorkspaceName
 
 _KINDS = {
@@ -72,10 +73,21 @@
     models: list[_WireModel] = []
 
 
+class _WireScaling(msgspec.Struct):
+    min: _Count
+    max: _Count
+    zone_prices: dict[str, Annotated[float, msgspec.Meta(ge=0)]]
+
+    def __post_init__(self) -> None:
+        if self.min > self.max:
+            raise ValueError(f"min {self.min} is more than max {self.max}")
+
+
 class _WireService(msgspec.Struct):
     name: str
     max_connections: int = 100
     engine: _WireEngine | None = None
+    scaling: _WireScaling | None = None
 
 
 class _WireWorkspace(msgspec.Struct):
@@ -208,7 +220,7 @@
 
 def _workspaces(
     wire: list[_WireWorkspace] | msgspec.UnsetType,
-) -> tuple[Workspace, ...] | None:
+) -> tuple[WorkspaceKeys, ...] | None:
     if isinstance(wire, msgspec.UnsetType):
         return None
     workspaces = tuple(_workspace(each) for each in wire)
@@ -219,9 +231,9 @@
     return workspaces
 
 
-def _workspace(wire: _WireWorkspace) -> Workspace:
+def _workspace(wire: _WireWorkspace) -> WorkspaceKeys:
     keys = tuple(ApiKey(each).digest for each in wire.api_keys)
-    return Workspace(WorkspaceName(wire.name), keys, wire.priority)
+    return WorkspaceKeys(WorkspaceName(wire.name), keys, wire.priority)
 
 
 def _route(wire: _WireRoute) -> Route:
@@ -252,4 +264,12 @@
         name=ServiceName(wire.name),
         max_connections=wire.max_connections,
         models=tuple(ModelName(each.name) for each in models),
+        scaling=_scaling(wire.scaling),
     )
+
+
+def _scaling(wire: _WireScaling | None) -> Scaling | None:
+    if wire is None:
+        return None
+    prices = {DataCentreName(name): each for name, each in wire.zone_prices.items()}
+    return Scaling(wire.min, wire.max, prices)
--- a/src/bankrudder/routing/_values.py
+++ b/src/bankrudder/routing/_values.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from bankrudder.workspaces import Workspace
+from bankrudder.workspaces import WorkspaceKeys
 from bankrudder.world import DataCentreName
 
 ServiceName = NewType("ServiceName", str)
@@ -80,6 +80,22 @@
     is_public: bool = False
 
 
+class Scaling(msgspec.Struct, frozen=True):
+    """How many endpoints of a service may be ordered, and what they cost.
+
+    Attributes
+    ----------
+    least, most : int
+        Bounds on the endpoints in each data centre.
+    prices : dict
+        Price of one endpoint for a second, by data centre, in any unit.
+    """
+
+    least: int
+    most: int
+    prices: dict[DataCentreName, float]
+
+
 class Service(msgspec.Struct, frozen=True):
     """A group of endpoints that serve the same requests.
 
@@ -89,11 +105,14 @@
         Connections that each endpoint takes from all hosts together.
     models : tuple of ModelName
         Models that its endpoints serve; none for plain services.
+    scaling : Scaling or None
+        None if the number of its endpoints is not ours to order.
     """
 
     name: ServiceName
     max_connections: int
     models: tuple[ModelName, ...] = ()
+    scaling: Scaling | None = None
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
@@ -110,7 +129,7 @@
 
     Attributes
     ----------
-    workspaces : tuple of Workspace or None
+    workspaces : tuple of WorkspaceKeys or None
         Who may send requests; None lets everybody.
     """
 
@@ -118,4 +137,4 @@
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: CallerLimits = CallerLimits()
-    workspaces: tuple[Workspace, ...] | None = None
+    workspaces: tuple[WorkspaceKeys, ...] | None = None
--- a/src/bankrudder/steps/_service.py
+++ b/src/bankrudder/steps/_service.py
@@ -115,7 +115,7 @@
         """
         job = self._job_of(trainer, order.job)
         _check_shape(order)
-        batch = self._batch(job, order)
+        batch = self._batch(trainer, job, order)
         await self._accept(batch, order)
         delivered = 0
         async for sample in self._samples(batch.id, order.shape):
@@ -173,7 +173,7 @@
         self._placement.check(index.allowed(job.data_class))
         return job
 
-    def _batch(self, job: Job, order: StepOrder) -> Batch:
+    def _batch(self, trainer: Caller, job: Job, order: StepOrder) -> Batch:
         index = self._configuration.index
         pool = index.pool(job.pool)
         route = job_route(pool, job, tuple(sorted(index.allowed(job.data_class))))
@@ -204,6 +204,7 @@
             samples=samples,
             data_centres=route.data_centres,
             trace=order.trace,
+            workspace=trainer.workspace,
         )
 
     async def _accept(self, batch: Batch, order: StepOrder) -> None:
--- a/src/bankrudder/usage/_time.py
+++ b/src/bankrudder/usage/_time.py
@@ -19,6 +19,12 @@
 that are compared drift by less in that time than the reading is inexact."""
 
 
+STEADY_S = 0.005
+"""Change of a host's difference below which it goes on telling the former one: half of
+what a reading is inexact by. Where one host reads the store for others, a heartbeat
+that says nothing new is passed on as a few bytes."""
+
+
 class _Reading(msgspec.Struct, frozen=True):
     """A comparison of two clocks, inexact by half of the time that it took."""
 
@@ -32,6 +38,7 @@
     def __init__(self, clock: Clock):
         self._clock = clock
         self._readings: deque[_Reading] = deque(maxlen=KEPT_READINGS)
+        self._told_s: float | None = None
 
     def note(self, sent_at: float, store_time_s: float) -> None:
         """Note the store's time in an answer that has just come.
@@ -62,7 +69,12 @@
     def wall_ahead_s(self) -> float | None:
         """Return how far this host's time of day is ahead of the store's clock."""
         now = self.at(self._clock.monotonic())
-        return None if now is None else self._clock.wall() - now
+        if now is None:
+            return None
+        ahead_s = self._clock.wall() - now
+        if self._told_s is None or abs(ahead_s - self._told_s) > STEADY_S:
+            self._told_s = ahead_s
+        return self._told_s
 
 
 class TrueTime:
--- a/src/bankrudder/workspaces/__init__.py
+++ b/src/bankrudder/workspaces/__init__.py
@@ -8,7 +8,7 @@
 )
 from bankrudder.workspaces._keys import ApiKey, KeyDigest, parse_bearer
 from bankrudder.workspaces._refreshing import UnknownKeyRefresh
-from bankrudder.workspaces._values import DuplicateKeyError, Workspace
+from bankrudder.workspaces._values import DuplicateKeyError, WorkspaceKeys
 
 __all__ = [
     "Admitted",
@@ -19,6 +19,6 @@
     "KeyIndex",
     "Refusal",
     "UnknownKeyRefresh",
-    "Workspace",
+    "WorkspaceKeys",
     "parse_bearer",
 ]
--- a/src/bankrudder/workspaces/_admission.py
+++ b/src/bankrudder/workspaces/_admission.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from bankrudder.workspaces._keys import ApiKey, KeyDigest
-from bankrudder.workspaces._values import DuplicateKeyError, Workspace
+from bankrudder.workspaces._values import DuplicateKeyError, WorkspaceKeys
 from bankrudder.world import NO_WORKSPACE, WorkspaceName
 
 
@@ -38,13 +38,13 @@
         If a name or a key stands at two workspaces.
     """
 
-    def __init__(self, workspaces: Iterable[Workspace]):
+    def __init__(self, workspaces: Iterable[WorkspaceKeys]):
         self._names: set[WorkspaceName] = set()
         self._by_key: dict[KeyDigest, WorkspaceName] = {}
         for each in workspaces:
             self._add(each)
 
-    def _add(self, workspace: Workspace) -> None:
+    def _add(self, workspace: WorkspaceKeys) -> None:
         if workspace.name in self._names:
             raise DuplicateKeyError("a workspace's name stands twice")
         self._names.add(workspace.name)
--- a/src/bankrudder/workspaces/_values.py
+++ b/src/bankrudder/workspaces/_values.py
@@ -6,8 +6,8 @@
 from bankrudder.world import WorkspaceName
 
 
-class Workspace(msgspec.Struct, frozen=True):
-    """Callers that share keys, batches and an account of what they used.
+class WorkspaceKeys(msgspec.Struct, frozen=True):
+    """The keys of one workspace.
 
     Attributes
     ----------
--- a/src/bankrudder/world/__init__.py
+++ b/src/bankrudder/world/__init__.py
@@ -1,6 +1,6 @@
 """Values that mirror the world: places, endpoints, callers, contracts."""
 
-from bankrudder.world._callers import Caller, CallerClass, CallerRole, Job
+from bankrudder.world._callers import Caller, CallerClass, CallerRole, Job, Workspace
 from bankrudder.world._clock import Clock, SystemClock
 from bankrudder.world._configuration import Configuration
 from bankrudder.world._endpoints import Contract, Pool, PoolKind
@@ -64,5 +64,6 @@
     "StepShape",
     "SystemClock",
     "VersionSpan",
+    "Workspace",
     "WorkspaceName",
 ]
--- a/src/bankrudder/world/_callers.py
+++ b/src/bankrudder/world/_callers.py
@@ -5,11 +5,13 @@
 import msgspec
 
 from bankrudder.world._ids import (
+    NO_WORKSPACE,
     CallerClassName,
     CallerName,
     DataClassName,
     JobName,
     PoolName,
+    WorkspaceName,
 )
 
 
@@ -45,12 +47,21 @@
     reserved: int = 0
 
 
+class Workspace(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True
+):
+    """Callers that share an account of usage; endpoints are told its name."""
+
+    name: WorkspaceName
+
+
 class Caller(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True
 ):
     """An identity: its class, what it may do, and the hash of its token.
 
-    ``token_sha256`` is the hexadecimal SHA-256 of the bearer token.
+    ``token_sha256`` is the hexadecimal SHA-256 of the bearer token, ``workspace`` the
+    one that the caller belongs to, empty for none.
     """
 
     name: CallerName
@@ -58,6 +69,7 @@
     token_sha256: str
     data_classes: tuple[DataClassName, ...]
     roles: tuple[CallerRole, ...] = (CallerRole.CALLER,)
+    workspace: WorkspaceName = NO_WORKSPACE
 
 
 class Job(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
--- a/src/bankrudder/world/_configuration.py
+++ b/src/bankrudder/world/_configuration.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bankrudder.world._callers import Caller, CallerClass, Job
+from bankrudder.world._callers import Caller, CallerClass, Job, Workspace
 from bankrudder.world._endpoints import Pool
 from bankrudder.world._places import DataCentre, DataClass
 
@@ -21,3 +21,4 @@
     callers: tuple[Caller, ...] = ()
     pools: tuple[Pool, ...] = ()
     jobs: tuple[Job, ...] = ()
+    workspaces: tuple[Workspace, ...] = ()
--- a/tests/config/test_check.py
+++ b/tests/config/test_check.py
@@ -23,6 +23,7 @@
     ("caller_classes[0].queue_timeout_s", 0, "more than 0"),
     ("caller_classes[0].reserved", -1, "at least 0"),
     ("callers[0].caller_class", "farmers", "there are: brokers"),
+    ("callers[0].workspace", "harbour", "no such workspace"),
     ("callers[0].token_sha256", "ABC", "64 lower-case"),
     ("callers[0].data_classes[0]", "gossip", "no such data class"),
     ("callers[0].roles", [], "at least one role"),
--- a/tests/outside/own_interface.py
+++ b/tests/outside/own_interface.py
@@ -18,13 +18,14 @@
 """Settings of the interface, beside its address."""
 
 
-def caller(name, caller_class, data_classes, *roles):
+def caller(name, caller_class, data_classes, *roles, workspace=""):
     return {
         "name": name,
         "caller_class": caller_class,
         "token_sha256": digest(f"{name}-token"),
         "data_classes": list(data_classes),
         "roles": list(roles or ("caller",)),
+        "workspace": workspace,
     }
 
 
@@ -43,9 +44,15 @@
             {"name": "rollouts", "priority": 2},
         ],
         "callers": [
-            caller("broker", "brokers", ["leases", "notices"]),
+            caller("broker", "brokers", ["leases", "notices"], workspace="desk"),
             caller("ledger", "ledgers", ["notices"]),
-            caller("wording", "rollouts", ["leases", "notices"], "trainer"),
+            caller(
+                "wording",
+                "rollouts",
+                ["leases", "notices"],
+                "trainer",
+                workspace="models",
+            ),
             caller("stranger", "rollouts", ["notices"], "trainer"),
             caller("operator", "brokers", [], "operator"),
         ],
@@ -73,6 +80,7 @@
                 "contract": {"idempotent": True, "resumes": True, **contract},
             },
         ],
+        "workspaces": [{"name": "desk"}, {"name": "models"}],
         "jobs": [
             {
                 "name": "wording",
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -171,3 +171,83 @@
             decode(body)
         except UnreadableDocumentError as error:
             assert error.reason
+
+
+TENANTS = [
+    {"name": "north", "api_keys": ["n1", "n2"], "priority": 1},
+    {"name": "south", "api_keys": []},
+]
+SCALING = {
+    "min": 1,
+    "max": 11,
+    "boot_s": 4.0,
+    "spot_price": 0.15,
+    "zone_prices": {"north": 1.0, "south": 0.8},
+}
+
+
+def configured(**changes):
+    return decode_configuration(json.dumps({**CONFIGURATION, **changes}).encode())
+
+
+def test_workspaces_are_known_by_the_digests_of_their_keys():
+    north, south = configured(tenants=TENANTS).workspaces
+    assert (north.name, north.priority, len(north.keys)) == ("north", 1, 2)
+    assert (south.name, south.priority, south.keys) == ("south", None, ())
+    assert "n1" not in repr(north)
+
+
+def test_without_workspaces_everybody_may_send_and_with_none_nobody():
+    assert configured().workspaces is None
+    assert configured(tenants=[]).workspaces == ()
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        None,
+        "north",
+        {},
+        [{}],
+        [{"name": ""}],
+        [{"name": "a", "api_keys": "k"}],
+        [{"name": "a", "api_keys": [""]}],
+        [{"name": "a", "api_keys": [5]}],
+        [{"name": "a", "priority": -1}],
+        [{"name": "a", "priority": "first"}],
+        [{"name": "a"}, {"name": "a"}],
+        [{"name": "a", "api_keys": ["secret"]}, {"name": "b", "api_keys": ["secret"]}],
+    ],
+)
+def test_workspaces_that_nobody_can_tell_apart_are_unreadable(tenants):
+    with pytest.raises(UnreadableDocumentError) as error:
+        configured(tenants=tenants)
+    assert "secret" not in error.value.reason
+
+
+def test_how_many_endpoints_may_be_ordered():
+    service = {**CONFIGURATION["services"][0], "scaling": SCALING}
+    [found] = configured(services=[service]).services
+    assert (found.scaling.least, found.scaling.most) == (1, 11)
+    assert found.scaling.prices == {"north": 1.0, "south": 0.8}
+    assert configured().services[0].scaling is None
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"min": -1},
+        {"min": 12},
+        {"max": "many"},
+        {"zone_prices": {"north": -0.5}},
+        {"zone_prices": []},
+        {"zone_prices": ...},
+        {"max": ...},
+    ],
+)
+def test_bounds_and_prices_that_make_no_sense_are_unreadable(changes):
+    scaling = {**SCALING, **changes}
+    kept = {key: value for key, value in scaling.items() if value is not ...}
+    service = {**CONFIGURATION["services"][0], "scaling": kept}
+    with pytest.raises(UnreadableDocumentError):
+        configured(services=[service])
--- a/tests/usage/test_time.py
+++ b/tests/usage/test_time.py
@@ -72,6 +72,15 @@
         assert time.now() == pytest.approx(expected, abs=0.03)
 
 
+def test_what_a_host_tells_of_its_clock_is_steady(hand_clock, store):
+    first = store.wall_ahead_s()
+    for step in range(20):
+        told(hand_clock, store, 0.002 + step * 0.0001)
+        assert store.wall_ahead_s() == first
+    hand_clock._wall += 0.02
+    assert store.wall_ahead_s() == pytest.approx(first + 0.02, abs=0.005)
+
+
 def test_a_clock_that_jumps_moves_no_window(hand_clock, store):
     ahead = [store.wall_ahead_s()] * 3
     time = TrueTime(store, lambda: [*ahead[:2], store.wall_ahead_s()], hand_clock)
--- a/tests/workspaces/test_admission.py
+++ b/tests/workspaces/test_admission.py
@@ -11,7 +11,7 @@
     DuplicateKeyError,
     KeyIndex,
     Refusal,
-    Workspace,
+    WorkspaceKeys,
     parse_bearer,
 )
 
@@ -19,7 +19,7 @@
 
 
 def workspace(name, *secrets, priority=None):
-    return Workspace(name, tuple(ApiKey(each).digest for each in secrets), priority)
+    return WorkspaceKeys(name, tuple(ApiKey(each).digest for each in secrets), priority)
 
 
 INDEX = KeyIndex([workspace("north", SECRET, "second"), workspace("south", "third")])
