Engines are ordered by the samples that the latest steps have

Cause: on the shifted work four trainers ask for some 350 samples in the same moment, 22 engines of 8 slots hold 176.

Ruled out: steps late for the store's outages or the endpoints' faults alone: fragrance with its short samples lost nothing on the same engines.

Change: `scheduling/_supply` (pure) orders as many engines as hold one step of each model at once, and two, spread over the data centres; less only when a minute asked for less. `supply` makes the orders under a lease of its own; they name whole numbers, so a repeat grows nothing. Nothing runs where the configuration names no bounds.

--- a/src/bankrudder/batches/__init__.py
+++ b/src/bankrudder/batches/__init__.py
@@ -1,6 +1,7 @@
 """Batches of samples: acceptance, work on them, results."""
 
 from bankrudder.batches._cleaning import CLEANING_PAUSE_S, Cleaner
+from bankrudder.batches._ownership import OwnerBook
 from bankrudder.batches._progress import ProgressStore
 from bankrudder.batches._reading import BatchReader
 from bankrudder.batches._repository import BatchRepository, UnknownBatchError
@@ -27,6 +28,7 @@
     "CLEANING_PAUSE_S",
     "Cleaner",
     "GroupId",
+    "OwnerBook",
     "ProgressStore",
     "ResultPage",
     "ResultState",
--- a/src/bankrudder/duties/__init__.py
+++ b/src/bankrudder/duties/__init__.py
@@ -2,7 +2,7 @@
 
 from bankrudder.duties._duty import Duty
 from bankrudder.duties._port import DutyApi, DutyCall, DutyOutcome, DutyTicket
-from bankrudder.duties._values import UsageReport, UsageWindow
+from bankrudder.duties._values import EndpointOrder, UsageReport, UsageWindow
 
 __all__ = [
     "Duty",
@@ -10,6 +10,7 @@
     "DutyCall",
     "DutyOutcome",
     "DutyTicket",
+    "EndpointOrder",
     "UsageReport",
     "UsageWindow",
 ]
--- a/src/bankrudder/duties/_port.py
+++ b/src/bankrudder/duties/_port.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from bankrudder.duties._values import UsageReport
+from bankrudder.duties._values import EndpointOrder, UsageReport
 from bankrudder.store import RowVersion
 from bankrudder.world import HostId
 
-DutyCall = UsageReport
+DutyCall = UsageReport | EndpointOrder
 """All that is told to the platform under a duty."""
 
 
--- a/src/bankrudder/duties/_values.py
+++ b/src/bankrudder/duties/_values.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from bankrudder.world import WorkspaceName
+from bankrudder.routing import ServiceName
+from bankrudder.world import DataCentreName, WorkspaceName
 
 UsageWindow = NewType("UsageWindow", int)
 """Number of a window of true time, counted from the Unix epoch."""
@@ -15,3 +16,11 @@
 
     window: UsageWindow
     counts: dict[WorkspaceName, int]
+
+
+class EndpointOrder(msgspec.Struct, frozen=True):
+    """How many endpoints a service shall have in a data centre."""
+
+    service: ServiceName
+    data_centre: DataCentreName
+    count: int
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -114,9 +114,8 @@
         self._start("lease", self._parts.lease.run)
         self._start("orders", self._parts.switcher.run)
         self._start("paces", self._parts.share_paces)
-        if self._parts.usage is not None:
-            for name, work in self._parts.usage.works().items():
-                self._start(name, work)
+        for name, work in self._parts.platform_duties().items():
+            self._start(name, work)
         for name, clean in self._parts.cleaning().items():
             self._start(f"cleaning {name}", clean)
         if self._settings.feeds is not None:
--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -34,6 +34,7 @@
 from bankrudder.node._latest_keys import LatestKeys
 from bankrudder.node._reach import is_cut_off
 from bankrudder.node._settings import FeedSettings, NodeSettings
+from bankrudder.node._supply import SUPPLY_LEASE, SupplyParts
 from bankrudder.node._usage import USAGE_LEASE, UsageParts
 from bankrudder.node._world_view import WorldView
 from bankrudder.observe import Tracer
@@ -125,6 +126,7 @@
         self._paces = EnginePaces(self.store, self.directory)
         self.repository = BatchRepository(self.store, clock, settings.store.row_bytes)
         self.batches = self._make_batches()
+        self.supply = self._make_supply(adapter.duties)
         self.lease = self._make_lease(ORDERS_LEASE, self.presence.set_holds_lease)
         self.switcher = self._make_switcher()
         self._batch_cleaner = Cleaner(
@@ -154,8 +156,19 @@
         leases = [self.lease]
         if self.usage is not None:
             leases.append(self.usage.lease)
+        if self.supply is not None:
+            leases.append(self.supply.lease)
         return leases
 
+    def platform_duties(self) -> dict[str, Work]:
+        """Return what runs all the time for the duties towards the platform."""
+        works: dict[str, Work] = {}
+        if self.usage is not None:
+            works |= self.usage.works()
+        if self.supply is not None:
+            works |= self.supply.works()
+        return works
+
     async def share_paces(self) -> None:
         """Tell how quick the engines are, and learn it while giving orders."""
         while True:
@@ -248,6 +261,21 @@
             self._clock,
         )
 
+    def _make_supply(self, api: DutyApi | None) -> SupplyParts | None:
+        duties = self._settings.duties
+        if api is None or duties is None or not duties.orders_endpoints:
+            return None
+        return SupplyParts(
+            self._settings,
+            duties,
+            api,
+            self._make_lease(SUPPLY_LEASE, lambda _: None),
+            self._routes,
+            self.directory,
+            self.batches.owners,
+            self._clock,
+        )
+
     def _make_batches(self) -> BatchService:
         return BatchService(
             self.store,
--- a/src/bankrudder/node/_settings.py
+++ b/src/bankrudder/node/_settings.py
@@ -81,11 +81,14 @@
         Calls that it takes from all hosts together, a second.
     usage : UsageSettings or None
         None if nobody asks for reports.
+    orders_endpoints : bool
+        Whether it takes orders of endpoints.
     """
 
     address: Address
     calls_per_s: float = 10.0
     usage: UsageSettings | None = None
+    orders_endpoints: bool = False
 
 
 class RpcSettings(_Part, frozen=True):
--- a/src/bankrudder/platform/_duty_api.py
+++ b/src/bankrudder/platform/_duty_api.py
@@ -6,7 +6,13 @@
 import aiohttp
 import msgspec
 
-from bankrudder.duties import DutyCall, DutyOutcome, DutyTicket, UsageReport
+from bankrudder.duties import (
+    DutyCall,
+    DutyOutcome,
+    DutyTicket,
+    EndpointOrder,
+    UsageReport,
+)
 from bankrudder.platform import _names as names
 from bankrudder.world import Address
 
@@ -50,7 +56,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                return _outcome(response.status)
+                return _outcome(call, response.status)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return DutyOutcome.REFUSED
         except (aiohttp.ClientError, OSError, TimeoutError):
@@ -77,18 +83,26 @@
 
 
 def _wire(call: DutyCall) -> tuple[str, bytes]:
+    body: dict[str, object]
     match call:
         case UsageReport(window=window, counts=counts):
+            path = names.USAGE_PATH
             body = {"window_index": window, "instance_counts": counts}
-            return names.USAGE_PATH, msgspec.json.encode(body)
+        case EndpointOrder(service=service, data_centre=place, count=count):
+            path = names.SUPPLY_PATH
+            # The field counts endpoints here; batches use it for groups.
+            body = {"service": service, "zone": place, "target_groups": count}
+    return path, msgspec.json.encode(body)
 
 
-def _outcome(status: int) -> DutyOutcome:
+def _outcome(call: DutyCall, status: int) -> DutyOutcome:
     match status:
         case 200 | 201 | 202 | 204:
             return DutyOutcome.DONE
         case 429 | 503:
             return DutyOutcome.REFUSED
+        case 409 if isinstance(call, EndpointOrder):
+            return DutyOutcome.REFUSED  # none is to be had at the moment
         case _ if status < 500:
             return DutyOutcome.REJECTED
         case _:
--- a/src/bankrudder/platform/_names.py
+++ b/src/bankrudder/platform/_names.py
@@ -2,6 +2,7 @@
 
 ORDERS_PATH = "/bankrudder/order"
 STATE_PATH = "/bankrudder/report"
+SUPPLY_PATH = "/scale"
 USAGE_PATH = "/usage"
 READINESS_PATH = "/bankrudder/readiness"
 BATCH_PATH_PREFIX = "/bankrudder/lots/"
--- a/src/bankrudder/scheduling/__init__.py
+++ b/src/bankrudder/scheduling/__init__.py
@@ -13,16 +13,26 @@
 )
 from bankrudder.scheduling._moves import is_worth_moving
 from bankrudder.scheduling._ranking import Rank, TokenPace, sample_ranks
+from bankrudder.scheduling._supply import (
+    HeldNeed,
+    PlacePrice,
+    engines_needed,
+    spread_engines,
+)
 
 __all__ = [
     "ChosenLoad",
     "EngineLoad",
+    "HeldNeed",
     "ModelDemand",
+    "PlacePrice",
     "Rank",
     "TokenPace",
     "assign_engines",
     "choose_loads",
+    "engines_needed",
     "followed_models",
     "is_worth_moving",
     "sample_ranks",
+    "spread_engines",
 ]
--- a/tests/platform/test_duty_api.py
+++ b/tests/platform/test_duty_api.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bankrudder.duties import DutyOutcome, DutyTicket, UsageReport
+from bankrudder.duties import DutyOutcome, DutyTicket, EndpointOrder, UsageReport
 from bankrudder.platform._duty_api import HttpDutyApi
 from loopback import own_address
 from outside.duties import DutyStandIn
@@ -63,3 +63,21 @@
     api = HttpDutyApi(own_address())
     assert await api.call(REPORT, TICKET) is DutyOutcome.REFUSED
     await api.close()
+
+
+async def test_an_order_of_endpoints_names_their_whole_number(api, platform):
+    order = EndpointOrder("engines", "north", 6)
+    assert await api.call(order, TICKET) is DutyOutcome.DONE
+    assert platform.orders == [("engines", "north", 6)]
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"), [(409, DutyOutcome.REFUSED), (400, DutyOutcome.REJECTED)]
+)
+async def test_where_none_is_to_be_had_the_order_may_be_made_again(
+    api, platform, answer, outcome
+):
+    platform.answers = [answer]
+    order = EndpointOrder("engines", "north", 6)
+    assert await api.call(order, TICKET) is outcome
+    assert platform.orders == []
--- a/tests/platform/test_words.py
+++ b/tests/platform/test_words.py
@@ -27,6 +27,7 @@
     "rpc",
     "steps",
     "store",
+    "supply",
     "tls",
     "usage",
     "wire",
