bankrudder usage; soak of keys that change and of holders that lose their duty

Operators see each window of usage with its counts by workspace and what became of it: counting, settled, reported, rejected, missing. A report that the platform rejects is kept as such. Counts that come after their report are removed with it.

The soak draws changes of keys, holders that are killed, frozen or stopped, and a platform that is slow, silent, or loses its answers; its checks count what endpoints and the platform saw. Kept seeds draw from the kinds that they had.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,12 +18,23 @@
 sys.path[:0] = [str(ROOT), str(ROOT / "src"), str(ROOT / "tests")]
 
 from outside.own_interface import RPC, apply  # noqa: E402
-from outside.site import ENGINES, SCORERS, Site  # noqa: E402
+from outside.site import ENGINES, SCORERS, Site, configuration  # noqa: E402
 from soak.clients import Caller, CrashingCaller, Trainer  # noqa: E402
-from soak.faults import CRASHING_KINDS, FIRST_KINDS, HEAL_S, KINDS, SECOND_KINDS, draw  # noqa: E402
+from soak.faults import (  # noqa: E402
+    CRASHING_KINDS,
+    DUTY_KINDS,
+    FIRST_KINDS,
+    HEAL_S,
+    KINDS,
+    SECOND_KINDS,
+    THIRD_KINDS,
+    WORKSPACE_KINDS,
+    draw,
+)
 from soak.history import History, violations  # noqa: E402
 from soak.keyed import KeyedCaller  # noqa: E402
 from soak.proxy import Proxy  # noqa: E402
+from soak.workspaces import SoakWorkspaces  # noqa: E402
 
 EVENTS = 12
 SAMPLES = 8
@@ -47,7 +58,9 @@
 KINDS_BY_NAME = {
     "first": FIRST_KINDS,
     "second": SECOND_KINDS,
+    "third": THIRD_KINDS,
     "crashing": CRASHING_KINDS,
+    "duties": DUTY_KINDS,
     "all": frozenset(KINDS),
 }
 
@@ -70,6 +83,8 @@
             min_readers=MIN_READERS,
             suspendable=int(is_suspended),
         )
+        has_workspaces = any(strike.kind in WORKSPACE_KINDS for strike in strikes)
+        self.workspaces = SoakWorkspaces(self) if has_workspaces else None
         self.engine_proxies = []
         self.revision = 1
         self.trainers = []
@@ -122,6 +137,8 @@
                 await trainer.check_kept()
             self._collect()
             found = violations(self.history, EVENTS)
+            if self.workspaces is not None:
+                found += await self.workspaces.broken(self.site)
             return found + self._not_recovered(callers, trainers, healed)
         finally:
             self.report(trainers, callers)
@@ -133,9 +150,25 @@
         await self.site.stop()
         for proxy in self.engine_proxies:
             await proxy.stop()
+        if self.workspaces is not None:
+            await self.workspaces.platform.stop()
+
+    def put_configuration(self):
+        """Write the next version of the configuration."""
+        self.revision += 1
+        tenants = {}
+        if self.workspaces is not None:
+            tenants = {"tenants": self.workspaces.document()}
+        document = configuration(self.revision, **tenants)
+        self.site.rows.put("op", "config", document)
 
     async def _start(self):
+        if self.workspaces is not None:
+            self.site.duties = await self.workspaces.start()
         await self.site.start(behind=Proxy)
+        if self.workspaces is not None:
+            self.put_configuration()
+            self.site.key = self.workspaces.key
         for engine in self.site.engines:
             engine.event_gap_s = self._event_gap_s
             engine.tells_version = True
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -20,6 +20,9 @@
 
 CALL_PAUSE_S = 0.05
 
+CLAIMING_SHARE = 0.2
+"""Share of the requests that claim to be of another workspace."""
+
 GONE = (aiohttp.ClientError, TimeoutError, OSError)
 
 
@@ -168,7 +171,10 @@
             "Host": HOST_NAME,
             "X-Request-Id": request_id,
             "X-Request-Deadline": "1500",
+            **self._site.credentials(),
         }
+        if self._rng.random() < CLAIMING_SHARE:
+            headers["X-Tenant"] = "somebody-else"
         status, body = 0, b""
         try:
             async with session.post(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from outside.crashing import CRASHING
-from outside.site import FREEZE, HANG_UP, THAW, configuration
+from outside.site import FREEZE, HANG_UP, THAW
 from outside.store import GateMode
 from soak.proxy import LinkMode
 
@@ -192,8 +192,31 @@
 
 
 async def _configure(run, strike):
-    run.revision += 1
-    run.site.rows.put("op", "config", configuration(run.revision))
+    run.put_configuration()
+
+
+async def _key_taken_away(run, strike):
+    """Replace the key that clients show; the former one goes a moment later."""
+    await run.workspaces.replace_key(strike.seconds)
+
+
+async def _duty_answers(run, strike, answer):
+    run.workspaces.platform.answers += [answer] * 3
+
+
+async def _duty_slow(run, strike):
+    run.workspaces.platform.delay_s = strike.seconds
+    await asyncio.sleep(2 * strike.seconds)
+    run.workspaces.platform.delay_s = 0.0
+
+
+async def _holder(run, strike, struck):
+    """Strike the host that made the last call of a duty."""
+    calls = run.workspaces.platform.calls
+    name = calls[-1][1] if calls else ""
+    for number, host in enumerate(run.site.hosts):
+        if host.name == name:
+            await struck(run, replace(strike, target=number))
 
 
 def _with(strike_kind, *arguments):
@@ -265,3 +288,41 @@
     "sample_crashes": _sample_crashes,
     "suspend": _suspend,
 }
+
+THIRD_KINDS = frozenset(KINDS)
+"""The same for seeds that are kept from before workspaces."""
+
+DUTY_KINDS = frozenset(
+    {
+        "key_taken_away",
+        "duty_answers_lost",
+        "duty_refused",
+        "duty_silent",
+        "duty_slow",
+        "holder_killed",
+        "holder_frozen",
+        "holder_stopped",
+        "kill_all",
+        "suspend",
+        "store_busy_for_one",
+        "store_silent_for_all",
+        "store_commits_late",
+        "store_replies_lost",
+        "configuration_changed",
+    }
+)
+"""Workspaces whose keys change, and hosts that lose a duty in the middle of it."""
+
+KINDS |= {
+    "key_taken_away": _key_taken_away,
+    "duty_answers_lost": _with(_duty_answers, "lost"),
+    "duty_refused": _with(_duty_answers, 503),
+    "duty_silent": _with(_duty_answers, "silent"),
+    "duty_slow": _duty_slow,
+    "holder_killed": _with(_holder, _kill),
+    "holder_frozen": _with(_holder, _freeze),
+    "holder_stopped": _with(_holder, _stop),
+}
+
+WORKSPACE_KINDS = DUTY_KINDS - THIRD_KINDS
+"""Kinds that need workspaces: runs without any of them have none."""
--- a/src/bankrudder/cli/_commands.py
+++ b/src/bankrudder/cli/_commands.py
@@ -14,6 +14,7 @@
     applied_lines,
     difference_lines,
     status_lines,
+    usage_table_lines,
 )
 from bankrudder.cli._tls import credentials_of
 from bankrudder.client import Applied, ConfigurationDocument, OperatorClient
@@ -115,6 +116,14 @@
     return ExitCode.FAILED if unreachable else ExitCode.OK
 
 
+async def usage(arguments: argparse.Namespace, output: Output) -> ExitCode:
+    """Show what workspaces used, window by window."""
+    async with _client(arguments, arguments.entry) as client:
+        windows = await client.usage(arguments.windows)
+    output.value(windows, usage_table_lines(windows))
+    return ExitCode.OK
+
+
 async def drain(arguments: argparse.Namespace, output: Output) -> ExitCode:
     """Begin the graceful stop of a node."""
     address = arguments.host_address
--- a/src/bankrudder/cli/_output.py
+++ b/src/bankrudder/cli/_output.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bankrudder.client import Applied, NodeReport
+from bankrudder.client import Applied, NodeReport, UsageReport
 from bankrudder.config import ConfigurationDifference
 from bankrudder.failures import Failure
 from bankrudder.world import Configuration
@@ -22,6 +22,7 @@
     "MIB",
     "VERSION",
 )
+USAGE_COLUMNS = ("WINDOW", "STATE", "WORKSPACE", "REQUESTS")
 ENDPOINT_COLUMNS = ("ENDPOINT", "STATE", "IN FLIGHT", "SLOTS", "VERSION")
 
 
@@ -90,6 +91,18 @@
     return lines
 
 
+def usage_table_lines(windows: Sequence[UsageReport]) -> list[str]:
+    """Return a table with a row for each window and workspace."""
+    rows: list[tuple[str, ...]] = []
+    for each in windows:
+        counts = sorted(each.counts.items()) or [("", 0)]
+        rows += [
+            (str(each.window), each.state, workspace, str(count))
+            for workspace, count in counts
+        ]
+    return _table([USAGE_COLUMNS, *rows])
+
+
 def _node_row(node: NodeReport) -> tuple[str, ...]:
     return (
         node.host,
--- a/src/bankrudder/cli/_parser.py
+++ b/src/bankrudder/cli/_parser.py
@@ -130,6 +130,15 @@
     status.add_argument("--all", action="store_true", help="tell of all hosts")
     status.add_argument("--endpoints", action="store_true", help="list endpoints too")
 
+    usage = add("usage", _commands.usage, "show what workspaces used")
+    usage.add_argument(
+        "--windows",
+        type=_count,
+        default=0,
+        metavar="N",
+        help="the newest N windows (default: those of about a minute)",
+    )
+
     drain = add("drain", _commands.drain, "stop a node gracefully", entry=False)
     drain.add_argument("host_address", type=_address, metavar="HOST-ADDRESS")
     _add_token_options(drain)
--- a/src/bankrudder/client/__init__.py
+++ b/src/bankrudder/client/__init__.py
@@ -8,10 +8,12 @@
     EndpointReport,
     NodeReport,
     OperatorClient,
+    UsageReport,
 )
 from bankrudder.client._trainer import Trainer, TrainerSettings
 
 __all__ = [
+    "UsageReport",
     "Answer",
     "Applied",
     "Caller",
--- a/src/bankrudder/client/_operator.py
+++ b/src/bankrudder/client/_operator.py
@@ -67,6 +67,14 @@
     version: int
 
 
+class UsageReport(msgspec.Struct, frozen=True):
+    """One window of usage: its number, what became of it, counts by workspace."""
+
+    window: int
+    state: str
+    counts: dict[str, int]
+
+
 class NodeReport(msgspec.Struct, frozen=True):
     """What a node says of itself, or what another one knows of it.
 
@@ -181,6 +189,15 @@
         reply = await self._read(self._stub.Trace(request, **self._options))
         return tuple(reply.spans)
 
+    async def usage(self, windows: int) -> tuple[UsageReport, ...]:
+        """Return the newest windows of usage, oldest first; 0 for the usual many."""
+        request = pb.UsageRequest(windows=windows)
+        reply = await self._read(self._stub.Usage(request, **self._options))
+        return tuple(
+            UsageReport(each.window, each.state, dict(each.counts))
+            for each in reply.windows
+        )
+
     @property
     def _options(self) -> dict[str, object]:
         return {"metadata": self._metadata, "timeout": self._timeout_s}
--- a/src/bankrudder/node/_interface.py
+++ b/src/bankrudder/node/_interface.py
@@ -40,6 +40,7 @@
     decode_named_version,
 )
 from bankrudder.store import Row, TableFollower
+from bankrudder.usage import UsageRows
 from bankrudder.v1 import bankrudder_pb2_grpc as pb_grpc
 from bankrudder.world import Clock
 
@@ -144,7 +145,13 @@
         board = StatusBoard(
             parts.presence, parts.directory, self._is_serving, self._clock
         )
-        operators = OperatorsServicer(self._context, board, parts.tracer, drain)
+        operators = OperatorsServicer(
+            self._context,
+            board,
+            parts.tracer,
+            UsageRows(parts.store, self._clock),
+            drain,
+        )
         pb_grpc.add_OperatorsServicer_to_server(operators, server)  # type: ignore[no-untyped-call]
 
     def _calls(self) -> CallService:
--- a/src/bankrudder/rpc/_operators.py
+++ b/src/bankrudder/rpc/_operators.py
@@ -6,10 +6,21 @@
 from bankrudder.rpc._context import RpcContext
 from bankrudder.rpc._status import NodeState, StatusBoard
 from bankrudder.rpc._types import ServicerContext
+from bankrudder.store import told_as_failures
+from bankrudder.usage import UsageLine, UsageRows
 from bankrudder.v1 import bankrudder_pb2 as pb
 from bankrudder.v1 import bankrudder_pb2_grpc as pb_grpc
 from bankrudder.world import Revision
 
+USAGE_WINDOWS = 12
+"""Windows that are shown if nobody says how many: a minute at their usual length."""
+
+MOST_USAGE_WINDOWS = 720
+"""Most windows that are shown, as many as are kept."""
+
+RETRY_AFTER_S = 0.5
+"""When to come back while the store is away: about the time of a short outage."""
+
 
 class OperatorsServicer(pb_grpc.OperatorsServicer):
     """Turns what operators ask for into calls of this node's parts.
@@ -25,11 +36,13 @@
         rpc: RpcContext,
         board: StatusBoard,
         tracer: Tracer,
+        usage: UsageRows,
         drain: Callable[[], None],
     ):
         self._rpc = rpc
         self._board = board
         self._tracer = tracer
+        self._usage = usage
         self._drain = drain
 
     async def Apply(
@@ -81,6 +94,24 @@
         spans = self._tracer.spans_of(request.trace_id)
         return pb.TraceReply(spans=spans)
 
+    async def Usage(
+        self, request: pb.UsageRequest, context: ServicerContext
+    ) -> pb.UsageReply:
+        """Return the newest windows of usage, from the store."""
+        self._rpc.operator_of(context)
+        most = min(request.windows or USAGE_WINDOWS, MOST_USAGE_WINDOWS)
+        with told_as_failures("nothing was changed", RETRY_AFTER_S):
+            lines = await self._usage.lines(most)
+        return pb.UsageReply(windows=[_window_to_proto(line) for line in lines])
+
+
+def _window_to_proto(line: UsageLine) -> pb.UsageWindow:
+    return pb.UsageWindow(
+        window=line.window,
+        state=line.state.value,
+        counts={str(name): count for name, count in line.counts.items()},
+    )
+
 
 def _state_to_proto(state: NodeState) -> pb.NodeStatus:
     endpoints = [
--- a/src/bankrudder/usage/__init__.py
+++ b/src/bankrudder/usage/__init__.py
@@ -3,6 +3,11 @@
 from bankrudder.usage._counting import UsageBook
 from bankrudder.usage._keeping import UsageKeeper, UsageRows
 from bankrudder.usage._reporting import REPORT_PAUSE_S, UsageReporter
+from bankrudder.usage._table import (
+    UsageLine,
+    WindowState,
+    usage_lines,
+)
 from bankrudder.usage._time import StoreClock, TrueTime
 from bankrudder.usage._windows import UsageTerms
 
@@ -12,7 +17,10 @@
     "TrueTime",
     "UsageBook",
     "UsageKeeper",
+    "UsageLine",
     "UsageReporter",
     "UsageRows",
     "UsageTerms",
+    "WindowState",
+    "usage_lines",
 ]
--- a/src/bankrudder/usage/_keeping.py
+++ b/src/bankrudder/usage/_keeping.py
@@ -31,6 +31,7 @@
     commit_settled,
 )
 from bankrudder.usage._counting import UsageBook
+from bankrudder.usage._table import UsageLine, WindowState, usage_lines
 from bankrudder.world import Clock, HostId, WorkspaceName
 
 USAGE_TABLE = "usage"
@@ -56,10 +57,19 @@
 
 
 class ReportRow(msgspec.Struct, frozen=True):
-    """Value of a report's row; its body never changes."""
+    """Value of a report's row; its body never changes.
+
+    Attributes
+    ----------
+    is_done : bool
+        Whether the platform has given its answer.
+    is_rejected : bool
+        Whether that was that it takes the report for wrong.
+    """
 
     counts: dict[WorkspaceName, int]
     is_done: bool = False
+    is_rejected: bool = False
 
 
 class KeptReport(msgspec.Struct, frozen=True):
@@ -113,10 +123,21 @@
             total.update(msgspec.json.decode(row.value, type=dict[WorkspaceName, int]))
         return dict(total)
 
-    async def oldest_counted(self) -> UsageWindow | None:
-        """Return the oldest window of which there are counts."""
+    async def counted(self) -> list[UsageWindow]:
+        """Return the windows of which there are counts, the oldest first."""
         parts = await self._store.parts(USAGE_TABLE)
-        return min((UsageWindow(int(each)) for each in parts), default=None)
+        return sorted(UsageWindow(int(each)) for each in parts)
+
+    async def lines(self, most: int) -> list[UsageLine]:
+        """Return the newest windows as operators see them."""
+        reports = await self.reports()
+        known = [
+            UsageLine(each.window, _state(each.row), each.row.counts)
+            for each in reports
+        ]
+        open_windows = (await self.counted())[-most:]
+        counting = {window: await self.counts(window) for window in open_windows}
+        return usage_lines(known, counting, most)
 
     async def settle(
         self, window: UsageWindow, counts: dict[WorkspaceName, int]
@@ -134,9 +155,11 @@
                     raise NotSettledError
                 return _kept(before)
 
-    async def note_done(self, report: KeptReport) -> None:
-        """Note that the platform took a report, and drop the counts behind it."""
-        done = msgspec.structs.replace(report.row, is_done=True)
+    async def note_done(self, report: KeptReport, *, is_rejected: bool = False) -> None:
+        """Note that the platform took a report or rejected it; its counts go."""
+        done = msgspec.structs.replace(
+            report.row, is_done=True, is_rejected=is_rejected
+        )
         key = _report_key(report.window)
         await self._settled(key, report.version, msgspec.json.encode(done))
         await self._remove(await self._rows(USAGE_TABLE, str(report.window)))
@@ -145,10 +168,13 @@
         """Return all reports that are kept, the oldest first."""
         return [_kept(row) for row in await self._rows(REPORTS_TABLE, "")]
 
-    async def drop_reports_before(self, window: UsageWindow) -> None:
-        """Remove reports that nobody asks for any more."""
+    async def drop_before(self, window: UsageWindow) -> None:
+        """Remove reports that nobody asks for any more, and counts that came late."""
         rows = await self._rows(REPORTS_TABLE, "", end=_report_key(window).key)
         await self._remove(rows)
+        for old in await self.counted():
+            if old < window:
+                await self._remove(await self._rows(USAGE_TABLE, str(old)))
 
     async def _settled(
         self, key: RowKey, before: RowVersion, value: bytes
@@ -238,6 +264,12 @@
     return RowKey(REPORTS_TABLE, "", f"{window:012d}")
 
 
+def _state(row: ReportRow) -> WindowState:
+    if row.is_rejected:
+        return WindowState.REJECTED
+    return WindowState.REPORTED if row.is_done else WindowState.SETTLED
+
+
 def _kept(row: Row) -> KeptReport:
     value = msgspec.json.decode(row.value, type=ReportRow)
     return KeptReport(UsageWindow(int(row.key.key)), value, row.version)
--- a/src/bankrudder/usage/_reporting.py
+++ b/src/bankrudder/usage/_reporting.py
@@ -89,7 +89,8 @@
             self._next = UsageWindow(reports[-1].window + 1)
         else:
             current = self._terms.window_at(self._time.now())
-            self._next = await self._rows.oldest_counted() or current
+            counted = await self._rows.counted()
+            self._next = min([*counted, current])
         self._read_under = fence
         _log.info(
             "usage: duty taken",
@@ -129,20 +130,19 @@
         if self._next - self._cleaned_at >= CLEANING_WINDOWS:
             self._cleaned_at = self._next
             oldest = UsageWindow(self._next - KEPT_REPORTS)
-            await self._rows.drop_reports_before(oldest)
+            await self._rows.drop_before(oldest)
 
     async def _send(self, report: KeptReport) -> bool:
         """Send a settled report; return whether that is through."""
         call = UsageReport(report.window, report.row.counts)
-        match await self._duty.call(call):
-            case DutyOutcome.DONE:
-                pass
-            case DutyOutcome.REJECTED:
-                _log.error("usage: report rejected for good", window=report.window)
-            case _:
-                return False
+        outcome = await self._duty.call(call)
+        if outcome not in (DutyOutcome.DONE, DutyOutcome.REJECTED):
+            return False
+        is_rejected = outcome is DutyOutcome.REJECTED
+        if is_rejected:
+            _log.error("usage: report rejected for good", window=report.window)
         try:
-            await self._rows.note_done(report)
+            await self._rows.note_done(report, is_rejected=is_rejected)
         except (StoreUnavailableError, NotSettledError):
             # Whoever holds the duty next sends the very same again, which is harmless.
             _log.warning("usage: report made and not noted", window=report.window)
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -71,6 +71,13 @@
         self.token = ""
         self.drained = threading.Event()
 
+    def Usage(self, request, context):  # noqa: N802
+        window = pb.UsageWindow(
+            window=7, state="reported", counts={"north": 3, "desk": 1}
+        )
+        missing = pb.UsageWindow(window=8, state="missing")
+        return pb.UsageReply(windows=[window, missing])
+
     def Apply(self, request, context):  # noqa: N802
         self.token = dict(context.invocation_metadata())["authorization"]
         self.applied.append(request)
@@ -214,6 +221,20 @@
     assert "its heartbeats stopped" in capsys.readouterr().out
 
 
+def test_usage_is_shown_by_window_and_workspace(run, capsys):
+    assert run("usage", "--windows", "2") == ExitCode.OK
+    lines = [line.split() for line in capsys.readouterr().out.splitlines()]
+    assert lines == [
+        ["WINDOW", "STATE", "WORKSPACE", "REQUESTS"],
+        ["7", "reported", "desk", "1"],
+        ["7", "reported", "north", "3"],
+        ["8", "missing", "0"],
+    ]
+    assert run("usage", "--json") == ExitCode.OK
+    first, _ = json.loads(capsys.readouterr().out)
+    assert first["counts"] == {"north": 3, "desk": 1}
+
+
 def test_drain_and_trace_reach_the_node(node, run):
     assert run("drain") == ExitCode.OK
     assert node.drained.is_set()
--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -177,7 +177,8 @@
     ``rpc`` holds the settings of the project's own interface beside its address;
     from ``min_readers`` hosts on, one reads the store for the others; the first
     ``suspendable`` hosts can be suspended; ``duties`` holds the settings of the
-    platform's interface for duties.
+    platform's interface for duties. ``key`` is shown with each call that brings none,
+    if it is not empty.
     """
 
     def __init__(
@@ -192,7 +193,8 @@
         suspendable=0,
         duties=None,
     ):
-        self._duties = duties
+        self.duties = duties
+        self.key = ""
         self._suspendable = suspendable
         self._min_readers = min_readers
         self._data_centres = data_centres
@@ -234,7 +236,7 @@
                 self._folder,
                 self._rpc,
                 self._min_readers,
-                self._duties,
+                self.duties,
             )
             host.is_suspendable = number < self._suspendable
             if behind is not None:
@@ -274,10 +276,14 @@
             method,
             f"http://{host.address}{path}",
             data=body,
-            headers={"Host": HOST_NAME, **(headers or {})},
+            headers={"Host": HOST_NAME, **self.credentials(), **(headers or {})},
         ) as response:
             return response.status, response.headers, await response.read()
 
+    def credentials(self):
+        """Return the header that shows the key."""
+        return {"Authorization": f"Bearer {self.key}"} if self.key else {}
+
     async def ask(self, host, call):
         """Make a call of a trainer; return its status and body."""
         status, _, body = await self.call(
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -25,7 +25,12 @@
 LATEST_SEEDS = {
     900: "the first one with requests that crash endpoints and suspended hosts",
 }
-"""The same, drawn from all kinds of faults."""
+"""The same, drawn from these kinds as well."""
+
+DUTY_SEEDS = {
+    1: "the first one with workspaces and duties; it never failed",
+}
+"""Seeds of keys that change, and of hosts that lose a duty in the middle of it."""
 
 
 @pytest.mark.timeout(180)
@@ -43,7 +48,13 @@
 @pytest.mark.timeout(180)
 @pytest.mark.parametrize("seed", LATEST_SEEDS)
 async def test_the_promises_hold_while_requests_crash_endpoints(seed):
-    await play(seed)
+    await play(seed, "--kinds", "third")
+
+
+@pytest.mark.timeout(180)
+@pytest.mark.parametrize("seed", DUTY_SEEDS)
+async def test_the_promises_hold_while_keys_and_duties_change(seed):
+    await play(seed, "--kinds", "duties")
 
 
 async def play(seed, *options):
--- a/tests/usage/test_keeping.py
+++ b/tests/usage/test_keeping.py
@@ -21,7 +21,7 @@
     await usage.put_counts(WINDOW + 1, "a.2", {"north": 9}, ABSENT)
     assert await usage.counts(WINDOW) == {"north": 5, "south": 1}
     assert await usage.counts(WINDOW - 1) == {}
-    assert await usage.oldest_counted() == WINDOW
+    assert await usage.counted() == [WINDOW, WINDOW + 1]
 
 
 async def test_counts_replace_those_of_the_same_run(usage):
@@ -61,7 +61,10 @@
 async def test_old_reports_are_removed(usage):
     for number in range(5):
         await usage.settle(WINDOW + number, {})
-    await usage.drop_reports_before(WINDOW + 3)
+    await usage.put_counts(WINDOW, "late.1", {"north": 1}, ABSENT)
+    await usage.put_counts(WINDOW + 4, "a.1", {"north": 1}, ABSENT)
+    await usage.drop_before(WINDOW + 3)
+    assert await usage.counted() == [WINDOW + 4]
     assert [each.window for each in await usage.reports()] == [WINDOW + 3, WINDOW + 4]
 
 
--- a/tests/usage/test_reporting.py
+++ b/tests/usage/test_reporting.py
@@ -224,6 +224,9 @@
     await reporting.look("a")
     assert first not in reporting.platform.taken
     assert first + 1 in reporting.platform.taken
+    kept = {each.window: each.row for each in await reporting.rows.reports()}
+    assert kept[first].is_rejected
+    assert not kept[first + 1].is_rejected
 
 
 async def test_an_outage_of_the_store_holds_reports_up_and_loses_none(reporting, gate):
