A new holder of orders keeps the engines that it finds for a minute

Cause: the largest need of late was that of this holder's time alone, and of all data centres together. A holder that saw one of four trainers first would have ordered 12 of 22 engines, and the others back a moment later; and an even spread of the same total would have moved engines between data centres for nothing.

Change: what counts is held for each data centre, and begins with what is found there.

--- a/src/bankrudder/supply/_keeping.py
+++ b/src/bankrudder/supply/_keeping.py
@@ -67,7 +67,7 @@
         self._clock = clock
         self._ordered: dict[_Subject, int] = {}
         self._ordered_under: RowVersion | None = None
-        self._needs: dict[ServiceName, HeldNeed] = {}
+        self._held: dict[_Subject, HeldNeed] = {}
         self._unavailable_until: dict[_Subject, float] = {}
 
     async def look(self) -> None:
@@ -78,6 +78,7 @@
         if self._ordered_under != self._fence():
             self._ordered_under = self._fence()
             self._ordered.clear()
+            self._held.clear()
         for service in table.configuration.services:
             if service.scaling is not None and service.models:
                 await self._supply(service, service.scaling)
@@ -90,12 +91,25 @@
             name: PlacePrice(scaling.least, scaling.most, price)
             for name, price in scaling.prices.items()
         }
-        wanted = spread_engines(needed, places, self._unavailable(service.name))
-        for data_centre, count in wanted.items():
+        unavailable = self._unavailable(service.name)
+        wanted = spread_engines(needed, places, unavailable)
+        for data_centre, wanted_now in wanted.items():
             subject = _Subject(service.name, data_centre)
-            if count == self._ordered.get(subject, self._listed(subject)):
-                continue
-            await self._order(subject, count, needed)
+            count = min(self._held_count(subject, wanted_now), scaling.most)
+            is_so = count == self._ordered.get(subject, self._listed(subject))
+            if not is_so and data_centre not in unavailable:
+                await self._order(subject, count, needed)
+
+    def _held_count(self, subject: _Subject, wanted: int) -> int:
+        """Return the largest number of late, that which was found here included.
+
+        A new holder has seen the work of no minute yet: what it finds was needed.
+        """
+        now = self._clock.monotonic()
+        if subject not in self._held:
+            self._held[subject] = HeldNeed()
+            self._held[subject].note(now, self._listed(subject))
+        return self._held[subject].note(now, wanted)
 
     def _needed(self, service: Service) -> int:
         samples = {
@@ -105,9 +119,7 @@
         }
         engines = self._directory.of_service(service.name)
         slots = min((each.endpoint.slots for each in engines), default=1)
-        needed = engines_needed(samples, slots)
-        held = self._needs.setdefault(service.name, HeldNeed())
-        return held.note(self._clock.monotonic(), needed)
+        return engines_needed(samples, slots)
 
     def _listed(self, subject: _Subject) -> int:
         """Return how many engines are there, of those that stay."""
--- a/tests/supply/test_keeping.py
+++ b/tests/supply/test_keeping.py
@@ -10,6 +10,7 @@
     Scaling,
     Service,
 )
+from bankrudder.scheduling._supply import HOLD
 from bankrudder.supply import SupplyKeeper
 from bankrudder.supply._keeping import UNAVAILABLE_S
 
@@ -132,6 +133,25 @@
     assert (await supply.look())[refused] == 6
 
 
+async def test_what_is_there_stays_while_the_work_is_not_known_for_long(supply):
+    """A new holder may see one of several trainers first."""
+    supply.owners.samples = {"m0": 1}
+    assert await supply.look() == {}
+    supply.clock.advance(50.0)
+    supply.lease.fence = 9
+    assert await supply.look() == {}
+    supply.clock.advance(50.0)
+    assert await supply.look() == {}
+    supply.clock.advance(HOLD.total_seconds())
+    assert await supply.look() == {"north": 1}
+
+
+async def test_engines_are_not_moved_between_data_centres_for_evenness(supply):
+    supply.directory.put(Endpoint("e9", "engines", "127.0.0.1:9", "south", 8))
+    supply.owners.samples = {"m0": 24}
+    assert await supply.look() == {}
+
+
 async def test_without_the_duty_nothing_is_ordered(supply):
     supply.owners.samples = {"m0": 80}
     supply.lease.left_s = 0.0
