--- a/soak/faults.py
+++ b/soak/faults.py
@@ -204,6 +204,33 @@
     run.workspaces.platform.answers += [answer] * 3
 
 
+UNLEARNED = 40
+"""Answers that are lost one after the other, more than a holder makes calls."""
+
+SETTLED_S = 4.0
+"""Time after which a window is settled without the counts of a host: as the soak's
+platform asks for reports within this time."""
+
+
+async def _counts_late(run, strike):
+    """Have counts come after their reports, of which nobody learns that they arrived.
+
+    Then the holder is lost, and another one has the reports and more counts than they
+    tell of.
+    """
+    gates = [host.gate for host in run.site.hosts]
+    for gate in gates:
+        gate.refuses_table = "usage"
+    answers = run.workspaces.platform.answers
+    answers += ["lost"] * UNLEARNED
+    await asyncio.sleep(SETTLED_S)
+    for gate in gates:
+        gate.refuses_table = ""
+    await asyncio.sleep(strike.seconds / 2)
+    await _holder(run, strike, _kill)
+    answers.clear()
+
+
 async def _duty_slow(run, strike):
     run.workspaces.platform.delay_s = strike.seconds
     await asyncio.sleep(2 * strike.seconds)
@@ -295,6 +322,7 @@
 DUTY_KINDS = frozenset(
     {
         "key_taken_away",
+        "counts_late",
         "duty_answers_lost",
         "duty_refused",
         "duty_silent",
@@ -315,6 +343,7 @@
 
 KINDS |= {
     "key_taken_away": _key_taken_away,
+    "counts_late": _counts_late,
     "duty_answers_lost": _with(_duty_answers, "lost"),
     "duty_refused": _with(_duty_answers, 503),
     "duty_silent": _with(_duty_answers, "silent"),
--- a/src/bankrudder/usage/_reporting.py
+++ b/src/bankrudder/usage/_reporting.py
@@ -125,7 +125,8 @@
             after_s=round(late_s, 2),
             counts=report.row.counts,
         )
-        self._unsent.append(report)
+        if not report.row.is_done:
+            self._unsent.append(report)
         self._next = UsageWindow(self._next + 1)
         if self._next - self._cleaned_at >= CLEANING_WINDOWS:
             self._cleaned_at = self._next
