--- a/bench/demo.py
+++ b/bench/demo.py
@@ -1,8 +1,9 @@
 """The main job on the stand-ins of the users' platform, judged.
 
 Starts daemons as processes on loopback, lets two trainers and three callers use them,
-stops one host as planned, kills another, changes the configuration, and checks what
-trainers, callers and endpoints saw. The exit code is 1 if a promise was broken.
+stops one host as planned, kills another, changes the configuration, takes away a key of
+one of two workspaces, and checks what trainers, callers, endpoints and the platform saw.
+At the end it prints what each workspace used. The exit code is 1 if a promise broke.
 """
 
 import asyncio
@@ -23,6 +24,7 @@
 STORY = (
     Strike(2.0, "configuration_changed", 0, 0.0),
     Strike(3.0, "stop", 1, 0.0),
+    Strike(4.0, "key_taken_away", 0, 1.0),
     Strike(5.0, "kill", 2, 1.0),
     Strike(7.0, "configuration_changed", 0, 0.0),
 )
@@ -34,7 +36,9 @@
     with tempfile.TemporaryDirectory(prefix="demo-") as folder:
         run = SoakRun(0, SECONDS, HOSTS, ENGINES, STORY, Path(folder))
         try:
-            return await run.run()
+            found = await run.run()
+            print("\n".join(run.usage_lines()))
+            return found
         finally:
             await run.stop()
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -34,7 +34,7 @@
 from soak.history import History, violations  # noqa: E402
 from soak.keyed import KeyedCaller  # noqa: E402
 from soak.proxy import Proxy  # noqa: E402
-from soak.workspaces import SoakWorkspaces  # noqa: E402
+from soak.workspaces import OTHER_CALLER, OTHER_KEY, SoakWorkspaces  # noqa: E402
 
 EVENTS = 12
 SAMPLES = 8
@@ -220,12 +220,16 @@
             Trainer(self.site, self.history, rng(), "second", SAMPLES, False),
         ]
         callers: list[Caller | KeyedCaller] = [
-            Caller(self.site, self.history, rng(), f"caller{number}")
-            for number in range(3)
+            Caller(self.site, self.history, rng(), name, self._key_of(name))
+            for name in ("caller0", "caller1", "caller2")
         ]
         callers += [KeyedCaller(self.site, self.history, rng()) for _ in range(2)]
         return trainers, callers
 
+    def _key_of(self, caller):
+        has_own = self.workspaces is not None and caller == OTHER_CALLER
+        return OTHER_KEY if has_own else ""
+
     async def _strike(self, strike):
         await asyncio.sleep(self._began + strike.at_s - time.monotonic())
         self._struck.append((strike.at_s, strike.kind))
@@ -267,6 +271,10 @@
             return ["no step was whole in the whole run"]
         return []
 
+    def usage_lines(self):
+        """Return a table of what workspaces used, if there are any."""
+        return self.workspaces.usage_lines() if self.workspaces is not None else []
+
     def report(self, trainers, callers):
         """Print figures and a plot of served requests with the faults marked."""
         served = sorted(at for each in callers for at in each.served)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -141,11 +141,12 @@
 class Caller:
     """Makes requests on a connection that it keeps while it can."""
 
-    def __init__(self, site, history, rng, name):
+    def __init__(self, site, history, rng, name, key=""):
         self._site = site
         self._history = history
         self._rng = rng
         self._name = name
+        self._key = key
         self.served = []
         self.failed = []
 
@@ -165,13 +166,18 @@
                     if not is_served:
                         break
 
+    def _credentials(self):
+        if self._key:
+            return {"Authorization": f"Bearer {self._key}"}
+        return self._site.credentials()
+
     async def _call(self, session, host, request_id):
         path = self._rng.choice(["/once/x", "/score/x"])
         headers = {
             "Host": HOST_NAME,
             "X-Request-Id": request_id,
             "X-Request-Deadline": "1500",
-            **self._site.credentials(),
+            **self._credentials(),
         }
         if self._rng.random() < CLAIMING_SHARE:
             headers["X-Tenant"] = "somebody-else"
--- a/soak/workspaces.py
+++ b/soak/workspaces.py
@@ -9,6 +9,11 @@
 WINDOW_S = 1.0
 LATE_S = 4.0
 WORKSPACE = "north"
+OTHER_WORKSPACE = "south"
+OTHER_KEY = "soak-key-of-the-south"
+OTHER_CALLER = "caller2"
+"""The caller of the other workspace, whose key stays."""
+
 CLIENTS = ("caller", "first", "second")
 """How the names of requests and samples of clients with a key begin."""
 
@@ -33,7 +38,10 @@
 
     def document(self):
         """Return what a configuration says of workspaces."""
-        return [{"name": WORKSPACE, "api_keys": self._keys}]
+        return [
+            {"name": WORKSPACE, "api_keys": self._keys},
+            {"name": OTHER_WORKSPACE, "api_keys": [OTHER_KEY]},
+        ]
 
     @property
     def key(self):
@@ -65,8 +73,7 @@
                 if not request_id.startswith(CLIENTS):
                     continue
                 told = headers.getall("X-Tenant", [])
-                is_reward = "-r" in request_id
-                if told != ([] if is_reward else [WORKSPACE]):
+                if told != _expected(request_id):
                     yield f"workspace: {endpoint.id} was told {told} of {request_id}"
                 if "Authorization" in headers:
                     yield f"workspace: {endpoint.id} got the key of {request_id}"
@@ -87,3 +94,18 @@
                 if status != 401:
                     found.append(f"workspace: {host.name} answered {status} to {key}")
         return found
+
+    def usage_lines(self):
+        """Return a table of what was reported, for a person."""
+        lines = ["window      workspace  requests"]
+        for window, counts in sorted(self.platform.usage.items()):
+            for name, count in sorted(counts.items()):
+                lines.append(f"{window:<10}  {name:<9}  {count:8}")
+        return lines
+
+
+def _expected(request_id):
+    """Return what endpoints must be told of whose request it is."""
+    if "-r" in request_id:
+        return []  # reward calls are nobody's
+    return [OTHER_WORKSPACE if request_id.startswith(OTHER_CALLER) else WORKSPACE]
