--- a/bench/demo.py
+++ b/bench/demo.py
@@ -2,8 +2,8 @@
 
 Starts daemons as processes on loopback, lets two trainers and three callers use them,
 stops one host as planned, kills another, changes the configuration, takes away a key of
-one of two workspaces, and checks what trainers, callers, endpoints, platform saw. At the
-end it prints what each workspace used. The exit code is 1 if a promise was broken.
+one of two workspaces, and checks what all sides saw. At the end it prints what each
+workspace used. The exit code is 1 if a promise was broken.
 """
 
 import asyncio
