--- a/soak/clients.py
+++ b/soak/clients.py
@@ -179,7 +179,7 @@
             "X-Request-Deadline": "1500",
             **self._credentials(),
         }
-        if self._rng.random() < CLAIMING_SHARE:
+        if self._site.key and self._rng.random() < CLAIMING_SHARE:
             headers["X-Tenant"] = "somebody-else"
         status, body = 0, b""
         try:
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -84,7 +84,7 @@
         self._settings = msgspec.structs.replace(
             self._settings, grace_s=settings.grace_s, lease_ms=settings.lease_ms
         )
-        self._parts.set_lease_duration(settings.lease_ms / 1000)
+        self._parts.leases.set_duration(settings.lease_ms / 1000)
 
     def stop(self) -> None:
         """Begin a planned stop."""
@@ -193,7 +193,7 @@
             self._interface.leave()
         self._parts.presence.leave()
         await asyncio.gather(
-            self._parts.presence.announce(), self._parts.release_leases()
+            self._parts.presence.announce(), self._parts.leases.release()
         )
         await self._wait(
             began + BATCHES_SHARE * grace_s,
--- a/src/bankrudder/node/_parts.py
+++ b/src/bankrudder/node/_parts.py
@@ -25,13 +25,14 @@
     RelayedStore,
 )
 from bankrudder.fleet import EndpointDirectory
-from bankrudder.leases import CANDIDATES, Lease, repeat_on_duty
+from bankrudder.leases import repeat_on_duty
 from bankrudder.logs import LineLimit
 from bankrudder.node._adapter import Adapter
 from bankrudder.node._feeds import RowMeanings
 from bankrudder.node._gateway import Gateway
 from bankrudder.node._instruments import Instruments
 from bankrudder.node._latest_keys import LatestKeys
+from bankrudder.node._leases import HostLeases
 from bankrudder.node._reach import is_cut_off
 from bankrudder.node._settings import FeedSettings, NodeSettings
 from bankrudder.node._supply import SUPPLY_LEASE, SupplyParts
@@ -48,7 +49,6 @@
 )
 from bankrudder.presence import (
     NO_ADDRESS,
-    DrawnOrder,
     HostCleaner,
     Lifetime,
     Presence,
@@ -108,6 +108,9 @@
         )
         self._store_clock = StoreClock(clock)
         self.presence = self._make_presence()
+        self.leases = HostLeases(
+            settings, self.store, self.lifetime, self.presence, clock
+        )
         self.usage = self._make_usage(adapter.duties)
         meter = self.usage.book if self.usage is not None else None
         self.crashes = self._make_crash_guard()
@@ -127,7 +130,7 @@
         self.repository = BatchRepository(self.store, clock, settings.store.row_bytes)
         self.batches = self._make_batches()
         self.supply = self._make_supply(adapter.duties)
-        self.lease = self._make_lease(ORDERS_LEASE, self.presence.set_holds_lease)
+        self.lease = self.leases.make(ORDERS_LEASE, self.presence.set_holds_lease)
         self.switcher = self._make_switcher()
         self._batch_cleaner = Cleaner(
             self.store, self.repository, self.lease, settings.status_retention_s
@@ -143,23 +146,6 @@
 
         return repeat
 
-    async def release_leases(self) -> None:
-        """Give up all duties before a planned stop."""
-        await asyncio.gather(*(each.release() for each in self._leases()))
-
-    def set_lease_duration(self, seconds: float) -> None:
-        """Change the length of all leases."""
-        for each in self._leases():
-            each.set_duration(seconds)
-
-    def _leases(self) -> list[Lease]:
-        leases = [self.lease]
-        if self.usage is not None:
-            leases.append(self.usage.lease)
-        if self.supply is not None:
-            leases.append(self.supply.lease)
-        return leases
-
     def platform_duties(self) -> dict[str, Work]:
         """Return what runs all the time for the duties towards the platform."""
         works: dict[str, Work] = {}
@@ -253,7 +239,7 @@
             duties,
             duties.usage,
             api,
-            self._make_lease(USAGE_LEASE, lambda _: None),
+            self.leases.make(USAGE_LEASE),
             self.lifetime,
             self.presence,
             self.store,
@@ -269,7 +255,7 @@
             self._settings,
             duties,
             api,
-            self._make_lease(SUPPLY_LEASE, lambda _: None),
+            self.leases.make(SUPPLY_LEASE),
             self._routes,
             self.directory,
             self.batches.owners,
@@ -302,24 +288,6 @@
             on_removed=lambda _: None,
         )
 
-    def _make_lease(self, name: str, on_change: Callable[[bool], None]) -> Lease:
-        order = DrawnOrder(name)
-
-        def is_candidate() -> bool:
-            return self._settings.host in self.presence.duty_hosts(order, CANDIDATES)
-
-        return Lease(
-            self.store,
-            name,
-            self._settings.host,
-            self.lifetime,
-            is_candidate,
-            self._clock,
-            self._settings.lease_ms / 1000,
-            on_change,
-            self._settings.callers_address,
-        )
-
     def _make_switcher(self) -> VersionSwitcher:
         planner = LoadPlanner(
             self.view.named_versions,
--- a/src/bankrudder/presence/_hosts.py
+++ b/src/bankrudder/presence/_hosts.py
@@ -6,14 +6,11 @@
 """
 
 import asyncio
-from collections import deque
 from collections.abc import Callable, Collection
 from itertools import islice
 
-import msgspec
-import structlog
-
 from bankrudder.presence._drawn import DrawnOrder
+from bankrudder.presence._seen import SeenHosts
 from bankrudder.presence._sending import HeartbeatSender, Rhythm
 from bankrudder.presence._values import (
     HEARTBEAT_S,
@@ -25,8 +22,6 @@
 )
 from bankrudder.store import (
     ReadPace,
-    Row,
-    RowKey,
     RowVersion,
     Store,
     TableFollower,
@@ -47,10 +42,6 @@
 """Heartbeats that may be missing before a host is taken for dead. A batch whose owner
 is lost waits this long, a fifth of the time in which its results are due."""
 
-KEPT_ENDED = 1000
-"""Ended runs that are remembered: a late heartbeat comes seconds after the end, in
-which far fewer hosts restart."""
-
 FOLLOW_PAUSE_S = 0.25
 """Shortest pause between reads of the heartbeats: half of their interval."""
 
@@ -60,8 +51,6 @@
 READS_PER_S = 2000.0
 """Reads that the store serves if nobody says more: the rate of the small sites."""
 
-_log = structlog.get_logger("presence")
-
 
 class Presence:
     """The heartbeat of this host, and the view of all others."""
@@ -95,9 +84,7 @@
         self._is_leaving = False
         self._is_busy = False
         self._holds_lease = False
-        self._seen: dict[HostId, tuple[Heartbeat, float]] = {}
-        self._versions: dict[HostId, RowVersion] = {}
-        self._ended: deque[Lifetime] = deque(maxlen=KEPT_ENDED)
+        self._seen = SeenHosts(clock)
         self._sender = HeartbeatSender(
             store,
             host,
@@ -110,8 +97,8 @@
             store,
             HOSTS_TABLE,
             clock,
-            on_row=self._on_row,
-            on_removed=self._on_removed,
+            on_row=self._seen.take,
+            on_removed=self._seen.drop,
             pause_s=self._pause_s,
         )
 
@@ -136,7 +123,7 @@
         idle_s = max(HEARTBEAT_S, len(self._seen) / IDLE_HEARTBEATS_PER_S)
         if not (self._is_busy or self._reads_for_others):
             return idle_s
-        busy = sum(beat.interval_s < idle_s for beat, _ in self._seen.values())
+        busy = sum(beat.interval_s < idle_s for beat in self._seen.beats())
         return max(HEARTBEAT_S, busy / BUSY_HEARTBEATS_PER_S)
 
     def set_busy(self, is_busy: bool) -> None:
@@ -166,8 +153,8 @@
         """
         return sorted(
             host
-            for host, (beat, _) in self._seen.items()
-            if self._stays(host, beat, data_centres)
+            for host in self._seen
+            if self._stays(host, self._seen[host].beat, data_centres)
         )
 
     def first_live(
@@ -190,9 +177,9 @@
         """
         found = (
             host
-            for host in order.of(self._seen.keys())
-            if condition(self._seen[host][0])
-            and self._stays(host, self._seen[host][0], data_centres)
+            for host in order.of(self._seen.names())
+            if condition(self._seen[host].beat)
+            and self._stays(host, self._seen[host].beat, data_centres)
         )
         return list(islice(found, count))
 
@@ -213,7 +200,7 @@
         if host == self._host:
             return self._data_centre in data_centres
         seen = self._seen.get(host)
-        return seen is not None and seen[0].data_centre in data_centres
+        return seen is not None and seen.beat.data_centre in data_centres
 
     def silent_hosts(self, seconds: float) -> list[tuple[HostId, RowVersion]]:
         """Return the hosts whose rows stood still for so long, and the rows' versions.
@@ -225,9 +212,9 @@
         since = self._clock.monotonic() - seconds
         regained_at = self._follower.regained_at or 0.0
         return [
-            (host, self._versions[host])
-            for host, (_, seen_at) in self._seen.items()
-            if max(seen_at, regained_at) < since and host != self._host
+            (host, seen.version)
+            for host, seen in self._seen.others(self._host)
+            if max(seen.at, regained_at) < since
         ]
 
     def is_everyone_heard(self, seconds: float, forgotten_s: float) -> bool:
@@ -243,16 +230,14 @@
         since = self._clock.monotonic() - seconds
         forgotten = self._clock.monotonic() - forgotten_s
         return not any(
-            forgotten < seen_at < since
-            for host, (_, seen_at) in self._seen.items()
-            if host != self._host
+            forgotten < seen.at < since for _, seen in self._seen.others(self._host)
         )
 
     def wall_ahead_of_all(self) -> list[float]:
         """Return how far each host's time of day is ahead of the store's clock."""
         return [
             beat.wall_ahead_s
-            for beat, _ in self._seen.values()
+            for beat in self._seen.beats()
             if beat.wall_ahead_s is not None
         ]
 
@@ -262,7 +247,7 @@
 
     def heartbeats(self) -> dict[HostId, Heartbeat]:
         """Return the newest heartbeat of each host that is known."""
-        return {host: beat for host, (beat, _) in self._seen.items()}
+        return {host: self._seen[host].beat for host in self._seen}
 
     def set_holds_lease(self, holds_lease: bool) -> None:
         """Tell the others whether this host carries out a duty under a lease."""
@@ -284,19 +269,19 @@
         hosts = [
             host for host in self.live_hosts(data_centres) if self.takes_new_work(host)
         ]
-        free = [host for host in hosts if not self._seen[host][0].holds_lease]
+        free = [host for host in hosts if not self._seen[host].beat.holds_lease]
         return free or hosts
 
     def takes_new_work(self, host: HostId) -> bool:
         """Whether a host stays, and was heard of as lately as it should have been."""
         seen = self._seen.get(host)
-        if seen is None or seen[0].is_leaving or not self._is_fresh(host):
+        if seen is None or seen.beat.is_leaving or not self._is_fresh(host):
             return False
         if host == self._host:
             return True
-        age_s = self._clock.monotonic() - seen[1]
+        age_s = self._clock.monotonic() - seen.at
         slack_s = FRESH_SLACK_S + self._pause_s() - FOLLOW_PAUSE_S
-        return age_s < FRESH_INTERVALS * seen[0].interval_s + slack_s
+        return age_s < FRESH_INTERVALS * seen.beat.interval_s + slack_s
 
     def is_alive(self, host: HostId, lifetime: Lifetime) -> bool:
         """Whether a run of a host is taken for alive, also one that is leaving."""
@@ -306,7 +291,7 @@
         if seen is None:
             # Not read yet: nothing is known before the first whole read.
             return not self._follower.is_loaded
-        return seen[0].lifetime == lifetime and self._is_fresh(host)
+        return seen.beat.lifetime == lifetime and self._is_fresh(host)
 
     @property
     def read_version(self) -> RowVersion:
@@ -316,12 +301,12 @@
     def lifetime_of(self, host: HostId) -> Lifetime | None:
         """Return the newest run of a host, None if the host is not known."""
         seen = self._seen.get(host)
-        return seen[0].lifetime if seen is not None else None
+        return seen.beat.lifetime if seen is not None else None
 
     def room_of(self, host: HostId) -> float:
         """Return what a host can carry, in cores of usual speed."""
         seen = self._seen.get(host)
-        return seen[0].room if seen is not None else 0.0
+        return seen.beat.room if seen is not None else 0.0
 
     def leave(self) -> None:
         """Tell the others that this host is about to stop."""
@@ -378,23 +363,7 @@
             return True
         read_at = self._follower.last_read_at or 0.0
         regained_at = self._follower.regained_at or 0.0
-        since = max(self._seen[host][1], regained_at, self._sender.works_since)
-        silence_s = MISSED_HEARTBEATS * self._seen[host][0].interval_s
+        seen = self._seen[host]
+        since = max(seen.at, regained_at, self._sender.works_since)
+        silence_s = MISSED_HEARTBEATS * seen.beat.interval_s
         return read_at - since < silence_s
-
-    def _on_row(self, row: Row) -> None:
-        host = HostId(row.key.key)
-        beat = msgspec.json.decode(row.value, type=Heartbeat)
-        if beat.lifetime in self._ended:
-            return  # written before that run ended, and carried out late
-        before = self._seen.get(host)
-        if before is not None and before[0].lifetime != beat.lifetime:
-            self._ended.append(before[0].lifetime)
-        if before is None or before[0].lifetime != beat.lifetime:
-            _log.info("presence: host runs", host=host, lifetime=beat.lifetime)
-        self._seen[host] = (beat, self._clock.monotonic())
-        self._versions[host] = row.version
-
-    def _on_removed(self, key: RowKey) -> None:
-        self._seen.pop(HostId(key.key), None)
-        _log.info("presence: host removed", host=key.key)
--- a/src/bankrudder/usage/_reporting.py
+++ b/src/bankrudder/usage/_reporting.py
@@ -75,7 +75,7 @@
                 if not await self._send(self._unsent[0]):
                     return
                 self._unsent.pop(0)
-            elif self._is_ripe():
+            elif self._should_report_next():
                 await self._settle_next()
             else:
                 return
@@ -99,8 +99,8 @@
             unsent=[each.window for each in self._unsent],
         )
 
-    def _is_ripe(self) -> bool:
-        return self._terms.is_ripe(
+    def _should_report_next(self) -> bool:
+        return self._terms.should_report(
             self._next,
             self._time.now(),
             is_everyone_heard=self._is_next_complete(),
--- a/src/bankrudder/usage/_windows.py
+++ b/src/bankrudder/usage/_windows.py
@@ -38,7 +38,7 @@
         """Return the end of a window, in seconds since the Unix epoch."""
         return (window + 1) * self.length.total_seconds()
 
-    def is_ripe(
+    def should_report(
         self, window: UsageWindow, true_time_s: float, *, is_everyone_heard: bool
     ) -> bool:
         """Whether a window should be reported now."""
