--- a/tests/outside/store.py
+++ b/tests/outside/store.py
@@ -15,7 +15,7 @@
 
 from aiohttp import web
 
-CLOCK_AHEAD_MS = 40_000_000.0
+CLOCK_AHEAD_S = 40_000.0
 """How far the store's steady clock is ahead of the machine's."""
 
 
@@ -29,10 +29,16 @@
     LIMITED = "limited"
 
 
+def steady_clock():
+    """Return the store's time, in seconds of no known origin."""
+    return time.monotonic() + CLOCK_AHEAD_S
+
+
 class StoreRows:
-    """The rows of all tables and all changes of them."""
+    """The rows of all tables and all changes of them; ``now_s`` is the store's clock."""
 
     def __init__(self):
+        self.now_s = steady_clock
         self.version = 0
         self.rows = {}
         self.history = []
@@ -196,7 +202,7 @@
         if self.hang_replies:
             await asyncio.sleep(60)
         if conflicting is None:
-            now_ms = 1000 * time.monotonic() + CLOCK_AHEAD_MS
+            now_ms = 1000 * self.rows.now_s()
             return web.json_response({"ver": self.rows.version, "now_ms": now_ms})
         rows = [_wire(*each) for each in conflicting]
         return web.json_response({"rows": rows, "ver": self.rows.version}, status=412)
--- a/tests/store/test_platform_store.py
+++ b/tests/store/test_platform_store.py
@@ -24,7 +24,8 @@
 PUT = Transaction((Expectation(KEY, ABSENT),), (Put(KEY, b"\0one"),))
 
 
-async def test_a_transaction_is_applied_once(store):
+async def test_a_transaction_is_applied_once(store, rows):
+    rows.now_s = lambda: 1.0
     assert await store.commit(PUT) == Committed(1, 1.0)
     outcome = await store.commit(PUT)
     assert isinstance(outcome, Conflict)
