--- a/tests/outside/store.py
+++ b/tests/outside/store.py
@@ -35,7 +35,7 @@
 
 
 class StoreRows:
-    """The rows of all tables and all changes of them; ``now_s`` is the store's clock."""
+    """The rows of all tables and all their changes; ``now_s`` is the store's clock."""
 
     def __init__(self):
         self.now_s = steady_clock
