A duty is asked for once more right before its call is sent; no lease where nothing is ordered

Cause: a host could be suspended while it connected, after the look at its lease, and its call would go out on waking. The platform excuses 0.3 s after a thaw, no more.

Change: the body of a call is sent only while the duty is held under the same token, with no wait between the look and the write; otherwise the connection is reset. The lease on orders of endpoints is held only where the configuration lets any be ordered. A request that was admitted for a workspace loses its key also if workspaces end meanwhile. New test: a host that was cut off refuses a key that went meanwhile as soon as it is back (busy, silent and reset connections).

Conclusion: the window is a step of the program, where it was a connection's time.

--- a/src/bankrudder/duties/_duty.py
+++ b/src/bankrudder/duties/_duty.py
@@ -12,6 +12,7 @@
 
 from bankrudder.duties._port import DutyApi, DutyCall, DutyOutcome, DutyTicket
 from bankrudder.leases import Lease
+from bankrudder.store import RowVersion
 from bankrudder.world import Clock, HostId
 
 MAX_CALL_S = 0.8
@@ -83,5 +84,11 @@
         if left_s < MIN_CALL_S:
             return DutyOutcome.NOT_ON_DUTY
         timeout_s = min(MAX_CALL_S, left_s)
-        ticket = DutyTicket(self._host, self._lease.fence, timeout_s)
+        fence = self._lease.fence
+        ticket = DutyTicket(
+            self._host, fence, timeout_s, lambda: self._holds_under(fence)
+        )
         return await self._api.call(call, ticket)
+
+    def _holds_under(self, fence: RowVersion) -> bool:
+        return self._lease.is_valid and self._lease.fence == fence
--- a/src/bankrudder/duties/_port.py
+++ b/src/bankrudder/duties/_port.py
@@ -1,5 +1,6 @@
 """The platform's interface for duties, as the project uses it."""
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
@@ -22,11 +23,15 @@
         Fencing token: grows with each change of the holder.
     timeout_s : float
         Time after which the call must have ended, whatever became of it.
+    is_held : callable
+        Whether the duty is still held: asked right before the call's body is sent, as
+        a host may be frozen or suspended while it connects.
     """
 
     holder: HostId
     fence: RowVersion
     timeout_s: float
+    is_held: Callable[[], bool] = lambda: True
 
 
 class DutyOutcome(Enum):
--- a/src/bankrudder/node/_supply.py
+++ b/src/bankrudder/node/_supply.py
@@ -1,5 +1,6 @@
 """The parts that order endpoints, and the duty of one host to do so."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 from bankrudder.batches import OwnerBook
@@ -29,6 +30,7 @@
         clock: Clock,
     ):
         self.lease = lease
+        self._routes = routes
         duty = Duty(SUPPLY_LEASE, api, lease, settings.host, duties.calls_per_s, clock)
         self._keeper = SupplyKeeper(
             duty, routes, directory, owners, lambda: lease.fence, clock
@@ -36,7 +38,20 @@
 
     def works(self) -> dict[str, Callable[[], Awaitable[None]]]:
         """Return what runs all the time, by its name."""
-        return {"supply lease": self.lease.run, "supply": self._supply}
+        return {"supply lease": self._lease_where_needed, "supply": self._supply}
+
+    async def _lease_where_needed(self) -> None:
+        """Hold or watch the lease once the configuration lets anything be ordered."""
+        while True:
+            if self._is_asked_for():
+                await self.lease.run()
+            await asyncio.sleep(SUPPLY_PAUSE_S)
+
+    def _is_asked_for(self) -> bool:
+        table = self._routes()
+        if table is None:
+            return False
+        return any(each.scaling is not None for each in table.configuration.services)
 
     async def _supply(self) -> None:
         await repeat_on_duty(
--- a/src/bankrudder/platform/_duty_api.py
+++ b/src/bankrudder/platform/_duty_api.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+from collections.abc import AsyncIterator
 
 import aiohttp
 import msgspec
@@ -41,14 +42,16 @@
     async def call(self, call: DutyCall, ticket: DutyTicket) -> DutyOutcome:
         """Make a call."""
         path, body = _wire(call)
+        held = _HeldBody(body, ticket)
         timeout = aiohttp.ClientTimeout(
             total=ticket.timeout_s, sock_connect=CONNECT_TIMEOUT_S
         )
         try:
             async with self._opened().post(
                 self._base + path,
-                data=body,
+                data=held.parts(),
                 headers={
+                    "Content-Length": str(len(body)),
                     names.HOLDER: ticket.holder,
                     names.FENCE: str(ticket.fence),
                     "Content-Type": "application/json",
@@ -59,7 +62,9 @@
                 return _outcome(call, response.status)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return DutyOutcome.REFUSED
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except (aiohttp.ClientError, OSError, TimeoutError, _DutyLostError):
+            if held.was_withheld:
+                return DutyOutcome.NOT_ON_DUTY
             return DutyOutcome.UNKNOWN
 
     def _opened(self) -> aiohttp.ClientSession:
@@ -74,6 +79,32 @@
         return self._session
 
 
+class _DutyLostError(Exception):
+    """The duty was lost between the look at its lease and the sending."""
+
+
+class _HeldBody:
+    """The body of a call, which is sent only while the duty is held."""
+
+    def __init__(self, body: bytes, ticket: DutyTicket):
+        self._body = body
+        self._ticket = ticket
+        self.was_withheld = False
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        """Yield the body; without it the call is not carried out.
+
+        Raises
+        ------
+        _DutyLostError
+            If the duty is not held any more; the connection is then reset.
+        """
+        if not self._ticket.is_held():
+            self.was_withheld = True
+            raise _DutyLostError
+        yield self._body
+
+
 def _resetting_socket(info: aiohttp.AddrInfoType) -> socket.socket:
     family, kind, protocol, _, _ = info
     made = socket.socket(family, kind, protocol)
--- a/src/bankrudder/platform/_front.py
+++ b/src/bankrudder/platform/_front.py
@@ -127,7 +127,7 @@
         admitted = await self._gateway.admit(_key(request), is_public=route.is_public)
         if not isinstance(admitted, Admitted):
             return _response(admitted)
-        if self._gateway.has_workspaces:
+        if self._gateway.has_workspaces or admitted.workspace:
             incoming = _of_workspace(incoming, admitted.workspace)
         match route:
             case Route(kind=RouteKind.ROLLOUT):
--- a/tests/duties/test_duty.py
+++ b/tests/duties/test_duty.py
@@ -65,6 +65,18 @@
     assert api.tickets[0].timeout_s == timeout_s
 
 
+async def test_the_lease_is_asked_again_right_before_the_sending(hand_clock):
+    api = Api()
+    lease = Lease()
+    await duty(api, lease, hand_clock).call(CALL)
+    [ticket] = api.tickets
+    assert ticket.is_held()
+    lease.fence = 9  # lost, and taken again
+    assert not ticket.is_held()
+    lease.fence, lease.left_s = 7, 0.0
+    assert not ticket.is_held()
+
+
 async def test_calls_are_made_one_after_the_other(hand_clock):
     api = Api(takes_s=0.01)
     it = duty(api, Lease(), hand_clock)
--- a/tests/node/test_workspaces.py
+++ b/tests/node/test_workspaces.py
@@ -176,6 +176,20 @@
         assert (await call(shared, "north-2", host=number))[0] == 200
 
 
+@pytest.mark.parametrize("mode", [GateMode.BUSY, GateMode.SILENT, GateMode.RESET])
+async def test_a_host_that_was_cut_off_refuses_the_key_as_soon_as_it_is_back(
+    shared, mode
+):
+    host = shared.hosts[0]
+    host.gate.mode = mode
+    shared.rows.put("op", "config", with_workspaces(3, SOUTH))
+    await asyncio.sleep(1.5)
+    host.gate.mode = GateMode.OPEN
+    await until(lambda: in_force(host) == 3, IN_FORCE_S)
+    assert (await call(shared, "north-1"))[0] == 401
+    assert (await call(shared, "south-1", request_id="q2"))[0] == 200
+
+
 async def test_a_request_in_progress_outlasts_its_key(shared):
     for scorer in shared.scorers:
         scorer.delay_s = 1.0
--- a/tests/platform/test_duty_api.py
+++ b/tests/platform/test_duty_api.py
@@ -59,6 +59,15 @@
     assert asyncio.get_running_loop().time() - began < 1.0
 
 
+async def test_a_duty_that_was_lost_while_connecting_sends_no_call(api, platform):
+    """A host may be frozen after the look at its lease, and another one has it then."""
+    lost = DutyTicket("host-1", 12, 0.3, lambda: False)
+    assert await api.call(REPORT, lost) is DutyOutcome.NOT_ON_DUTY
+    assert platform.calls == []
+    assert platform.usage == {}
+    assert await api.call(REPORT, TICKET) is DutyOutcome.DONE
+
+
 async def test_nobody_listening_means_that_nothing_was_done():
     api = HttpDutyApi(own_address())
     assert await api.call(REPORT, TICKET) is DutyOutcome.REFUSED
