Engines beyond the bounds of orders are not drained for a step's need

Cause: what is found counts for a minute, but was cut to the configuration's bound: where more engines are there than may be ordered, the first order would have drained the rest in the middle of a step.

Change: where what is held is more than the bound, nothing is ordered.

--- a/src/bankrudder/supply/_keeping.py
+++ b/src/bankrudder/supply/_keeping.py
@@ -95,7 +95,9 @@
         wanted = spread_engines(needed, places, unavailable)
         for data_centre, wanted_now in wanted.items():
             subject = _Subject(service.name, data_centre)
-            count = min(self._held_count(subject, wanted_now), scaling.most)
+            count = self._held_count(subject, wanted_now)
+            if count > scaling.most:
+                continue  # an order within the bounds would take some away
             is_so = count == self._ordered.get(subject, self._listed(subject))
             if not is_so and data_centre not in unavailable:
                 await self._order(subject, count, needed)
--- a/tests/supply/test_keeping.py
+++ b/tests/supply/test_keeping.py
@@ -152,6 +152,19 @@
     assert await supply.look() == {}
 
 
+async def test_engines_beyond_the_bounds_are_not_taken_away_at_once(supply):
+    """An order within the bounds would drain what is at work."""
+    for number in range(20):
+        engine = Endpoint(
+            f"m{number}", "engines", f"127.0.0.1:{90 + number}", "north", 8
+        )
+        supply.directory.put(engine)
+    supply.owners.samples = {"m0": 800}
+    assert await supply.look() == {"south": 11}
+    supply.clock.advance(HOLD.total_seconds() + 1)
+    assert await supply.look() == {"north": 11}
+
+
 async def test_without_the_duty_nothing_is_ordered(supply):
     supply.owners.samples = {"m0": 80}
     supply.lease.left_s = 0.0
