Two red tests traced: one waited for too little, the other shows a real delay

test_a_request_that_many_make_does_not_pay_for_a_common_end: cause: it let the endpoints end once each had one of nine requests. A request that is sent at that moment gets 503, truly (run: nine 502 and the late one 503). Ruled out: a refusal for the common end, as the other eight of that run got 502. Change: it waits until all nine are there, the check stays.

test_a_busy_host_is_missed_sooner_than_an_idle_one: cause: one failed call of the watcher to the store starts the silence of all hosts anew. Measured on scratch copies: 0.7 s as it is, 3.5 s with a read that hangs, 3.9 and 5.2 s with a heartbeat's reply that does, where 3 are allowed. Not mended; the test stays as written and listed.

--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -347,7 +347,8 @@
         )
         for host in range(9)
     ]
-    await until(lambda: all(each.busy for each in site.scorers))
+    # One that is still on its way finds nobody, and is truly told that it was not run.
+    await until(lambda: sum(each.busy for each in site.scorers) == len(asked))
     for scorer in site.scorers:
         scorer.crash()
         scorer.delay_s = 0.0
