A heartbeat whose reply hangs is followed by another soon, also on an idle host

Cause: the failure of a heartbeat showed 0.8 s after its sending, when an idle host was already waiting three seconds for the next one; until one is written it takes nobody for dead. Ruled out: the load alone, as one hung reply brings it about on an idle machine.

Change: a failure that shows during the pause shortens it to that of a retry. Test: a heartbeat whose reply hangs, on a host that beats once a minute; it failed before.

--- a/src/bankrudder/presence/_sending.py
+++ b/src/bankrudder/presence/_sending.py
@@ -76,6 +76,7 @@
         self._failures = 0
         self._works_since = 0.0
         self._hurried = asyncio.Event()
+        self._pausing: asyncio.Timeout | None = None
         self._unanswered: set[asyncio.Task[None]] = set()
 
     @property
@@ -111,9 +112,7 @@
                 rhythm = self._rhythm()
                 if rhythm.is_resent and not was_answered:
                     continue
-                with suppress(TimeoutError):
-                    async with asyncio.timeout(self._pause_s(rhythm)):
-                        await self._hurried.wait()
+                await self._pause(rhythm)
         finally:
             for task in self._unanswered:
                 task.cancel()
@@ -132,6 +131,30 @@
         if self._failures and was_written:
             self._works_since = self._clock.monotonic()
         self._failures = 0 if was_written else self._failures + 1
+        if not was_written:
+            self._shorten_pause()
+
+    async def _pause(self, rhythm: Rhythm) -> None:
+        """Wait until the next heartbeat is due."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self._pause_s(rhythm)) as self._pausing:
+                await self._hurried.wait()
+        self._pausing = None
+
+    def _shorten_pause(self) -> None:
+        """Send the next heartbeat soon if a failure shows while it is waited for.
+
+        Until one is written this host takes nobody for dead; an idle one of a large
+        fleet would have waited seconds for the next.
+        """
+        pausing = self._pausing
+        if pausing is None or pausing.expired():
+            return
+        pause_s = self._pause_s(self._rhythm())
+        soon = asyncio.get_running_loop().time() + pause_s
+        due = pausing.when()
+        if due is None or due > soon:
+            pausing.reschedule(soon)
 
     def _pause_s(self, rhythm: Rhythm) -> float:
         """Return the seconds until the next heartbeat."""
--- a/tests/presence/test_sending.py
+++ b/tests/presence/test_sending.py
@@ -85,6 +85,17 @@
         assert written(rows) > 0
 
 
+async def test_a_heartbeat_whose_reply_hangs_is_soon_sent_again(gate, rows, store):
+    # The failure shows only while the host, idle for long, waits for the next one.
+    gate.hang_replies = True
+    async with running(sender_of(store, LONG)) as sender:
+        await until(lambda: written(rows) == 1)
+        gate.hang_replies = False
+        await until(lambda: sender.fails, 3.0)
+        await until(lambda: written(rows) == 2, 3.0)
+        await until(lambda: not sender.fails)
+
+
 async def test_heartbeats_that_are_not_written_come_no_more_often_than_usual(gate):
     store = PlatformStore.from_config(gate.address)
     gate.mode = GateMode.BUSY
