A closed gate of the store's stand-in lets no change through a read that waits

Traced by the host's log: a held read that had arrived before the gate closed was answered with the change 36 ms after it, so the host knew the configuration during the cut and the test went on while its store was still away for it. The 503 (store not reached, come back) was right at that moment. Ruled out: the look's timeout (a second outage after the return: none in the log). Change: the stand-in asks its gate again when a held read ends; the test is unchanged, and waits for what it names.

--- a/tests/outside/store.py
+++ b/tests/outside/store.py
@@ -148,16 +148,8 @@
     async def _handle(self, request):
         body = await request.read()
         self.calls.append((request.method, request.path, dict(request.query)))
-        match self.mode:
-            case GateMode.BUSY:
-                return web.Response(status=503)
-            case GateMode.LIMITED:
-                return web.Response(status=429)
-            case GateMode.SILENT:
-                await asyncio.sleep(60)
-            case GateMode.RESET:
-                request.transport.abort()
-                return web.Response(status=500)
+        if (fault := await self._fault(request)) is not None:
+            return fault
         if self.garbled:
             return web.Response(body=self.garbled)
         name = request.path.removeprefix("/bankrudder/")
@@ -167,13 +159,29 @@
             case "rows-get":
                 return self._read(request.query)
             case "rows-feed":
-                return await self._follow(request.query)
+                reply = await self._follow(request.query)
+                # A gate that closed meanwhile lets no change through either.
+                fault = await self._fault(request)
+                return reply if fault is None else fault
             case "rows-parts":
                 return self._parts(request.query)
             case "blob-put" | "blob-get" | "blob-drop" as call:
                 return self._object(call, name.partition("/")[2], request, body)
         return web.Response(status=404)
 
+    async def _fault(self, request):
+        match self.mode:
+            case GateMode.BUSY:
+                return web.Response(status=503)
+            case GateMode.LIMITED:
+                return web.Response(status=429)
+            case GateMode.SILENT:
+                await asyncio.sleep(60)
+            case GateMode.RESET:
+                request.transport.abort()
+                return web.Response(status=500)
+        return None
+
     async def _commit(self, request, document):
         expectations = [(_key(each), each["ver"]) for each in document["precondition"]]
         puts = [
