Connections that were made before an endpoint's idle time is known are used again

A host made a session for each idle time: a step's whole first burst, on each new owner, was opened under the assumed 3 s, and the session for the learned 9 s knew none of them. Ruled out: streams that aren't read to their end (reuse works within a session); the endpoints' idle time itself (10 s, steps come each 4 s). Change: a session for each service, whose idle time changes with what is learned.

--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -79,10 +79,23 @@
 class _SessionKind(msgspec.Struct, frozen=True):
     """What requests must have in common to use the same connections."""
 
-    idle_s: float
+    service: ServiceName
+    is_kept: bool
     later_run: EndpointRun | None
 
 
+class _Connector(aiohttp.TCPConnector):
+    """Connections whose idle time can change, as it is learned from the first answer.
+
+    A step opens a hundred connections before one is answered; they are kept then. A
+    connector made anew for the learned time would leave them all unused.
+    """
+
+    def keep_idle(self, seconds: float) -> None:
+        """Keep idle connections for so long from now on."""
+        self._keepalive_timeout = seconds
+
+
 class _WireModelState(msgspec.Struct):
     name: str
     version: int = 0
@@ -107,6 +120,7 @@
 
     def __init__(self) -> None:
         self._sessions: dict[_SessionKind, aiohttp.ClientSession] = {}
+        self._connectors: dict[_SessionKind, _Connector] = {}
         self._later_runs: dict[Address, EndpointRun] = {}
         self._runs: dict[Address, EndpointRun] = {}
         self._closing: set[asyncio.Task[None]] = set()
@@ -179,8 +193,7 @@
     async def state(self, endpoint: Endpoint) -> EngineState | None:
         """Ask an engine for its state, None if it does not tell."""
         try:
-            idle_s = self._idle_s.get(endpoint.service, IDLE_S)
-            async with self._session(idle_s, endpoint).get(
+            async with self._session(endpoint).get(
                 _url(endpoint, names.STATE_PATH),
                 headers={names.EXPECTED_ENDPOINT: endpoint.id},
                 timeout=aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S),
@@ -220,8 +233,7 @@
         try:
             # On a connection that the endpoint is closing the outcome is unknown, which
             # the count of orders settles; a new one for each order costs more.
-            idle_s = self._idle_s.get(endpoint.service, IDLE_S)
-            async with self._session(idle_s, endpoint).post(
+            async with self._session(endpoint).post(
                 _url(endpoint, names.ORDERS_PATH),
                 data=msgspec.json.encode(body),
                 headers={
@@ -239,10 +251,7 @@
             return OrderOutcome.UNKNOWN
 
     def _request(self, endpoint: Endpoint, request: OutgoingRequest) -> Any:
-        idle_s = self._idle_s.get(endpoint.service, IDLE_S)
-        return self._session(
-            idle_s if request.may_reuse_connection else NOT_KEPT, endpoint
-        ).request(
+        return self._session(endpoint, request.may_reuse_connection).request(
             request.method,
             _url(endpoint, request.target),
             headers=request_headers(endpoint, request),
@@ -254,11 +263,20 @@
             ),
         )
 
-    def _session(self, idle_s: float, endpoint: Endpoint) -> aiohttp.ClientSession:
+    def _session(
+        self, endpoint: Endpoint, may_reuse: bool = True
+    ) -> aiohttp.ClientSession:
         # Sessions are made here because they need the running loop.
-        kind = _SessionKind(idle_s, self._later_run(endpoint))
+        service = endpoint.service
+        idle_s = self._idle_s.get(service, IDLE_S) if may_reuse else NOT_KEPT
+        is_kept = idle_s > NOT_KEPT
+        kind = _SessionKind(service, is_kept, self._later_run(endpoint))
         if kind not in self._sessions:
-            self._sessions[kind] = _new_session(idle_s)
+            connector = _Connector(limit=0, force_close=not is_kept)
+            self._connectors[kind] = connector
+            self._sessions[kind] = _new_session(connector)
+        if is_kept:
+            self._connectors[kind].keep_idle(idle_s)
         return self._sessions[kind]
 
     def _later_run(self, endpoint: Endpoint) -> EndpointRun | None:
@@ -281,6 +299,7 @@
         if run is None:
             return
         for kind in [each for each in self._sessions if each.later_run == run]:
+            del self._connectors[kind]
             closing = asyncio.ensure_future(self._sessions.pop(kind).close())
             self._closing.add(closing)
             closing.add_done_callback(self._closing.discard)
@@ -327,12 +346,7 @@
     return None
 
 
-def _new_session(idle_s: float) -> aiohttp.ClientSession:
-    connector = (
-        aiohttp.TCPConnector(limit=0, keepalive_timeout=idle_s)
-        if idle_s > NOT_KEPT
-        else aiohttp.TCPConnector(limit=0, force_close=True)
-    )
+def _new_session(connector: aiohttp.BaseConnector) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
