Samples go to engines with an idle connection, among those about as quick

Engines are hardly slower with seven samples than with one. Change: the order of engines is a pure module, scheduling/_placement, with the idle connections of this host in it; they are counted, as each serves one request at a time, also for requests to plain services.

--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -9,7 +9,7 @@
 from bankrudder.batches._values import GroupId, SampleId
 from bankrudder.fleet import EndpointDirectory, EndpointRun, TrackedEndpoint
 from bankrudder.routing import ModelName, ServiceName
-from bankrudder.scheduling import is_worth_moving
+from bankrudder.scheduling import EngineView, is_worth_moving, placement_order
 from bankrudder.world import Clock, DataCentreName, ModelVersion
 
 RECHECK_S = 0.05
@@ -25,11 +25,6 @@
 shows whether it is back. It comes last and is never moved to, as a sample on an engine
 that is dark waits for a second or more."""
 
-SAME_GROUP_FACTOR = 1.2
-"""How much slower an engine may be and still be taken because it has read the
-group's prompt."""
-
-
 RESERVED_EVENTS = 8
 """Events of its engine for which a slot is kept for a running sample that would gain by
 moving: two of its looks, so that it finds the slot also where events are slow."""
@@ -172,6 +167,7 @@
                 continue
             target.in_flight += 1
             target.suspects += demand.is_suspect
+            target.take_connection()
             self._reserved.pop(demand.sample, None)
             self._count_group(demand.group, target.run, 1)
             request.granted.set_result(target)
@@ -186,18 +182,22 @@
             return None
         known = sorted(each.event_gap_s for each in free if each.event_gap_s)
         usual_s = known[len(known) // 2] if known else 1.0
-        return min(free, key=lambda each: self._rating(each, demand.group, usual_s))
+        return min(
+            free,
+            key=lambda each: placement_order(self._view(each, demand.group, usual_s)),
+        )
 
-    def _rating(
+    def _view(
         self, each: TrackedEndpoint, group: GroupId, usual_s: float
-    ) -> tuple[bool, bool, float, float]:
-        gap_s = each.event_gap_s or usual_s
-        if (group, each.run) in self._group_homes:
-            gap_s /= SAME_GROUP_FACTOR
-        occupied = each.in_flight / each.endpoint.slots
-        # Within a tenth engines count as equally quick, and the emptier one goes.
-        rating = round(10 * gap_s / usual_s) + 3 * occupied
-        return (not each.is_trusted, each.suspects > 0, rating, occupied)
+    ) -> EngineView:
+        return EngineView(
+            pace=(each.event_gap_s or usual_s) / usual_s,
+            occupied=each.in_flight / each.endpoint.slots,
+            is_home=(group, each.run) in self._group_homes,
+            is_connected=each.is_connected(self._clock.monotonic()),
+            is_trusted=each.is_trusted,
+            has_suspects=each.suspects > 0,
+        )
 
     def _usable(self, demand: SlotDemand) -> list[TrackedEndpoint]:
         """Return the engines that take samples of a demand, full or not."""
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -221,6 +221,9 @@
             match outcome:
                 case OpenedStream(version=version, events=events):
                     await self._take_stream(target, demand, version, events)
+                    if self._text.is_whole:
+                        now = self._clock.monotonic()
+                        target.note_connection(outcome.kept_s, now)
                 case Refused(reason=RefusalReason.FULL):
                     self._dispatcher.pause(target, self._batch.model)
                 case Refused(reason=reason):
--- a/src/bankrudder/fleet/_sending.py
+++ b/src/bankrudder/fleet/_sending.py
@@ -151,13 +151,15 @@
     """The endpoint answers with events.
 
     ``events`` raises `StreamBrokenError`; it ends by itself only after the last
-    event. ``version`` is that of the weights at the first event.
+    event. ``version`` is that of the weights at the first event. ``kept_s`` tells for
+    how many seconds the connection is kept after the last event, 0 if it is closed.
     """
 
     status: int
     headers: Headers
     version: ModelVersion | None
     events: AsyncIterator[StreamEvent]
+    kept_s: float = 0.0
 
 
 StreamOutcome = OpenedStream | Answered | Refused | Lost
--- a/src/bankrudder/fleet/_tracked.py
+++ b/src/bankrudder/fleet/_tracked.py
@@ -1,5 +1,6 @@
 """What this process knows of one run of an endpoint, beside what the platform lists."""
 
+from collections import deque
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 
@@ -25,6 +26,10 @@
 LOAD_AGE_S = 1.0
 """Age in seconds after which a reported load says nothing any more."""
 
+MAX_IDLE_KNOWN = 64
+"""Idle connections to an endpoint that are counted: more than one host's samples there
+at once."""
+
 
 class TrackedEndpoint:
     """One run of an endpoint: its entry, the requests here, and how they went.
@@ -50,7 +55,7 @@
         self._event_gap_s: float | None = None
         self._load: ReportedLoad | None = None
         self._load_at = 0.0
-        self._connected_until = 0.0
+        self._idle_until: deque[float] = deque(maxlen=MAX_IDLE_KNOWN)
         self._failures = 0
         self._suspended_until = 0.0
         self._is_listed = True
@@ -122,8 +127,10 @@
         return now < self._suspended_until
 
     def is_connected(self, now: float) -> bool:
-        """Whether a connection for further requests should be open here."""
-        return now < self._connected_until
+        """Whether a connection should be open and idle here."""
+        while self._idle_until and self._idle_until[0] <= now:
+            self._idle_until.popleft()
+        return bool(self._idle_until)
 
     def others_load(self, now: float) -> int:
         """Return the requests of other hosts that it reported lately."""
@@ -139,6 +146,7 @@
         """Count a request of this host; return what is to be called at its end."""
         self.in_flight += 1
         self.suspects += is_suspect
+        self.take_connection()
 
         def leave() -> None:
             self.in_flight -= 1
@@ -203,9 +211,15 @@
         self.note_alive()
         self._latency_s = _mean(self._latency_s, latency_s)
 
-    def note_connection(self, kept_until: float) -> None:
-        """Note until when the connection of an answer is kept for further requests."""
-        self._connected_until = max(self._connected_until, kept_until)
+    def note_connection(self, kept_s: float, now: float) -> None:
+        """Note for how long the connection of an answer is kept, 0 if it is closed."""
+        if kept_s > 0:
+            self._idle_until.append(now + kept_s)
+
+    def take_connection(self) -> None:
+        """Note that a request takes an idle connection if there is one."""
+        if self._idle_until:
+            self._idle_until.popleft()
 
     def note_alive(self) -> None:
         """Note a sign of life, such as the first event of a stream."""
@@ -224,7 +238,7 @@
     def note_failure(self, now: float) -> float:
         """Note that no answer came; return for how long it is left out."""
         self._failures += 1
-        self._connected_until = 0.0
+        self._idle_until.clear()
         seconds: float = min(
             FIRST_SUSPENSION_S * 2 ** (self._failures - 1), MAX_SUSPENSION_S
         )
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -18,6 +18,7 @@
     EngineState,
     LossReason,
     Lost,
+    OpenedStream,
     OrderOutcome,
     OutgoingRequest,
     Reach,
@@ -164,6 +165,9 @@
             response = await self._request(endpoint, request)
             self._learn_idle_time(endpoint, response)
             outcome = await stream_outcome(response, request)
+            if isinstance(outcome, OpenedStream):
+                kept_s = self._kept_s(endpoint, request, response)
+                outcome = msgspec.structs.replace(outcome, kept_s=kept_s)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             outcome = Refused(_unreached(error))
         except TimeoutError:
--- a/src/bankrudder/relay/_outcomes.py
+++ b/src/bankrudder/relay/_outcomes.py
@@ -33,7 +33,7 @@
             if outcome.load is not None:
                 target.note_load(outcome.load, now)
             target.note_answer(now - began)
-            target.note_connection(now + outcome.kept_s)
+            target.note_connection(outcome.kept_s, now)
         case Refused(reason=RefusalReason.FULL):
             if outcome.load is not None:
                 target.note_load(outcome.load, now)
--- a/src/bankrudder/scheduling/__init__.py
+++ b/src/bankrudder/scheduling/__init__.py
@@ -12,6 +12,11 @@
     choose_loads,
 )
 from bankrudder.scheduling._moves import is_worth_moving
+from bankrudder.scheduling._placement import (
+    EngineView,
+    PlacementOrder,
+    placement_order,
+)
 from bankrudder.scheduling._ranking import Rank, TokenPace, sample_ranks
 from bankrudder.scheduling._supply import (
     HeldNeed,
@@ -23,9 +28,11 @@
 __all__ = [
     "ChosenLoad",
     "EngineLoad",
+    "EngineView",
     "HeldNeed",
     "ModelDemand",
     "PlacePrice",
+    "PlacementOrder",
     "Rank",
     "TokenPace",
     "assign_engines",
@@ -33,6 +40,7 @@
     "engines_needed",
     "followed_models",
     "is_worth_moving",
+    "placement_order",
     "sample_ranks",
     "spread_engines",
 ]
--- a/tests/batches/test_dispatcher.py
+++ b/tests/batches/test_dispatcher.py
@@ -69,6 +69,22 @@
     assert await granted(second) == [name]
 
 
+async def test_a_sample_takes_a_connection_that_is_there(
+    dispatcher, directory, hand_clock
+):
+    directory.get("b").note_connection(9.0, hand_clock.monotonic())
+    first, second = asked(dispatcher, group="g1"), asked(dispatcher, group="g2")
+    assert await granted(first, second) == ["b", "a"]
+
+
+async def test_an_idle_connection_is_no_reason_once_its_time_is_over(
+    dispatcher, directory, hand_clock
+):
+    directory.get("b").note_connection(9.0, hand_clock.monotonic())
+    hand_clock.advance(9.0)
+    assert await granted(asked(dispatcher)) == ["a"]
+
+
 async def test_a_slower_engine_is_taken_only_when_the_quick_one_is_full(
     dispatcher, directory
 ):
--- a/tests/fleet/test_choice.py
+++ b/tests/fleet/test_choice.py
@@ -75,7 +75,7 @@
             now = hand_clock.monotonic()
             opened += not target.is_connected(now)
             target.note_answer(0.2)
-            target.note_connection(now + KEPT_S)
+            target.note_connection(KEPT_S, now)
         hand_clock.advance(1.0)
     assert opened == HOSTS
     # The hosts draw their endpoints, so none gets far more than its part.
@@ -88,7 +88,7 @@
         target = host.choose("s")
         target.in_flight += 1
         target.note_answer(0.2)
-        target.note_connection(hand_clock.monotonic() + KEPT_S)
+        target.note_connection(KEPT_S, hand_clock.monotonic())
     busiest = max(each.in_flight for each in host.all())
     assert busiest <= 5
 
@@ -96,10 +96,10 @@
 def test_a_connection_that_was_closed_or_broken_does_not_count(hand_clock):
     host = make_host(hand_clock, 1)
     target = host.choose("s")
-    target.note_connection(hand_clock.monotonic() + KEPT_S)
+    target.note_connection(KEPT_S, hand_clock.monotonic())
     assert target.is_connected(hand_clock.monotonic())
     hand_clock.advance(KEPT_S)
     assert not target.is_connected(hand_clock.monotonic())
-    target.note_connection(hand_clock.monotonic() + KEPT_S)
+    target.note_connection(KEPT_S, hand_clock.monotonic())
     target.note_failure(hand_clock.monotonic())
     assert not target.is_connected(hand_clock.monotonic())
