An engine that was moved after it was found gets no sample

Cause, by reading: a found engine is kept for 0.05 s, and its entry may give it another data centre or service meanwhile; samples run only where they may. Change: both are asked each time. The new tests fail without it (both).

--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -222,8 +222,12 @@
 
     def _is_usable(self, each: TrackedEndpoint, demand: SlotDemand, now: float) -> bool:
         """Whether an engine with fresh enough weights takes samples at the moment."""
+        endpoint = each.endpoint
         return (
             each.takes_work
+            # Its entry may have moved it since it was found.
+            and endpoint.service == demand.service
+            and (not demand.data_centres or endpoint.data_centre in demand.data_centres)
             and not each.is_suspended(now)
             and not (demand.is_suspect and each.suspects)
             and self._paused.get((each.run, demand.model), 0.0) <= now
--- a/tests/batches/test_dispatcher.py
+++ b/tests/batches/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from bankrudder.batches._dispatcher import (
@@ -104,6 +105,18 @@
     assert await granted(asked(dispatcher), asked(dispatcher)) == ["b", "b"]
 
 
+@pytest.mark.parametrize("moved", [{"service": "t"}, {"data_centre": "south"}])
+async def test_an_engine_that_was_moved_gets_nothing_from_that_moment_on(
+    dispatcher, directory, moved
+):
+    wanted = SlotDemand("x", (0.0,), "s", "m", 1, "g", ("north",))
+    assert (await dispatcher.acquire(wanted)).endpoint.id == "a"
+    entry = directory.get("a").endpoint
+    directory.put(msgspec.structs.replace(entry, **moved))
+    for _ in range(2):
+        assert (await dispatcher.acquire(wanted)).endpoint.id == "b"
+
+
 async def test_an_engine_that_comes_is_found_with_the_next_search(
     dispatcher, directory, hand_clock
 ):
