Usage that was counted before the first holder of the duty looked is reported

Cause: a host that holds the duty of usage reports as the first of all began with the window of its look, or the oldest of which counts were kept. Counts that another host had not kept yet (up to 0.5 s, longer before many hosts) of a window that had just ended were never reported. A first holder whose time of day was ahead skipped windows as well.

Ruled out: the counts' writes and reads, the settled body (their tests hold).

Change: a first holder begins with the oldest window whose report is not late yet. Windows in which nothing ran before its first look are passed over, as before.

Tests: two failed before (counts that come after the first look; the oldest window in time).

--- a/src/bankrudder/usage/_reporting.py
+++ b/src/bankrudder/usage/_reporting.py
@@ -51,6 +51,7 @@
         self._read_under: RowVersion | None = None
         self._unsent: list[KeptReport] = []
         self._next = UsageWindow(0)
+        self._first_full = UsageWindow(0)
         self._cleaned_at = UsageWindow(0)
 
     async def look(self) -> None:
@@ -88,9 +89,7 @@
         if reports:
             self._next = UsageWindow(reports[-1].window + 1)
         else:
-            current = self._terms.window_at(self._time.now())
-            counted = await self._rows.counted()
-            self._next = min([*counted, current])
+            await self._begin()
         self._read_under = fence
         _log.info(
             "usage: duty taken",
@@ -99,6 +98,17 @@
             unsent=[each.window for each in self._unsent],
         )
 
+    async def _begin(self) -> None:
+        """Begin as the first holder of all.
+
+        Other hosts may have counted before and not kept it yet, so windows whose
+        reports are still in time are looked at too.
+        """
+        now = self._time.now()
+        counted = await self._rows.counted()
+        self._next = min([*counted, self._terms.oldest_in_time(now)])
+        self._first_full = self._terms.window_at(now)
+
     def _should_report_next(self) -> bool:
         return self._terms.should_report(
             self._next,
@@ -113,6 +123,11 @@
 
     async def _settle_next(self) -> None:
         counts = await self._rows.counts(self._next)
+        if not counts and self._next < self._first_full:
+            # Nothing has run yet: the service may not even have been there.
+            self._next = UsageWindow(self._next + 1)
+            return
+        self._first_full = UsageWindow(0)
         is_complete = self._is_next_complete()
         report = await self._rows.settle(self._next, counts)
         late_s = self._time.now() - self._terms.end_of(self._next)
--- a/src/bankrudder/usage/_windows.py
+++ b/src/bankrudder/usage/_windows.py
@@ -38,6 +38,10 @@
         """Return the end of a window, in seconds since the Unix epoch."""
         return (window + 1) * self.length.total_seconds()
 
+    def oldest_in_time(self, true_time_s: float) -> UsageWindow:
+        """Return the oldest window whose report is not late yet."""
+        return self.window_at(true_time_s - self.due.total_seconds())
+
     def should_report(
         self, window: UsageWindow, true_time_s: float, *, is_everyone_heard: bool
     ) -> bool:
--- a/tests/usage/test_reporting.py
+++ b/tests/usage/test_reporting.py
@@ -204,6 +204,24 @@
     assert min(reporting.platform.taken) == reporting.first - 2
 
 
+async def test_counts_that_a_first_holder_finds_late_are_reported(reporting):
+    first = reporting.first
+    reporting.clock.advance(TERMS.end_of(first) - reporting.clock.wall() + 0.1)
+    await reporting.look("a")
+    await reporting.count(first, north=3)
+    reporting.clock.advance(9.0)
+    await reporting.look("a")
+    assert reporting.platform.taken == {first: {"north": 3}, first + 1: {}}
+
+
+async def test_windows_before_anything_ran_are_not_reported(reporting):
+    first = reporting.first
+    await reporting.look("a")
+    reporting.clock.advance(20.0)
+    await reporting.look("a")
+    assert min(reporting.platform.taken) == first
+
+
 async def test_all_that_an_outage_held_up_goes_out_after_it(reporting):
     first = reporting.first
     await reporting.look("a")
--- a/tests/usage/test_windows.py
+++ b/tests/usage/test_windows.py
@@ -53,3 +53,12 @@
     window = terms.window_at(1_700_000_000.0)
     assert terms.should_report(window, end + 4.1 * factor, is_everyone_heard=True)
     assert not terms.should_report(window, end + 3.9 * factor, is_everyone_heard=True)
+
+
+@pytest.mark.parametrize("factor", [0.25, 1.0, 4.0])
+@pytest.mark.parametrize("moment", [1_700_000_000.0, 1_700_000_004.9])
+def test_the_oldest_window_in_time_is_not_due_yet_and_the_one_before_is(moment, factor):
+    terms = UsageTerms(timedelta(seconds=5), timedelta(seconds=10 * factor))
+    oldest = terms.oldest_in_time(moment)
+    assert terms.end_of(oldest) + 10 * factor > moment
+    assert terms.end_of(oldest - 1) + 10 * factor <= moment
