Usage: a request that ends late no longer replaces its window's counts; ends are noted

Cause 1: a host forgot what it had counted in a window as soon as it wrote a later one. A request that began in the earlier window and ended after that write was counted alone, and its row replaced the whole one of its window: all others of the host were lost from the report. Change: counts and rows' versions are kept until the window's report is due.

Cause 2: a report that the platform took, and whose end the store did not note for 2.5 s, stayed 'settled' until another host took the duty over; its counts stayed in the store. Change: the note is made again at the next look.

Tests: four failed before.

--- a/src/bankrudder/usage/_counting.py
+++ b/src/bankrudder/usage/_counting.py
@@ -40,6 +40,10 @@
         """Take a window for changed again: its counts were not kept."""
         self._changed.add(window)
 
+    def oldest_in_time(self) -> UsageWindow:
+        """Return the oldest window whose report is not late yet."""
+        return self._terms.oldest_in_time(self._time.now())
+
     def forget_before(self, window: UsageWindow) -> None:
         """Drop the counts of older windows that are kept elsewhere."""
         for old in [each for each in self._counts if each < window]:
--- a/src/bankrudder/usage/_keeping.py
+++ b/src/bankrudder/usage/_keeping.py
@@ -244,8 +244,17 @@
                 return
             self._versions[window] = version
         if changed:
-            self._book.forget_before(changed[-1])
-            self._versions = {changed[-1]: self._versions[changed[-1]]}
+            self._forget(self._book.oldest_in_time())
+
+    def _forget(self, window: UsageWindow) -> None:
+        """Drop what is known of older windows: their reports have been made.
+
+        A request counts in the window in which it began, also when it ends after later
+        windows were written, and its window is then written whole again.
+        """
+        self._book.forget_before(window)
+        kept = {each: at for each, at in self._versions.items() if each >= window}
+        self._versions = kept
 
 
 def _report_key(window: UsageWindow) -> RowKey:
--- a/src/bankrudder/usage/_reporting.py
+++ b/src/bankrudder/usage/_reporting.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import msgspec
 import structlog
 
 from bankrudder.duties import Duty, DutyOutcome, UsageReport, UsageWindow
@@ -20,6 +21,13 @@
 _log = structlog.get_logger("usage")
 
 
+class _Ended(msgspec.Struct, frozen=True):
+    """A report to which the platform gave its answer."""
+
+    report: KeptReport
+    is_rejected: bool
+
+
 class UsageReporter:
     """Reports one window after the other, the oldest first, each once.
 
@@ -50,6 +58,7 @@
         self._is_everyone_heard = is_everyone_heard
         self._read_under: RowVersion | None = None
         self._unsent: list[KeptReport] = []
+        self._unnoted: list[_Ended] = []
         self._next = UsageWindow(0)
         self._first_full = UsageWindow(0)
         self._cleaned_at = UsageWindow(0)
@@ -71,11 +80,13 @@
     async def _look(self) -> None:
         if self._read_under != self._fence():
             await self._read()
+        await self._note_ended()
         while self._duty.is_held:
             if self._unsent:
                 if not await self._send(self._unsent[0]):
                     return
                 self._unsent.pop(0)
+                await self._note_ended()
             elif self._should_report_next():
                 await self._settle_next()
             else:
@@ -86,6 +97,7 @@
         fence = self._fence()
         reports = await self._rows.reports()
         self._unsent = [each for each in reports if not each.row.is_done]
+        self._unnoted.clear()
         if reports:
             self._next = UsageWindow(reports[-1].window + 1)
         else:
@@ -157,9 +169,22 @@
         is_rejected = outcome is DutyOutcome.REJECTED
         if is_rejected:
             _log.error("usage: report rejected for good", window=report.window)
-        try:
-            await self._rows.note_done(report, is_rejected=is_rejected)
-        except (StoreUnavailableError, NotSettledError):
-            # Whoever holds the duty next sends the very same again, which is harmless.
-            _log.warning("usage: report made and not noted", window=report.window)
+        self._unnoted.append(_Ended(report, is_rejected))
         return True
+
+    async def _note_ended(self) -> None:
+        """Note in the store which reports are through, those that it took no note of.
+
+        Until then whoever holds the duty next sends the very same again, which is
+        harmless.
+        """
+        while self._unnoted:
+            ended = self._unnoted[0]
+            try:
+                await self._rows.note_done(ended.report, is_rejected=ended.is_rejected)
+            except (StoreUnavailableError, NotSettledError):
+                _log.warning(
+                    "usage: report made and not noted", window=ended.report.window
+                )
+                return
+            self._unnoted.pop(0)
--- a/tests/usage/test_keeping.py
+++ b/tests/usage/test_keeping.py
@@ -1,13 +1,24 @@
 """Rows of usage: each run of a host writes its own, a report's body never changes."""
 
+from datetime import timedelta
+
 import pytest
 
 from bankrudder.store import ABSENT, StoreUnavailableError
-from bankrudder.usage import UsageRows
+from bankrudder.usage import (
+    StoreClock,
+    TrueTime,
+    UsageBook,
+    UsageKeeper,
+    UsageRows,
+    UsageTerms,
+)
 from bankrudder.world import SystemClock
+from hand_clock import HandClock
 from outside.store import GateMode
 
 WINDOW = 340_000_000
+TERMS = UsageTerms(timedelta(seconds=5), timedelta(seconds=10))
 
 
 @pytest.fixture
@@ -68,6 +79,56 @@
     assert [each.window for each in await usage.reports()] == [WINDOW + 3, WINDOW + 4]
 
 
+@pytest.fixture
+def clock():
+    return HandClock()
+
+
+@pytest.fixture
+def book(clock):
+    return UsageBook(TERMS, TrueTime(StoreClock(clock), list, clock))
+
+
+@pytest.fixture
+def keeper(book, usage):
+    return UsageKeeper(book, usage, "a", "1", lambda: 1)
+
+
+async def test_a_request_that_ends_late_is_added_to_its_window(
+    keeper, book, usage, clock
+):
+    # Began in the window before those that are written while it runs.
+    window = TERMS.window_at(clock.wall())
+    slow_began = clock.monotonic()
+    for _ in range(3):
+        book.note_begun("north", clock.monotonic())
+    await keeper.keep()
+    clock.advance(5.0)
+    book.note_begun("north", clock.monotonic())
+    await keeper.keep()
+    clock.advance(1.0)
+    book.note_begun("south", clock.monotonic())
+    await keeper.keep()
+    book.note_begun("north", slow_began)
+    await keeper.keep()
+    assert await usage.counts(window) == {"north": 4}
+    assert await usage.counts(window + 1) == {"north": 1, "south": 1}
+
+
+async def test_a_keeper_forgets_windows_whose_reports_have_been_made(
+    keeper, book, clock
+):
+    window = TERMS.window_at(clock.wall())
+    for _ in range(10):
+        book.note_begun("north", clock.monotonic())
+        await keeper.keep()
+        clock.advance(5.0)
+    book.note_begun("north", clock.monotonic())
+    await keeper.keep()
+    assert [book.take(window + k) for k in range(8)] == [{}] * 8
+    assert book.take(window + 9) == {"north": 1}
+
+
 async def test_without_the_store_nothing_is_taken_for_kept(usage, gate):
     gate.mode = GateMode.BUSY
     with pytest.raises(StoreUnavailableError):
--- a/tests/usage/test_reporting.py
+++ b/tests/usage/test_reporting.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bankrudder.duties import Duty, DutyOutcome
-from bankrudder.store import ABSENT
+from bankrudder.store import ABSENT, StoreTrouble, StoreUnavailableError
 from bankrudder.usage import (
     StoreClock,
     TrueTime,
@@ -261,6 +261,29 @@
     assert sorted(reporting.platform.taken)[:3] == [first, first + 1, first + 2]
 
 
+async def store_is_busy(*_, **__):
+    raise StoreUnavailableError(StoreTrouble.BUSY)
+
+
+@pytest.mark.parametrize("outcome", [DutyOutcome.DONE, DutyOutcome.REJECTED])
+async def test_a_report_whose_end_the_store_did_not_note_is_noted_later(
+    reporting, monkeypatch, outcome
+):
+    first = reporting.first
+    await reporting.look("a")
+    reporting.clock.advance(TERMS.end_of(first) - reporting.clock.wall() + 4.1)
+    reporting.platform.outcomes = [outcome]
+    with monkeypatch.context() as patched:
+        patched.setattr(reporting.rows, "note_done", store_is_busy)
+        await reporting.look("a")
+    assert not (await reporting.rows.reports())[0].row.is_done
+    await reporting.look("a")
+    kept = (await reporting.rows.reports())[0].row
+    assert kept.is_done
+    assert kept.is_rejected is (outcome is DutyOutcome.REJECTED)
+    assert len(reporting.platform.calls) == 1
+
+
 async def test_a_report_in_the_last_moment_of_the_lease_is_not_sent(reporting):
     await reporting.look("a")
     reporting.clock.advance(20.0)
