Moves only: the order of samples knows no batches; ids of samples and groups in world

Cause: scheduling/_ranking took a Batch and so imported batches, which import scheduling: a circle hidden behind TYPE_CHECKING. Now it takes what it needs of a sample (a protocol) and the number of groups that are waited for. No change of behaviour; its tests pass as they were, but for how they hand over a batch.

--- a/src/bankrudder/batches/__init__.py
+++ b/src/bankrudder/batches/__init__.py
@@ -10,12 +10,10 @@
 from bankrudder.batches._values import (
     Batch,
     BatchId,
-    GroupId,
     ResultPage,
     ResultState,
     RewardCall,
     Sample,
-    SampleId,
     SampleResult,
 )
 
@@ -27,14 +25,12 @@
     "BatchService",
     "CLEANING_PAUSE_S",
     "Cleaner",
-    "GroupId",
     "OwnerBook",
     "ProgressStore",
     "ResultPage",
     "ResultState",
     "RewardCall",
     "Sample",
-    "SampleId",
     "SampleResult",
     "Scorer",
     "UnknownBatchError",
--- a/src/bankrudder/batches/_carried.py
+++ b/src/bankrudder/batches/_carried.py
@@ -8,8 +8,9 @@
 
 from collections import deque
 
-from bankrudder.batches._values import Batch, BatchId, SampleId
+from bankrudder.batches._values import Batch, BatchId
 from bankrudder.routing import ModelName
+from bankrudder.world import SampleId
 
 REMEMBERED_BATCHES = 6
 """Batches of a model whose samples are remembered; groups come again two or three
--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -6,11 +6,10 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from bankrudder.batches._values import GroupId, SampleId
 from bankrudder.fleet import EndpointDirectory, EndpointRun, TrackedEndpoint
 from bankrudder.routing import ModelName, ServiceName
 from bankrudder.scheduling import EngineView, is_worth_moving, placement_order
-from bankrudder.world import Clock, DataCentreName, ModelVersion
+from bankrudder.world import Clock, DataCentreName, GroupId, ModelVersion, SampleId
 
 RECHECK_S = 0.05
 """While samples wait, the engines are looked at this often, for changes that no
--- a/src/bankrudder/batches/_loading.py
+++ b/src/bankrudder/batches/_loading.py
@@ -16,11 +16,11 @@
     Batch,
     BatchId,
     Progress,
-    SampleId,
     SampleResult,
 )
 from bankrudder.routing import Route, RouteKind, RoutingTable
 from bankrudder.store import StoreUnavailableError
+from bankrudder.world import SampleId
 
 RELOAD_PAUSE_S = 0.2
 """Pause after a batch could not be read from the store."""
--- a/src/bankrudder/batches/_progress.py
+++ b/src/bankrudder/batches/_progress.py
@@ -11,7 +11,7 @@
 import structlog
 
 from bankrudder.batches._repository import MAX_TRANSACTION_BYTES, ROW_MARGIN_BYTES
-from bankrudder.batches._values import Progress, SampleId
+from bankrudder.batches._values import Progress
 from bankrudder.routing import ModelName
 from bankrudder.store import (
     MAX_TRANSACTION_ROWS,
@@ -22,6 +22,7 @@
     Transaction,
     read_all,
 )
+from bankrudder.world import SampleId
 
 PROGRESS_TABLE = "progress"
 
--- a/src/bankrudder/batches/_reading.py
+++ b/src/bankrudder/batches/_reading.py
@@ -10,10 +10,9 @@
     BatchId,
     ResultPage,
     Sample,
-    SampleId,
 )
 from bankrudder.store import StoreUnavailableError
-from bankrudder.world import Clock, WorkspaceName
+from bankrudder.world import Clock, SampleId, WorkspaceName
 
 Kept = TypeVar("Kept")
 
--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -21,7 +21,6 @@
     Progress,
     ResultState,
     Sample,
-    SampleId,
     SampleResult,
 )
 from bankrudder.crashes import CrashGuard
@@ -30,7 +29,7 @@
 from bankrudder.routing import Route
 from bankrudder.scheduling import TokenPace, sample_ranks
 from bankrudder.store import NotSettledError, RowVersion, StoreUnavailableError
-from bankrudder.world import Clock
+from bankrudder.world import Clock, SampleId
 
 SAVE_PAUSE_S = 0.4
 """Pause between two savings of progress: a new owner repeats at most this much of
@@ -97,7 +96,11 @@
         self._results: asyncio.Queue[SampleResult] = asyncio.Queue()
         done = {result.id for result in listed}
         ranks = sample_ranks(
-            batch, carried | progress.keys(), clock.monotonic(), pace.seconds
+            batch.samples,
+            batch.target_groups,
+            carried | progress.keys(),
+            clock.monotonic(),
+            pace.seconds,
         )
         self._pace = pace
         self._generators = [
--- a/src/bankrudder/batches/_values.py
+++ b/src/bankrudder/batches/_values.py
@@ -10,13 +10,13 @@
 from bankrudder.world import (
     NO_WORKSPACE,
     DataCentreName,
+    GroupId,
     ModelVersion,
+    SampleId,
     WorkspaceName,
 )
 
 BatchId = NewType("BatchId", str)
-SampleId = NewType("SampleId", str)
-GroupId = NewType("GroupId", str)
 
 
 class RewardCall(msgspec.Struct, frozen=True):
--- a/src/bankrudder/node/_gateway.py
+++ b/src/bankrudder/node/_gateway.py
@@ -12,7 +12,6 @@
     BatchRepository,
     BatchService,
     ResultPage,
-    SampleId,
 )
 from bankrudder.node._instruments import Instruments
 from bankrudder.node._latest_keys import LatestKeys
@@ -33,7 +32,7 @@
 from bankrudder.routing import Route, RoutingTable
 from bankrudder.store import NotSettledError, StoreUnavailableError
 from bankrudder.workspaces import Admitted, ApiKey, Denial, Refusal
-from bankrudder.world import NO_WORKSPACE, Clock, WorkspaceName
+from bankrudder.world import NO_WORKSPACE, Clock, SampleId, WorkspaceName
 
 STORE_RETRY_AFTER_S = 0.5
 """When to come back while the store gives no result here: another host may reach
--- a/src/bankrudder/platform/_batch_documents.py
+++ b/src/bankrudder/platform/_batch_documents.py
@@ -8,16 +8,20 @@
 from bankrudder.batches import (
     Batch,
     BatchId,
-    GroupId,
     ResultPage,
     ResultState,
     RewardCall,
     Sample,
-    SampleId,
 )
 from bankrudder.platform import _names as names
 from bankrudder.routing import ModelName, Route
-from bankrudder.world import NO_WORKSPACE, ModelVersion, WorkspaceName
+from bankrudder.world import (
+    NO_WORKSPACE,
+    GroupId,
+    ModelVersion,
+    SampleId,
+    WorkspaceName,
+)
 
 _NOT_KEPT = frozenset({names.AUTHORIZATION.lower(), names.WORKSPACE.lower()})
 """Headers of samples that are dropped: a key must be neither stored nor passed on, and
--- a/src/bankrudder/platform/_front.py
+++ b/src/bankrudder/platform/_front.py
@@ -9,7 +9,7 @@
 from aiohttp.http_parser import RawRequestMessage
 from multidict import CIMultiDict
 
-from bankrudder.batches import BatchId, SampleId
+from bankrudder.batches import BatchId
 from bankrudder.fleet import StreamBrokenError
 from bankrudder.node import Gateway
 from bankrudder.platform import _names as names
@@ -31,7 +31,7 @@
 )
 from bankrudder.routing import Route, RouteKind
 from bankrudder.workspaces import Admitted, ApiKey, parse_bearer
-from bankrudder.world import Address, Clock, WorkspaceName
+from bankrudder.world import Address, Clock, SampleId, WorkspaceName
 
 KEEP_ALIVE_S = 20.0
 """An idle connection of a caller is kept for longer than callers reuse one."""
--- a/src/bankrudder/scheduling/_ranking.py
+++ b/src/bankrudder/scheduling/_ranking.py
@@ -13,12 +13,11 @@
 from what hinted tokens took lately.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-if TYPE_CHECKING:  # batches are made of these decisions, and would import in a circle
-    from bankrudder.batches import Batch, GroupId, SampleId
+from bankrudder.world import GroupId, SampleId
 
 Rank = tuple[float, ...]
 """Lower ranks go first."""
@@ -31,6 +30,25 @@
 one step's, as hints are far off one by one."""
 
 
+class RankedSample(Protocol):
+    """What the order needs to know of a sample."""
+
+    @property
+    def id(self) -> SampleId:
+        """Name of the sample."""
+        ...
+
+    @property
+    def group(self) -> GroupId:
+        """Group that is whole when each of its samples is."""
+        ...
+
+    @property
+    def length_hint(self) -> int:
+        """Estimate of the tokens that will be generated, often far off; 0 if none."""
+        ...
+
+
 class TokenPace:
     """How long a token takes that a sample's length hint promises."""
 
@@ -53,15 +71,18 @@
 
 
 def sample_ranks(
-    batch: "Batch",
-    carried_samples: "Collection[SampleId]",
+    samples: Sequence[RankedSample],
+    target_groups: int,
+    carried_samples: Collection[SampleId],
     begun_at: float,
     token_s: float = 0.0,
-) -> "dict[SampleId, Rank]":
+) -> dict[SampleId, Rank]:
     """Return the ranks of a batch's samples.
 
     Parameters
     ----------
+    target_groups : int
+        Groups that the trainer waits for; 0 if all.
     carried_samples : collection of SampleId
         Samples that were in an earlier batch, or begun by an earlier owner.
     begun_at : float
@@ -70,9 +91,9 @@
         Seconds that a hinted token takes; 0 if it is not known, and then the older
         batch goes first.
     """
-    lengths = _group_lengths(batch)
-    carried = {sample.group for sample in batch.samples if sample.id in carried_samples}
-    surplus = _surplus(batch, lengths, carried)
+    lengths = _group_lengths(samples)
+    carried = {sample.group for sample in samples if sample.id in carried_samples}
+    surplus = _surplus(lengths, target_groups, carried)
     places = {group: float(place) for place, group in enumerate(lengths)}
     return {
         sample.id: (
@@ -82,35 +103,35 @@
             places[sample.group],
             -float(sample.length_hint),
         )
-        for sample in batch.samples
+        for sample in samples
     }
 
 
-def _group_lengths(batch: "Batch") -> "dict[GroupId, float]":
+def _group_lengths(samples: Sequence[RankedSample]) -> dict[GroupId, float]:
     """Return the estimated length of each group's longest sample, in tokens."""
     lengths: dict[GroupId, float] = {}
-    for sample in batch.samples:
+    for sample in samples:
         hint = float(sample.length_hint)
         lengths[sample.group] = max(lengths.get(sample.group, 0.0), hint)
     return lengths
 
 
 def _surplus(
-    batch: "Batch",
-    lengths: "Mapping[GroupId, float]",
-    carried: "Collection[GroupId]",
-) -> "set[GroupId]":
+    lengths: Mapping[GroupId, float],
+    target_groups: int,
+    carried: Collection[GroupId],
+) -> set[GroupId]:
     """Return the longest groups beyond those that the trainer waits for."""
-    count = len(lengths) - batch.target_groups
-    if carried or batch.target_groups <= 0 or count <= 0:
+    count = len(lengths) - target_groups
+    if carried or target_groups <= 0 or count <= 0:
         return set()
     return set(sorted(lengths, key=lambda group: lengths[group])[-count:])
 
 
 def _kind(
-    group: "GroupId",
-    carried: "Collection[GroupId]",
-    surplus: "Collection[GroupId]",
+    group: GroupId,
+    carried: Collection[GroupId],
+    surplus: Collection[GroupId],
 ) -> float:
     if group in carried:
         return CARRIED
--- a/src/bankrudder/steps/_service.py
+++ b/src/bankrudder/steps/_service.py
@@ -17,10 +17,8 @@
     BatchReader,
     BatchRepository,
     BatchService,
-    GroupId,
     ResultState,
     Sample,
-    SampleId,
     SampleResult,
     UnknownBatchError,
 )
@@ -44,9 +42,11 @@
 from bankrudder.world import (
     Caller,
     Clock,
+    GroupId,
     Job,
     JobName,
     ModelVersion,
+    SampleId,
     SampleSlot,
     StepEnd,
     StepNumber,
--- a/src/bankrudder/world/_ids.py
+++ b/src/bankrudder/world/_ids.py
@@ -32,4 +32,10 @@
 """Whose a request is that runs for no workspace: its route is open to all, or there are
 no workspaces."""
 
+SampleId = NewType("SampleId", str)
+"""Name of a text to generate, unique in its batch."""
+
+GroupId = NewType("GroupId", str)
+"""Name of samples of one prompt, which a trainer uses together."""
+
 StepNumber = NewType("StepNumber", int)
--- a/tests/scheduling/test_ranking.py
+++ b/tests/scheduling/test_ranking.py
@@ -19,8 +19,12 @@
     return Batch(name, "r", "h", "m", 1, target, samples)
 
 
+def ranks_of(batch, *terms):
+    return sample_ranks(batch.samples, batch.target_groups, *terms)
+
+
 def order_of(batch, carried=()):
-    ranks = sample_ranks(batch, set(carried), 1.0)
+    ranks = ranks_of(batch, set(carried), 1.0)
     return sorted(ranks, key=ranks.get)
 
 
@@ -46,7 +50,7 @@
 
 def test_an_older_batch_goes_before_a_newer_one():
     one = batch({"a": [5]}, target=1)
-    assert sample_ranks(one, (), 1.0)["a0"] < sample_ranks(one, (), 2.0)["a0"]
+    assert ranks_of(one, (), 1.0)["a0"] < ranks_of(one, (), 2.0)["a0"]
 
 
 @pytest.mark.parametrize("factor", [0.25, 1.0, 4.0])
@@ -56,14 +60,14 @@
     token_s = 0.1 * factor
     older = batch({"a": [20], "b": [60]}, target=2, name="older")
     newer = batch({"c": [70], "d": [15]}, target=2, name="newer")
-    ranks = sample_ranks(older, (), 0.0, token_s)
-    ranks |= sample_ranks(newer, (), 1.0 * factor, token_s)
+    ranks = ranks_of(older, (), 0.0, token_s)
+    ranks |= ranks_of(newer, (), 1.0 * factor, token_s)
     assert sorted(ranks, key=ranks.get) == ["c0", "b0", "a0", "d0"]
 
 
 def test_groups_that_were_begun_before_go_before_all_others():
-    one = sample_ranks(batch({"a": [50]}, target=1), (), 0.0, 0.1)
-    other = sample_ranks(batch({"b": [5]}, target=1), ["b0"], 9.0, 0.1)
+    one = ranks_of(batch({"a": [50]}, target=1), (), 0.0, 0.1)
+    other = ranks_of(batch({"b": [5]}, target=1), ["b0"], 9.0, 0.1)
     assert other["b0"] < one["a0"]
 
 
