--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -435,8 +435,11 @@
         assert each["score"].endswith(f".{reward}")
 
 
-async def until(condition, limit_s=10.0):
-    """Wait until a condition, plain or asynchronous, holds."""
+async def until(condition, limit_s=10.0, seen=lambda: ""):
+    """Wait until a condition, plain or asynchronous, holds.
+
+    ``seen`` returns what is told if it does not hold in time.
+    """
     deadline = time.monotonic() + limit_s
     while True:
         outcome = condition()
@@ -444,7 +447,7 @@
             outcome = await outcome
         if outcome:
             return
-        assert time.monotonic() < deadline, "not in time"
+        assert time.monotonic() < deadline, f"not in time {seen()}"
         await asyncio.sleep(0.02)
 
 
--- a/tests/rpc/test_usage.py
+++ b/tests/rpc/test_usage.py
@@ -33,16 +33,26 @@
     return sum(each.counts.get("desk", 0) for each in found if each.state == state)
 
 
+def is_of_usage(line):
+    return line["event"].startswith(("usage", "relay", "leases", "duties"))
+
+
 async def test_what_callers_used_is_counted_and_then_reported(site):
     async with client(site) as caller:
         for _ in range(3):
             await caller.call("lookup", b"7")
 
+    found = []
+
     async def reported():
-        found = [await windows(site, host) for host in range(3)]
+        found[:] = [await windows(site, host) for host in range(3)]
         return all(counted(each, "reported") == 3 for each in found)
 
-    await until(reported, 15.0)
+    def seen():
+        lines = [line for host in site.hosts for line in host.log_lines()]
+        return found, [line for line in lines if is_of_usage(line)]
+
+    await until(reported, 15.0, seen)
     found = await windows(site)
     numbers = [each.window for each in found]
     assert numbers == list(range(numbers[0], numbers[0] + len(numbers)))
