A sample leaves an engine that does not begin to answer

Cause: the wait for a run's first event was bounded (1.5 s), the wait for its answer to begin was not: a run whose engine takes the request and says nothing held its sample until its retention was over.

Ruled out: a wait for a slot (0 s told), gaps between events (0.07 s at most), samples held back for crashes (no such line), a route or weights that changed (one run each).

Change: the same bound for the answer to begin; the engine counts as failed, the sample goes on elsewhere.

Test: two silent runs on each engine; not done in 7.5 s before, the time in which a trainer asks for its results.

--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack
 
 import structlog
 
 from bankrudder.batches._dispatcher import Dispatcher, SlotDemand
 from bankrudder.batches._failures import SampleFailedError, StaleWeightsError
-from bankrudder.batches._silence import silence_s, timed
+from bankrudder.batches._silence import FIRST_EVENT_TIMEOUT_S, silence_s, timed
 from bankrudder.batches._text import SampleText, fits
 from bankrudder.batches._values import Batch, Progress, Sample
 from bankrudder.crashes import Admission, CrashGuard, Send, content_id
@@ -215,9 +216,14 @@
             await self._note_lost(target, LossReason.ENDPOINT_RESTARTED)
 
     async def _run_on(self, target: TrackedEndpoint, demand: SlotDemand) -> None:
-        async with self._client.open_stream(
-            target.endpoint, self._outgoing()
-        ) as outcome:
+        async with AsyncExitStack() as stack:
+            stream = self._client.open_stream(target.endpoint, self._outgoing())
+            try:
+                async with asyncio.timeout(FIRST_EVENT_TIMEOUT_S):
+                    outcome = await stack.enter_async_context(stream)
+            except TimeoutError:
+                # It may have the sample behind others and begin in seconds or never.
+                outcome = Lost(LossReason.TIMEOUT)
             match outcome:
                 case OpenedStream(version=version, events=events):
                     await self._take_stream(target, demand, version, events)
--- a/tests/node/test_batches.py
+++ b/tests/node/test_batches.py
@@ -13,6 +13,9 @@
 SLOW_GAP_S = 0.05
 """Time between two events that leaves room for a fault in the middle of a batch."""
 
+RESULTS_DUE_S = 7.5
+"""Time in which a trainer asks for the results of a step."""
+
 
 def split(site):
     """Return the host that owns the batch, and all others."""
@@ -89,6 +92,14 @@
     check_results(await site.read_all("b1", 8), "b1", 8)
 
 
+async def test_samples_leave_engines_that_do_not_begin_to_answer(site):
+    for engine in site.engines:
+        engine.fail_next = ["silent"] * 2
+    await site.submit(site.hosts[0], "b1")
+    async with asyncio.timeout(RESULTS_DUE_S):
+        check_results(await site.read_all("b1", 8), "b1", 8)
+
+
 async def test_a_sample_that_always_fails_is_aborted(site):
     for engine in site.engines:
         engine.fail_next = ["500"] * 50
