--- a/src/bankrudder/batches/_silence.py
+++ b/src/bankrudder/batches/_silence.py
@@ -6,9 +6,9 @@
 from bankrudder.fleet import StreamEvent
 
 FIRST_EVENT_TIMEOUT_S = 1.5
-"""Longest wait for a run's answer to begin, and then for its first event: an engine that
-takes new weights makes runs wait for about a second. Of 5,856 samples on engines that
-loaded, turned slow and failed two waited longer for their answer, 6.8 and 7.0 s."""
+"""Longest wait for a run's answer to begin, and then for its first event: an engine
+that takes new weights makes runs wait for about a second. Of 5,856 samples on engines
+that loaded, turned slow and failed, two waited for longer: 6.8 and 7.0 s."""
 
 SILENT_GAPS = 15.0
 LEAST_SILENCE_S = 0.6
