--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -8,7 +8,7 @@
 
 from bankrudder.batches._dispatcher import Dispatcher, SlotDemand
 from bankrudder.batches._failures import SampleFailedError, StaleWeightsError
-from bankrudder.batches._silence import FIRST_EVENT_TIMEOUT_S, silence_s, timed
+from bankrudder.batches._silence import opened, silence_s, timed
 from bankrudder.batches._text import SampleText, fits
 from bankrudder.batches._values import Batch, Progress, Sample
 from bankrudder.crashes import Admission, CrashGuard, Send, content_id
@@ -218,18 +218,12 @@
     async def _run_on(self, target: TrackedEndpoint, demand: SlotDemand) -> None:
         async with AsyncExitStack() as stack:
             stream = self._client.open_stream(target.endpoint, self._outgoing())
-            try:
-                async with asyncio.timeout(FIRST_EVENT_TIMEOUT_S):
-                    outcome = await stack.enter_async_context(stream)
-            except TimeoutError:
-                # It may have the sample behind others and begin in seconds or never.
-                outcome = Lost(LossReason.TIMEOUT)
-            match outcome:
-                case OpenedStream(version=version, events=events):
+            match await opened(stack, stream):
+                case OpenedStream(version=version, events=events, kept_s=kept_s):
                     await self._take_stream(target, demand, version, events)
                     if self._text.is_whole:
                         now = self._clock.monotonic()
-                        target.note_connection(outcome.kept_s, now)
+                        target.note_connection(kept_s, now)
                 case Refused(reason=RefusalReason.FULL):
                     self._dispatcher.pause(target, self._batch.model)
                 case Refused(reason=reason):
--- a/src/bankrudder/batches/_silence.py
+++ b/src/bankrudder/batches/_silence.py
@@ -2,8 +2,9 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager, AsyncExitStack
 
-from bankrudder.fleet import StreamEvent
+from bankrudder.fleet import LossReason, Lost, StreamEvent, StreamOutcome
 
 FIRST_EVENT_TIMEOUT_S = 1.5
 """Longest wait for a run's answer to begin, and then for its first event: an engine
@@ -19,6 +20,20 @@
 them; the longest bound holds where nothing is known."""
 
 
+async def opened(
+    stack: AsyncExitStack, stream: AbstractAsyncContextManager[StreamOutcome]
+) -> StreamOutcome:
+    """Enter a stream; it counts as lost if its answer does not begin in time.
+
+    The engine may have the sample behind others, and begin in seconds or never.
+    """
+    try:
+        async with asyncio.timeout(FIRST_EVENT_TIMEOUT_S):
+            return await stack.enter_async_context(stream)
+    except TimeoutError:
+        return Lost(LossReason.TIMEOUT)
+
+
 async def timed(
     events: AsyncIterator[StreamEvent], silence_s: Callable[[], float]
 ) -> AsyncIterator[StreamEvent]:
