Load reports of three or four figures

Cause: endpoints that share their machines add a fourth figure to their load report. The decoder took exactly three, so the whole report was dropped, and no host knew the load of any endpoint there. str.isdigit also let digits through that int() refuses (such as a superscript), which would have cost the request.

Change: a module of its own decodes three or four figures; the fourth is the slowdown of the endpoint's machine. Streams carry the report, too.

--- a/src/bankrudder/fleet/_sending.py
+++ b/src/bankrudder/fleet/_sending.py
@@ -158,7 +158,7 @@
     ``events`` is exhausted only after the last event, and raises `StreamBrokenError` if
     the stream ends before. ``version`` is the version of the weights at the first
     event. ``keep_alive_s`` is the time for which the connection is kept alive after the
-    last event, 0 if it is closed.
+    last event, 0 if it is closed. ``load`` is the endpoint's load at the first event.
     """
 
     status: int
@@ -166,6 +166,7 @@
     version: ModelVersion | None
     events: AsyncIterator[StreamEvent]
     keep_alive_s: float = 0.0
+    load: ReportedLoad | None = None
 
 
 StreamOutcome = OpenedStream | Answered | Refused | Lost
--- a/src/bankrudder/fleet/_values.py
+++ b/src/bankrudder/fleet/_values.py
@@ -90,8 +90,19 @@
 
 
 class ReportedLoad(msgspec.Struct, frozen=True):
-    """The load that an endpoint reports with an answer."""
+    """The load that an endpoint reports with an answer.
+
+    Attributes
+    ----------
+    running, waiting : int
+        Requests of all hosts that the endpoint processes, and that it queues.
+    slowdown : float or None
+        Duration of work on the endpoint's machine at present, as a multiple of the
+        usual duration there; None if the endpoint does not report it. It varies many
+        times a second, as other programs on the machine start and stop.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
--- a/src/bankrudder/platform/_answers.py
+++ b/src/bankrudder/platform/_answers.py
@@ -17,12 +17,12 @@
     OutgoingRequest,
     RefusalReason,
     Refused,
-    ReportedLoad,
     SendOutcome,
     StreamOutcome,
 )
 from bankrudder.platform import _names as names
 from bankrudder.platform._events import read_events
+from bankrudder.platform._load_reports import reported_load
 from bankrudder.world import ModelVersion
 
 NOT_FORWARDED_HEADERS = frozenset(
@@ -97,7 +97,7 @@
 
 async def read_answer(response: aiohttp.ClientResponse) -> SendOutcome:
     """Read a complete answer, or return why there is none."""
-    load = _reported_load(response)
+    load = reported_load(response)
     if _is_refusal(response):
         await response.read()
         return Refused(_refusal_reason(response.status), load)
@@ -126,6 +126,7 @@
         _answer_headers(response),
         ModelVersion(int(version)) if version.isdigit() else None,
         read_events(response),
+        load=reported_load(response),
     )
 
 
@@ -164,14 +165,6 @@
             return RefusalReason.REJECTED
 
 
-def _reported_load(response: aiohttp.ClientResponse) -> ReportedLoad | None:
-    parts = response.headers.get(names.ENDPOINT_LOAD, "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ReportedLoad(running, waiting, slots)
-
-
 def _answer_headers(response: aiohttp.ClientResponse) -> Headers:
     return tuple(_forwarded_headers(response.headers.items()))
 
--- a/tests/platform/test_endpoint_client.py
+++ b/tests/platform/test_endpoint_client.py
@@ -6,7 +6,7 @@
 import pytest
 from aiohttp import web
 
-from bankrudder.fleet import Answered, Endpoint, OutgoingRequest
+from bankrudder.fleet import Answered, Endpoint, OutgoingRequest, ReportedLoad
 from bankrudder.platform._endpoint_client import HttpEndpointClient
 
 CONNECTION_COUNT = 20
@@ -20,6 +20,7 @@
 
     def __init__(self, keep_alive_s):
         self.keep_alive_s = keep_alive_s
+        self.load_report = "1,0,8"
         self.connections = set()
         self.expected_connections = 1
         self.all_connected = asyncio.Event()
@@ -33,6 +34,7 @@
             "X-Request-Id": request.headers["X-Request-Id"],
             "X-Response-Stamp": "stamp",
             "Keep-Alive": f"timeout={self.keep_alive_s}",
+            "X-Server-Load": self.load_report,
         }
         return web.Response(body=b"answer", headers=headers)
 
@@ -74,6 +76,18 @@
         assert len(endpoint.connections) == CONNECTION_COUNT
 
 
+@pytest.mark.parametrize(
+    ("report", "load"),
+    [("2,1,8,160", ReportedLoad(2, 1, 8, 1.6)), ("2,1,8,often", None)],
+)
+async def test_an_invalid_load_report_does_not_cost_the_answer(report, load):
+    async with serve_endpoint(10) as (endpoint, entry, client):
+        endpoint.load_report = report
+        outcome = await client.send(entry, make_request(1))
+        assert isinstance(outcome, Answered)
+        assert (outcome.body, outcome.load) == (b"answer", load)
+
+
 @pytest.mark.parametrize(("keep_alive_s", "pause_s"), [(1, 0.0), (2, 1.2)])
 async def test_a_connection_that_the_endpoint_is_about_to_close_is_not_reused(
     keep_alive_s, pause_s
