--- a/src/bankrudder/fleet/_tracked.py
+++ b/src/bankrudder/fleet/_tracked.py
@@ -139,6 +139,27 @@
         """Moving average of the time between stream events, None before the first."""
         return self._event_gap_s
 
+    @property
+    def lasting_gap_s(self) -> float | None:
+        """Time between stream events without momentary slowness of the machine.
+
+        None before the first events.
+        """
+        return self._event_gap_s
+
+    @property
+    def lasting_latency_s(self) -> float | None:
+        """Latency of answers without momentary slowness of the machine.
+
+        None before the first answer.
+        """
+        return self._latency_s
+
+    @property
+    def reports_slowdown(self) -> bool:
+        """Whether this run of the endpoint reports the slowdown of its machine."""
+        return self._load is not None and self._load.slowdown is not None
+
     @property
     def versions(self) -> Mapping[ModelName, ModelVersion]:
         """The newest known version of each model that the endpoint serves."""
@@ -169,6 +190,15 @@
             return 0
         return max(self._load.running + self._load.waiting - self.in_flight, 0)
 
+    def slowdown(self, now: float) -> float:
+        """Return the duration of work on the endpoint's machine, 1 if it is usual.
+
+        It is 1 as well if there is no recent report of it.
+        """
+        if self._load is None or now - self._load_at > MAX_LOAD_AGE_S:
+            return 1.0
+        return 1.0 if self._load.slowdown is None else self._load.slowdown
+
     def free_slots(self, now: float) -> int:
         """Return the slots not known to be in use, negative if requests are queued."""
         return self._endpoint.slots - self.in_flight - self.other_hosts_load(now)
--- a/src/bankrudder/node/_main.py
+++ b/src/bankrudder/node/_main.py
@@ -33,7 +33,9 @@
 
 
 def run_daemon(
-    make_adapter: Callable[[NodeSettings], Adapter], argv: list[str] | None = None
+    make_adapter: Callable[[NodeSettings], Adapter],
+    complete_settings: Callable[[NodeSettings], NodeSettings] = lambda given: given,
+    argv: list[str] | None = None,
 ) -> None:
     """Run a daemon; exit with an error code if it cannot start.
 
@@ -41,6 +43,8 @@
     ----------
     make_adapter : callable
         Creates the connections of the daemon to the platform.
+    complete_settings : callable, optional
+        Adds the settings that the platform's contract calls for.
     """
     arguments = _parser().parse_args(argv)
     clock = SystemClock()
@@ -49,7 +53,7 @@
     configure_logging(LogFormat.JSON, LogLevel.INFO, stream=sink, limit=line_limit)
     path = Path(arguments.settings)
     try:
-        settings = load_settings(path)
+        settings = complete_settings(load_settings(path))
         configure_logging(
             LogFormat.JSON,
             settings.log_level,
--- a/src/bankrudder/node/_settings.py
+++ b/src/bankrudder/node/_settings.py
@@ -92,6 +92,27 @@
     orders_endpoints: bool = False
 
 
+class OverloadSettings(_Section, frozen=True):
+    """Decisions for times in which endpoints cannot serve all of the work in time.
+
+    Attributes
+    ----------
+    limits_requests : bool
+        Whether requests that cannot be answered in time are rejected at once, requests
+        wait for a slot by priority and by workspace, and repeats have a budget.
+    plans_steps : bool
+        Whether the samples of steps are ordered by whether their groups can be complete
+        when they are due.
+    limits_memory : bool
+        Whether the memory that callers' and endpoints' data takes is limited; this
+        needs ``memory_mb``.
+    """
+
+    limits_requests: bool = True
+    plans_steps: bool = True
+    limits_memory: bool = True
+
+
 class RpcSettings(_Section, frozen=True):
     """The gRPC interface for callers, trainers and operators.
 
@@ -136,6 +157,13 @@
         The gRPC interface; None for none.
     duties : DutySettings or None
         The platform's API for duties; None if it has none.
+    memory_mb : float or None
+        Memory above which the process is killed, in megabytes; None if unknown.
+    overload : OverloadSettings or None
+        Decisions for scarce capacity; None for none of them.
+    contracts : tuple of str
+        Parts of the platform's contract that are in force, by the platform's names.
+        They call for settings that are not given here.
     traces : TraceExport
         Where finished spans are exported to, besides the copy in memory.
     """
@@ -155,6 +183,9 @@
     log_level: LogLevel = LogLevel.INFO
     rpc: RpcSettings | None = None
     duties: DutySettings | None = None
+    memory_mb: float | None = None
+    overload: OverloadSettings | None = None
+    contracts: tuple[str, ...] = ()
     traces: TraceExport = NoTraceExport()
 
 
@@ -250,6 +281,8 @@
         "lease_ms": settings.lease_ms,
         "grace_s": settings.grace_s,
     }
+    if settings.memory_mb is not None:
+        values["memory_mb"] = settings.memory_mb
     if settings.feeds is not None:
         values["feeds.min_hosts"] = settings.feeds.min_hosts
     if settings.duties is not None:
--- a/src/bankrudder/platform/_adapter.py
+++ b/src/bankrudder/platform/_adapter.py
@@ -6,6 +6,7 @@
 from bankrudder.fleet import Endpoint, ModelState
 from bankrudder.node import Gateway, NodeSettings, run_daemon
 from bankrudder.platform import _names as names
+from bankrudder.platform._contracts import complete_settings
 from bankrudder.platform._documents import (
     decode_configuration,
     decode_endpoint,
@@ -97,4 +98,4 @@
 
 def main() -> None:
     """Run a daemon on the platform."""
-    run_daemon(PlatformAdapter.from_config)
+    run_daemon(PlatformAdapter.from_config, complete_settings)
