Test the pauses between calls of a duty instead of a difference of floats

It now records the pauses that are asked for: the whole pause before each call when the clock stands still, and, in a further test, only what is left when it advances. Both fail if the whole rate is used instead of half of it (tried).

--- a/tests/duties/test_duty.py
+++ b/tests/duties/test_duty.py
@@ -103,11 +103,39 @@
     assert await second is DutyOutcome.NOT_ON_DUTY
 
 
-async def test_calls_are_limited_to_half_of_the_configured_rate(manual_clock):
-    held_duty = make_duty(Api(), Lease(), manual_clock, calls_per_s=50)
-    loop = asyncio.get_running_loop()
-    started_at = loop.time()
+async def test_calls_are_limited_to_half_of_the_configured_rate(
+    manual_clock, monkeypatch
+):
+    pauses_s = []
+    calls_after_s = []
+
+    async def pause(seconds):
+        pauses_s.append(seconds)
+
+    class PausedApi(Api):
+        async def call(self, call, grant):
+            calls_after_s.append(sum(pauses_s))
+            return DutyOutcome.DONE
+
+    monkeypatch.setattr(asyncio, "sleep", pause)
+    held_duty = make_duty(PausedApi(), Lease(), manual_clock, calls_per_s=50)
     for _ in range(4):
         await held_duty.call(CALL)
-    # The fake clock does not advance, so each call waits for the whole pause.
-    assert loop.time() - started_at >= 3 * 0.04
+    # The manual clock does not advance, so each call waits for the whole pause.
+    assert pauses_s == [0.0, 0.04, 0.04, 0.04]
+    assert calls_after_s == [0.0, 0.04, 0.04 + 0.04, 0.04 + 0.04 + 0.04]
+
+
+async def test_a_later_call_pauses_only_for_what_is_left(manual_clock, monkeypatch):
+    pauses_s = []
+
+    async def pause(seconds):
+        pauses_s.append(seconds)
+
+    monkeypatch.setattr(asyncio, "sleep", pause)
+    held_duty = make_duty(Api(), Lease(), manual_clock, calls_per_s=50)
+    for elapsed_s in (0.0, 0.03, 0.05):
+        manual_clock.advance(elapsed_s)
+        await held_duty.call(CALL)
+    # The calls of the API make pauses of no length, too.
+    assert [each for each in pauses_s if each] == [pytest.approx(0.01)]
