Send drafts of usage reports when the store is away at their due time

Cause: the holder of the usage duty waited for silent hosts until 8 s after a window's end, and 4 s when all were heard. Hosts were cut off from 8 to 16 s and the store was away from 18 to 25 s, so nothing could be settled for the windows that ended at 10 and 15 s, and the lease lapsed with the store, although the platform answered.

Change: a pure decision (ReportSchedule.next_step) stores a draft of each report at 0.25 of the due time, a second one while a host is silent. The draft is replaced by the full counts when the window is reported as before. If a read of the counts fails then, or while the lease ends, the draft is sent as it is; a log line says how old it is and whether it is complete. Only the holder that stored a draft may replace it, under the same fencing token and before it is sent; the next holder makes it final and sends the same body. If the outcome of a write is unknown, nothing of the window is sent until the store is read again. A host that was silent counts as complete a tenth of the due time after it is heard, as its first heartbeat comes before the counts that it held back.

Seen failing on the code before: the sequence with the store busy and silent, with hosts that return (second window with half of its counts) and that do not (late). Cost for each window: a read of the counts and a write more, two of each while a host is silent.

--- a/src/bankrudder/duties/_duty.py
+++ b/src/bankrudder/duties/_duty.py
@@ -64,6 +64,11 @@
         """Whether this host may carry out the duty now."""
         return self._lease.is_valid
 
+    @property
+    def left_s(self) -> float:
+        """Seconds for which this host may still make calls, 0 if it may not."""
+        return self._lease.left_s
+
     async def call(self, call: DutyCall) -> DutyOutcome:
         """Make a call if this host holds the duty."""
         async with self._call_lock:
--- a/src/bankrudder/usage/_storage.py
+++ b/src/bankrudder/usage/_storage.py
@@ -4,7 +4,9 @@
   run's counts.
 - ``usage_reports``: one row per window with the body of its report. The body is stored
   before the report is first sent, so that every later attempt, from any host, sends an
-  identical body.
+  identical body. A row that is a draft may be replaced only by the holder that stored
+  it, under the same fencing token and before it is sent; the next holder makes it final
+  with the same body, because the draft may have been sent.
 """
 
 import asyncio
@@ -65,6 +67,8 @@
 
     Attributes
     ----------
+    is_draft : bool
+        Whether the holder that stored the row may still replace it.
     is_done : bool
         Whether the platform has accepted or rejected the report.
     is_rejected : bool
@@ -74,6 +78,7 @@
     counts: dict[WorkspaceName, int]
     is_done: bool = False
     is_rejected: bool = False
+    is_draft: bool = False
 
 
 class StoredReport(msgspec.Struct, frozen=True):
@@ -150,18 +155,31 @@
         return summarize_windows(known, counting, max_count)
 
     async def settle(
-        self, window: UsageWindow, counts: dict[WorkspaceName, int]
+        self,
+        window: UsageWindow,
+        counts: dict[WorkspaceName, int],
+        *,
+        replaces: StoredReport | None = None,
+        is_draft: bool = False,
     ) -> StoredReport:
         """Store `counts` as the report of a window unless one is already stored.
 
+        Parameters
+        ----------
+        replaces : StoredReport, optional
+            Draft of this holder that is replaced.
+        is_draft : bool
+            Whether the report may be replaced later.
+
         Returns
         -------
         StoredReport
             The report that is stored now, either the new or the earlier one.
         """
         key = _report_key(window)
-        row = ReportRow(counts)
-        outcome = await self._commit_row(key, ABSENT, msgspec.json.encode(row))
+        row = ReportRow(counts, is_draft=is_draft)
+        expected = ABSENT if replaces is None else replaces.version
+        outcome = await self._commit_row(key, expected, msgspec.json.encode(row))
         match outcome:
             case Committed(version=version):
                 return StoredReport(window, row, version)
@@ -169,14 +187,22 @@
                 before = outcome.row(key)
                 if before is None:
                     raise NotSettledError
-                return _stored_report(before)
+                stored = _stored_report(before)
+                if stored.row.is_draft:
+                    # Another holder stored it, or a write that this one gave up.
+                    raise NotSettledError
+                return stored
+
+    async def seal(self, draft: StoredReport) -> StoredReport:
+        """Make a draft of an earlier holder final, so that it cannot be replaced."""
+        return await self.settle(draft.window, draft.row.counts, replaces=draft)
 
     async def record_answer(
         self, report: StoredReport, *, is_rejected: bool = False
     ) -> None:
         """Record that the platform accepted or rejected a report; remove its counts."""
         done = msgspec.structs.replace(
-            report.row, is_done=True, is_rejected=is_rejected
+            report.row, is_done=True, is_rejected=is_rejected, is_draft=False
         )
         key = _report_key(report.window)
         await self._commit_row(key, report.version, msgspec.json.encode(done))
@@ -287,6 +313,8 @@
 def _state(row: ReportRow) -> WindowState:
     if row.is_rejected:
         return WindowState.REJECTED
+    if row.is_draft:
+        return WindowState.COUNTING
     return WindowState.REPORTED if row.is_done else WindowState.SETTLED
 
 
--- a/tests/usage/test_reporting.py
+++ b/tests/usage/test_reporting.py
@@ -3,13 +3,20 @@
 This holds across changes of the duty's holder and for every outcome of the calls.
 """
 
+import asyncio
 import itertools
+from contextlib import suppress
 from datetime import timedelta
 
 import pytest
 
 from bankrudder.duties import Duty, DutyOutcome
-from bankrudder.store import ABSENT, StoreErrorKind, StoreUnavailableError
+from bankrudder.store import (
+    ABSENT,
+    NotSettledError,
+    StoreErrorKind,
+    StoreUnavailableError,
+)
 from bankrudder.usage import (
     FleetTime,
     ReportSchedule,
@@ -63,6 +70,7 @@
         self.rows = UsageRows(store, self.clock)
         self.platform = Platform()
         self.has_heard_all_hosts = True
+        self.is_heard_since = lambda _: self.has_heard_all_hosts
         self.leases = {}
         self.reporters = {}
         self.first = SCHEDULE.window_at(self.clock.wall())
@@ -77,7 +85,7 @@
             SCHEDULE,
             time,
             lambda: lease.fence,
-            lambda _: self.has_heard_all_hosts,
+            lambda seconds: self.is_heard_since(seconds),
         )
 
     def set_holder(self, name, fence):
@@ -289,3 +297,143 @@
     reporting.leases["a"].left_s = 0.05
     await reporting.report_due_windows("a")
     assert reporting.platform.calls == []
+
+
+class Sequence:
+    """Two outages in a row, in seconds since the start of the first window.
+
+    Two hosts count. One of them is silent from 8 s to 16 s, or for good, and cannot
+    store its counts meanwhile. The store is away from 18 s to 25 s for all hosts, so
+    that the holder's lease lapses.
+    """
+
+    STORE_AWAY_S = (18.0, 25.0)
+    LEASE_LEFT_S = 1.65
+
+    def __init__(self, reporting, gate, mode, silent_until_s):
+        self._reporting = reporting
+        self._gate = gate
+        self._mode = mode
+        self._silent_until_s = silent_until_s
+        self._last_heard_s = 0.0
+        self.accepted_at = {}
+        reporting.is_heard_since = self._is_heard_since
+
+    @property
+    def now_s(self):
+        return self._reporting.clock.wall() - 5 * self._reporting.first
+
+    def _is_heard_since(self, seconds):
+        return self.now_s - self._last_heard_s <= seconds
+
+    async def run(self, until_s):
+        stored = set()
+        while self.now_s < until_s:
+            self._reporting.clock.advance(0.25)
+            is_silent = 8.0 <= self.now_s < self._silent_until_s
+            if not is_silent:
+                self._last_heard_s = self.now_s
+            away_from_s, away_to_s = self.STORE_AWAY_S
+            is_away = away_from_s <= self.now_s < away_to_s
+            self._gate.mode = self._mode if is_away else GateMode.OPEN
+            lease = self._reporting.leases["a"]
+            lease.left_s = 2.4
+            if is_away:
+                lease.left_s = max(self.LEASE_LEFT_S - (self.now_s - away_from_s), 0.0)
+                lease.fence = 5 if lease.left_s else 0
+            elif self.now_s >= away_to_s:
+                lease.fence = 12
+            for number in range(int(self.now_s // 5)):
+                for host in ("steady", "silent"):
+                    is_late = host == "silent" and (is_silent or self.now_s < 16.5)
+                    if is_away or (is_late and number > 0) or (host, number) in stored:
+                        continue
+                    stored.add((host, number))
+                    window = self._reporting.first + number
+                    await self._reporting.count(window, f"{host}.1", north=1)
+            if lease.fence:
+                with suppress(StoreUnavailableError):
+                    await self._reporting.report_due_windows("a")
+            for window in self._reporting.platform.accepted:
+                self.accepted_at.setdefault(window - self._reporting.first, self.now_s)
+
+
+@pytest.mark.parametrize("mode", [GateMode.BUSY, GateMode.SILENT])
+@pytest.mark.parametrize("silent_until_s", [16.0, 1e9])
+async def test_windows_are_reported_in_time_when_the_store_fails_after_hosts(
+    reporting, gate, mode, silent_until_s
+):
+    sequence = Sequence(reporting, gate, mode, silent_until_s)
+    await reporting.report_due_windows("a")
+    await sequence.run(25.0)
+    due_s = {number: 5.0 * (number + 1) + 10.0 for number in range(3)}
+    assert set(sequence.accepted_at) >= set(due_s)
+    assert all(sequence.accepted_at[each] <= due_s[each] for each in due_s)
+    truth = {"north": 2}
+    bodies = [reporting.platform.accepted[reporting.first + each] for each in range(3)]
+    if silent_until_s == 16.0:
+        assert bodies == [truth] * 3
+    else:
+        assert bodies == [truth, {"north": 1}, {"north": 1}]
+    # The next holder sends the same bodies again, which the platform checks here.
+    await sequence.run(26.0)
+    await asyncio.sleep(1.0)
+    await reporting.report_due_windows("a")
+    rows = await reporting.rows.reports()
+    assert [each.row.counts for each in rows[:3]] == bodies
+    assert all(each.row.is_done for each in rows[:3])
+
+
+async def test_a_draft_is_replaced_by_the_counts_at_the_time_of_the_report(reporting):
+    first = reporting.first
+    await reporting.report_due_windows("a")
+    await reporting.count(first, north=1)
+    reporting.clock.advance(SCHEDULE.end_of(first) - reporting.clock.wall() + 2.6)
+    await reporting.report_due_windows("a")
+    [draft] = await reporting.rows.reports()
+    assert (draft.row.is_draft, draft.row.counts) == (True, {"north": 1})
+    await reporting.count(first, "late.1", north=2)
+    reporting.clock.advance(1.5)
+    await reporting.report_due_windows("a")
+    assert reporting.platform.accepted == {first: {"north": 3}}
+    assert not (await reporting.rows.reports())[0].row.is_draft
+
+
+async def test_the_next_holder_keeps_the_body_of_a_draft(reporting):
+    first = reporting.first
+    await reporting.report_due_windows("a")
+    await reporting.count(first, north=1)
+    reporting.clock.advance(SCHEDULE.end_of(first) - reporting.clock.wall() + 2.6)
+    await reporting.report_due_windows("a")
+    [draft] = await reporting.rows.reports()
+    await reporting.count(first, "late.1", north=2)
+    reporting.set_holder("b", 9)
+    await reporting.report_due_windows("b")
+    assert reporting.platform.accepted == {first: {"north": 1}}
+    # A write of the former holder that the store applies late does not replace it.
+    stored = await reporting.rows.settle(
+        first, {"north": 50}, replaces=draft, is_draft=True
+    )
+    assert stored.row.counts == {"north": 1}
+    assert (await reporting.rows.reports())[0].row.counts == {"north": 1}
+
+
+async def test_a_draft_whose_store_write_is_unknown_is_not_sent(
+    reporting, gate, monkeypatch
+):
+    first = reporting.first
+    await reporting.report_due_windows("a")
+    reporting.clock.advance(SCHEDULE.end_of(first) - reporting.clock.wall() + 2.6)
+
+    async def lose_outcome(*_, **__):
+        raise NotSettledError
+
+    with monkeypatch.context() as patched:
+        patched.setattr(reporting.rows, "settle", lose_outcome)
+        await reporting.report_due_windows("a")
+    gate.mode = GateMode.BUSY
+    reporting.leases["a"].left_s = 0.5
+    reporting.clock.advance(8.0)
+    with pytest.raises(StoreUnavailableError):
+        await reporting.report_due_windows("a")
+    assert reporting.platform.calls == []
--- a/tests/usage/test_windows.py
+++ b/tests/usage/test_windows.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from bankrudder.usage import ReportSchedule
+from bankrudder.usage._windows import ReportStep
 
 SCHEDULE = ReportSchedule(timedelta(seconds=5), timedelta(seconds=10))
 
@@ -69,3 +70,36 @@
     oldest = schedule.oldest_reportable(moment)
     assert schedule.end_of(oldest) + 10 * factor > moment
     assert schedule.end_of(oldest - 1) + 10 * factor <= moment
+
+
+@pytest.mark.parametrize(
+    ("after_s", "has_heard_all_hosts", "drafted_after_s", "is_lease_ending", "step"),
+    [
+        (2.4, True, None, False, ReportStep.WAIT),
+        (2.5, True, None, False, ReportStep.DRAFT),
+        (3.0, True, 2.5, False, ReportStep.WAIT),
+        (3.9, True, 2.5, False, ReportStep.WAIT),
+        (4.0, True, 2.5, False, ReportStep.REPORT),
+        (3.0, True, 2.5, True, ReportStep.REPORT),
+        (3.0, True, None, True, ReportStep.DRAFT),
+        (5.4, False, 2.5, False, ReportStep.WAIT),
+        (5.5, False, 2.5, False, ReportStep.DRAFT),
+        (7.9, False, 5.5, False, ReportStep.WAIT),
+        (8.0, False, 5.5, False, ReportStep.REPORT),
+    ],
+)
+def test_a_draft_is_stored_early_and_reported_when_nothing_better_can_come(
+    after_s, has_heard_all_hosts, drafted_after_s, is_lease_ending, step
+):
+    window = SCHEDULE.window_at(1_700_000_000.0)
+    end = SCHEDULE.end_of(window)
+    assert (
+        SCHEDULE.next_step(
+            window,
+            end + after_s,
+            has_heard_all_hosts=has_heard_all_hosts,
+            drafted_at=None if drafted_after_s is None else end + drafted_after_s,
+            is_lease_ending=is_lease_ending,
+        )
+        is step
+    )
