Order the groups of steps by whether they can be complete when due

Cause: samples were ranked once, when work on a batch began, the older step and its longest groups first. When steps need more slots than there are, groups that are late in any case take slots from groups that could be in time, until every step is late.

Change: an owner plans over all of its open steps of a model, at most each 0.2 s while samples wait (scheduling/_due_times, batches/_step_planning), and the queue of the dispatcher, now a module of its own, orders waiting samples by the newest plan. The usual order stays while it completes all awaited groups in time. The owner row records the store's time of acceptance, so that a new owner knows when a step is due. In force with overload.plans_steps, or where the engines of a service report the slowdown of their machine; other deployments keep their order and their rows.

test_more_groups_are_in_time_when_steps_need_more_than_the_slots compares both orders on the same load; the usual order, which is that of the old code, completes fewer.

--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -5,15 +5,15 @@
 """
 
 import asyncio
-import heapq
-import itertools
-from dataclasses import dataclass, field
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 
+from bankrudder.batches._slot_queue import SlotDemand, SlotQueue, SlotRequest
 from bankrudder.fleet import EndpointDirectory, EndpointRun, TrackedEndpoint
-from bankrudder.routing import ModelName, ServiceName
-from bankrudder.scheduling import EngineView, is_worth_moving, placement_order
-from bankrudder.world import Clock, DataCentreName, GroupId, ModelVersion, SampleId
+from bankrudder.routing import ModelName
+from bankrudder.scheduling import EngineView, Rank, is_worth_moving, placement_order
+from bankrudder.world import Clock, GroupId, SampleId
 
 RECHECK_INTERVAL_S = 0.05
 """Interval at which waiting samples are matched with the engines again, for changes
@@ -40,24 +40,6 @@
 others."""
 
 
-@dataclass(frozen=True)
-class SlotDemand:
-    """What a sample requires of an engine; lower ranks are served first.
-
-    A suspect is a sample under which engines crashed. An engine runs one suspect at a
-    time, as a crash could not be attributed to one of several.
-    """
-
-    sample: SampleId
-    rank: tuple[float, ...]
-    service: ServiceName
-    model: ModelName
-    min_version: ModelVersion
-    group: GroupId
-    data_centres: tuple[DataCentreName, ...] = ()
-    is_suspect: bool = False
-
-
 @dataclass(frozen=True)
 class _EligibleEngines:
     """Result of a search for engines with recent enough weights, valid ``until``."""
@@ -66,25 +48,27 @@
     until: float
 
 
-@dataclass(order=True)
-class _SlotRequest:
-    """A sample that waits for a slot; ``granted`` resolves to the engine."""
-
-    rank: tuple[float, ...]
-    sequence: int
-    demand: SlotDemand = field(compare=False)
-    granted: "asyncio.Future[TrackedEndpoint]" = field(compare=False)
-
-
 class Dispatcher:
-    """Grants slots to samples by rank, on the engine expected to be fastest."""
+    """Grants slots to samples by rank, on the engine expected to be fastest.
+
+    Parameters
+    ----------
+    plan_ranks : callable
+        Returns ranks that differ from those of the demands, by sample, or None if they
+        have not changed. It is called periodically while samples wait.
+    """
 
-    def __init__(self, directory: EndpointDirectory, clock: Clock):
+    def __init__(
+        self,
+        directory: EndpointDirectory,
+        clock: Clock,
+        plan_ranks: Callable[[], Mapping[SampleId, Rank] | None] = lambda: None,
+    ):
         self._directory = directory
         self._clock = clock
-        self._waiting: list[_SlotRequest] = []
+        self._plan_ranks = plan_ranks
+        self._waiting = SlotQueue()
         self._has_waiting = asyncio.Event()
-        self._sequence = itertools.count()
         self._paused: dict[tuple[EndpointRun, ModelName], float] = {}
         self._group_slot_counts: dict[tuple[GroupId, EndpointRun], int] = {}
         self._reserved: dict[SampleId, tuple[EndpointRun, float]] = {}
@@ -98,8 +82,7 @@
     async def acquire(self, demand: SlotDemand) -> TrackedEndpoint:
         """Wait for a slot; the caller returns it with `release`."""
         granted = asyncio.get_running_loop().create_future()
-        request = _SlotRequest(demand.rank, next(self._sequence), demand, granted)
-        heapq.heappush(self._waiting, request)
+        request = self._waiting.add(demand, granted)
         self._grant_slots()
         if self._waiting:
             self._has_waiting.set()
@@ -165,15 +148,25 @@
         while True:
             await self._has_waiting.wait()
             await asyncio.sleep(RECHECK_INTERVAL_S)
+            self.update_ranks()
             self._grant_slots()
             if not self._waiting:
                 self._has_waiting.clear()
 
+    def update_ranks(self) -> None:
+        """Order the waiting samples by newly planned ranks, if there are any."""
+        if (ranks := self._plan_ranks()) is not None:
+            self._waiting.set_ranks(ranks)
+
+    def rank_of(self, sample: SampleId, usual_rank: Rank) -> Rank:
+        """Return the present rank of a sample."""
+        return self._waiting.rank_of(sample, usual_rank)
+
     def _grant_slots(self) -> None:
-        ungranted: list[_SlotRequest] = []
+        ungranted: list[SlotRequest] = []
         full_kinds: set[tuple[object, ...]] = set()
         while self._waiting:
-            request = heapq.heappop(self._waiting)
+            request = self._waiting.pop()
             if request.granted.done():
                 continue
             demand = request.demand
@@ -196,8 +189,7 @@
             self._reserved.pop(demand.sample, None)
             self._change_group_slot_count(demand.group, target.run, 1)
             request.granted.set_result(target)
-        for request in ungranted:
-            heapq.heappush(self._waiting, request)
+        self._waiting.put_back(ungranted)
 
     def _choose_engine(self, demand: SlotDemand) -> TrackedEndpoint | None:
         free = [
--- a/src/bankrudder/batches/_loading.py
+++ b/src/bankrudder/batches/_loading.py
@@ -33,7 +33,8 @@
 """Pause between two checks for a configuration; none is known right after a start."""
 
 DEFAULT_RETENTION_S = 60.0
-"""Time after which samples are given up if their route sets no retention."""
+"""Time after which samples are given up if their route sets no retention, or is no
+longer configured."""
 
 _log = structlog.get_logger("batches")
 
@@ -86,21 +87,29 @@
                 )
                 await asyncio.sleep(RELOAD_PAUSE_S)
 
-    async def retention_s(self, batch: Batch) -> float:
-        """Return the time after which samples of a batch are given up.
+    async def route_of(self, batch: Batch) -> Route | None:
+        """Return the route of a batch, None if it is no longer configured.
 
-        Waits until a configuration is known. `DEFAULT_RETENTION_S` applies if the route
-        is no longer configured; `find_route` then finds none and the samples are given
-        up.
+        Waits until a configuration is known.
         """
-        while (table := self._routes()) is None:
+        while self._routes() is None:
             _log.warning("batches: no configuration yet", batch=batch.id)
             await asyncio.sleep(CONFIGURATION_PAUSE_S)
-        for route in table.routes:
-            if route.name == batch.route:
-                return route.retention_s or DEFAULT_RETENTION_S
-        _log.warning("batches: route no longer configured", batch=batch.id)
-        return DEFAULT_RETENTION_S
+        route = self.configured_route(batch)
+        if route is None:
+            _log.warning("batches: route no longer configured", batch=batch.id)
+        return route
+
+    def configured_route(self, batch: Batch) -> Route | None:
+        """Return the route of a batch, None if none is known."""
+        table = self._routes()
+        routes = table.routes if table else ()
+        return next((route for route in routes if route.name == batch.route), None)
+
+    @staticmethod
+    def retention_s(route: Route | None) -> float:
+        """Return the time after which samples of a batch are given up."""
+        return (route.retention_s if route else 0.0) or DEFAULT_RETENTION_S
 
     def find_route(self, host: str, target: str) -> Route | None:
         """Return the rollout route configured for a sample, None if there is none."""
--- a/src/bankrudder/batches/_ownership.py
+++ b/src/bankrudder/batches/_ownership.py
@@ -38,6 +38,8 @@
     ----------
     is_loaded : callable
         Whether the rows of all open batches have been read once.
+    store_time : callable
+        Returns the store's time at a monotonic time of this host, None if unknown.
     """
 
     def __init__(
@@ -45,8 +47,10 @@
         presence: Presence,
         clock: Clock,
         is_loaded: Callable[[], bool] = lambda: True,
+        store_time: Callable[[float], float | None] = lambda _: None,
     ):
         self._is_loaded = is_loaded
+        self._store_time = store_time
         self._presence = presence
         self._clock = clock
         self._owners: dict[BatchId, tuple[Owner, RowVersion]] = {}
@@ -109,13 +113,37 @@
         )
         return max(needed, default=ModelVersion(0))
 
-    def choose_owner(self, batch: Batch, *, may_choose_this_host: bool) -> Owner:
+    def accepted_at(self, batch_id: BatchId) -> float:
+        """Return the monotonic time at which a batch was accepted.
+
+        It is the time at which this host learned of the batch if the owner row or the
+        store's time is not known, and the present time if the host knows no owner row.
+        """
+        now = self._clock.monotonic()
+        owner = self.get(batch_id)
+        store_now = self._store_time(now)
+        if owner is None or not owner.accepted_at or store_now is None:
+            return self._opened_at.get(batch_id, now)
+        return now - max(store_now - owner.accepted_at, 0.0)
+
+    def choose_owner(
+        self,
+        batch: Batch,
+        *,
+        may_choose_this_host: bool,
+        records_time: bool = False,
+    ) -> Owner:
         """Return the owner for a new batch.
 
         The owner of the model's latest batch is preferred, as it has connections to the
         engines and has measured their speed. If it is not available, the host with the
         most capacity is chosen. The owner is empty if no host is known; a host then
         takes the batch over.
+
+        Parameters
+        ----------
+        records_time : bool
+            Whether to record when the batch is accepted, for a later owner.
         """
         hosts = [
             host
@@ -126,7 +154,7 @@
         if host not in hosts:
             host = self._host_with_most_capacity(hosts, batch.model)
         lifetime = self._lifetime_of(host)
-        return Owner(
+        owner = Owner(
             host=host if host is not None and lifetime is not None else "",
             lifetime=lifetime or "",
             model=batch.model,
@@ -135,6 +163,10 @@
             data_centres=batch.data_centres,
             samples=len(batch.samples),
         )
+        accepted_at = self._store_time(self._clock.monotonic())
+        if not records_time or accepted_at is None:
+            return owner
+        return msgspec.structs.replace(owner, accepted_at=round(accepted_at, 3))
 
     def claimed_row(self, before: Owner) -> Owner:
         """Return the owner row with this host as the owner."""
--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -20,6 +20,8 @@
 )
 from bankrudder.batches._sampling import SampleGenerator
 from bankrudder.batches._scoring import ScoreFailedError, Scorer
+from bankrudder.batches._step_planning import StepKind, StepTimes
+from bankrudder.batches._step_work import remaining_work
 from bankrudder.batches._values import (
     Batch,
     Progress,
@@ -31,9 +33,9 @@
 from bankrudder.fleet import EndpointClient
 from bankrudder.observe import Tracer
 from bankrudder.routing import Route
-from bankrudder.scheduling import TokenPace, sample_ranks
+from bankrudder.scheduling import StepWork, TokenPace, sample_ranks
 from bankrudder.store import NotSettledError, RowVersion, StoreUnavailableError
-from bankrudder.world import Clock, SampleId
+from bankrudder.world import Clock, ModelVersion, SampleId
 
 SAVE_INTERVAL_S = 0.4
 """Pause between two saves of progress: a new owner repeats at most this much of each
@@ -64,6 +66,8 @@
         Seconds from now after which unfinished samples are given up.
     carried : frozenset of SampleId
         Samples that were in an earlier batch.
+    times : StepTimes, optional
+        When the batch is due; None if its samples are not planned by due time.
     """
 
     def __init__(
@@ -85,9 +89,12 @@
         crashes: CrashGuard,
         clock: Clock,
         tracer: Tracer,
+        times: StepTimes | None = None,
     ):
         self._tracer = tracer
+        self._times = times
         self._batch = batch
+        self._find_route = find_route
         self._fence = fence
         self._next_position = len(listed)
         self._repository = repository
@@ -99,10 +106,11 @@
         self._deadline = clock.monotonic() + retention_left_s
         self._unlisted_results: asyncio.Queue[SampleResult] = asyncio.Queue()
         done = {result.id for result in listed}
+        self._carried = carried | progress.keys()
         ranks = sample_ranks(
             batch.samples,
             batch.target_groups,
-            carried | progress.keys(),
+            self._carried,
             clock.monotonic(),
             pace.seconds,
         )
@@ -134,6 +142,22 @@
         """The batch that is generated."""
         return self._batch
 
+    @property
+    def kind(self) -> StepKind | None:
+        """The steps that it competes with, None if its route is not configured."""
+        if not self._batch.samples:
+            return None
+        route = self._find_route(self._batch.host, self._batch.samples[0].target)
+        if route is None:
+            return None
+        service = route.services[0].service
+        return StepKind(service, self._batch.model, route.data_centres)
+
+    @property
+    def min_version(self) -> ModelVersion:
+        """Oldest weights that may generate any of the batch's text."""
+        return self._batch.min_version
+
     @property
     def fence(self) -> RowVersion:
         """Version of the row that makes this host the owner."""
@@ -156,12 +180,25 @@
             if each.sample.group in open_groups and len(each.text)
         ]
 
+    def remaining_work(self) -> StepWork | None:
+        """Return what is not complete yet, None while durations are unknown."""
+        if self._times is None or not self._token_pace.seconds:
+            return None
+        unlisted = [
+            each
+            for each in self._generators
+            if each.sample.id not in self._listed_samples
+        ]
+        return remaining_work(
+            self._batch, self._times, unlisted, self._carried, self._token_pace
+        )
+
     async def run(self) -> None:
         """Generate until all samples are listed or another owner took over."""
         began = self._clock.monotonic()
         samplers = [
             asyncio.ensure_future(self._complete_sample(generator))
-            for generator in self._generators
+            for generator in self._start_order()
         ]
         saver = asyncio.ensure_future(self._save_progress())
         try:
@@ -177,6 +214,18 @@
             seconds=round(self._clock.monotonic() - began, 3),
         )
 
+    def _start_order(self) -> list[SampleGenerator]:
+        """Return the samples in the order in which they ask for slots.
+
+        Free slots are granted at once, so planned samples have to ask by rank.
+        """
+        if self._times is None:
+            return self._generators
+        return sorted(
+            self._generators,
+            key=lambda each: self._dispatcher.rank_of(each.sample.id, each.rank),
+        )
+
     async def _save_progress(self) -> None:
         """Save the progress of long samples periodically, for a later owner."""
         while True:
@@ -212,7 +261,11 @@
                     await generator.run(span.traceparent)
                     whole_at = self._clock.monotonic()
                     ran_s = whole_at - began - generator.waited_s
-                    self._token_pace.note(sample.length_hint, timedelta(seconds=ran_s))
+                    self._token_pace.note(
+                        sample.length_hint,
+                        timedelta(seconds=ran_s),
+                        len(generator.text),
+                    )
                     score = await self._score(sample, span.traceparent)
         except (SampleFailedError, ScoreFailedError, TimeoutError) as error:
             _log.warning(
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -10,13 +10,14 @@
 
 import structlog
 
-from bankrudder.batches._dispatcher import Dispatcher, SlotDemand
+from bankrudder.batches._dispatcher import Dispatcher
 from bankrudder.batches._event_timeout import (
     enter_stream,
     event_timeout_s,
     with_event_timeout,
 )
 from bankrudder.batches._failures import SampleFailedError, StaleWeightsError
+from bankrudder.batches._slot_queue import SlotDemand
 from bankrudder.batches._text import SampleText, can_resume
 from bankrudder.batches._values import Batch, Progress, Sample
 from bankrudder.crashes import Admission, CrashGuard, Send, content_id
@@ -110,6 +111,7 @@
         self._text = SampleText()
         self._error_answer_count = 0
         self._run_count = 0
+        self._is_running = False
         self._waited_s = 0.0
         self._longest_gap_s = 0.0
         self._run_started_at = 0.0
@@ -128,6 +130,16 @@
         """The text generated so far."""
         return self._text
 
+    @property
+    def rank(self) -> tuple[float, ...]:
+        """Rank of the sample in the usual order."""
+        return self._rank
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the sample has a slot."""
+        return self._is_running
+
     @property
     def run_count(self) -> int:
         """Number of runs on engines so far."""
@@ -170,6 +182,7 @@
             target = await self._dispatcher.acquire(demand)
             self._waited_s += self._clock.monotonic() - requested_at
             self._run_count += 1
+            self._is_running = True
             span = self._tracer.span(
                 "batches.run",
                 trace,
@@ -182,6 +195,7 @@
                     await self._run_on_engine(target, demand)
                     span.set(events=len(self._text), is_whole=self._text.is_whole)
             finally:
+                self._is_running = False
                 self._dispatcher.release(target, demand.group, demand.is_suspect)
 
     async def _wait_for_admission(self) -> bool:
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -24,12 +24,13 @@
 )
 from bankrudder.batches._run import BatchRun
 from bankrudder.batches._scoring import Scorer
+from bankrudder.batches._step_planning import StepPlanner, StepTimes
 from bankrudder.batches._values import Batch, BatchId, Owner
 from bankrudder.crashes import CrashGuard
 from bankrudder.fleet import EndpointClient, EndpointDirectory
 from bankrudder.observe import Tracer
 from bankrudder.presence import Presence
-from bankrudder.routing import RoutingTable
+from bankrudder.routing import Route, RoutingTable
 from bankrudder.scheduling import TokenPace
 from bankrudder.store import (
     ABSENT,
@@ -62,6 +63,11 @@
     ----------
     loaded : TableFollower, optional
         Follows the versions that engines have loaded; it runs while this host has work.
+    store_time : callable
+        Returns the store's time at a monotonic time of this host, None if unknown.
+    plans_steps : bool
+        Whether the samples of all services are planned by due time; otherwise those of
+        services whose engines report the slowdown of their machine.
     """
 
     def __init__(
@@ -79,6 +85,8 @@
         tracer: Tracer,
         pace: ReadPace,
         loaded: TableFollower | None = None,
+        store_time: Callable[[float], float | None] = lambda _: None,
+        plans_steps: bool = False,
     ):
         self._tracer = tracer
         self._loaded_follower = loaded
@@ -92,9 +100,14 @@
         self._crashes = crashes
         self._scorer = scorer
         self._clock = clock
-        self._dispatcher = Dispatcher(directory, clock)
+        self._step_planner = StepPlanner(
+            directory, clock, lambda: self._runs.values(), plans_all=plans_steps
+        )
+        self._dispatcher = Dispatcher(directory, clock, self._step_planner.ranks)
         self._token_pace = TokenPace()
-        self._owners = OwnerRegistry(presence, clock, lambda: self._follower.is_loaded)
+        self._owners = OwnerRegistry(
+            presence, clock, lambda: self._follower.is_loaded, store_time
+        )
         self._carried = CarriedSamples()
         self._tasks: dict[BatchId, asyncio.Task[None]] = {}
         self._runs: dict[BatchId, BatchRun] = {}
@@ -115,6 +128,11 @@
         """The owners of all open batches."""
         return self._owners
 
+    @property
+    def step_planner(self) -> StepPlanner:
+        """The planner of the steps of this host."""
+        return self._step_planner
+
     @property
     def running_batch_count(self) -> int:
         """Number of batches that this host works on."""
@@ -140,8 +158,11 @@
         NotSettledError
             If it is not known whether the batch is stored.
         """
+        submitted_at = self._clock.monotonic()
         owner = self._owners.choose_owner(
-            batch, may_choose_this_host=not self._is_leaving
+            batch,
+            may_choose_this_host=not self._is_leaving,
+            records_time=self._plans(self._loader.configured_route(batch)),
         )
         outcome = await self._repository.accept(batch, owner)
         _log.info(
@@ -153,7 +174,7 @@
             is_same=outcome.is_same,
         )
         if outcome.fence and self._owners.is_mine(owner):
-            self._start_work(batch.id, outcome.fence, batch)
+            self._start_work(batch.id, outcome.fence, batch, submitted_at)
         return outcome.is_same
 
     async def run(self) -> None:
@@ -204,14 +225,19 @@
         await self._stop_work(batch_id)
 
     def _start_work(
-        self, batch_id: BatchId, fence: RowVersion, batch: Batch | None = None
+        self,
+        batch_id: BatchId,
+        fence: RowVersion,
+        batch: Batch | None = None,
+        submitted_at: float | None = None,
     ) -> None:
         if batch_id in self._tasks:
             if self._fences.get(batch_id) == fence:
                 return
             self._tasks[batch_id].cancel()
         self._fences[batch_id] = fence
-        task = asyncio.ensure_future(self._work(batch_id, fence, batch))
+        work = self._work(batch_id, fence, batch, submitted_at)
+        task = asyncio.ensure_future(work)
         self._tasks[batch_id] = task
         self._update_load_following()
         self._presence.set_busy(True)
@@ -227,13 +253,18 @@
             )
 
     async def _work(
-        self, batch_id: BatchId, fence: RowVersion, batch: Batch | None
+        self,
+        batch_id: BatchId,
+        fence: RowVersion,
+        batch: Batch | None,
+        submitted_at: float | None,
     ) -> None:
         found = await self._loader.load(batch_id, batch)
         if found is None:
             return
         batch, listed, progress = found.batch, found.listed, found.progress
-        retention_s = await self._loader.retention_s(batch)
+        route = await self._loader.route_of(batch)
+        retention_s = self._loader.retention_s(route)
         carried = self._carried.note(batch)
         run = BatchRun(
             batch,
@@ -252,8 +283,11 @@
             crashes=self._crashes,
             clock=self._clock,
             tracer=self._tracer,
+            times=self._step_times(batch_id, route, submitted_at),
         )
         self._runs[batch_id] = run
+        self._step_planner.plan_anew()
+        self._dispatcher.update_ranks()
         _log.info(
             "batches: work begins",
             batch=batch_id,
@@ -267,6 +301,19 @@
         if obsolete:
             await self._progress_store.drop(batch.model, obsolete)
 
+    def _plans(self, route: Route | None) -> bool:
+        """Whether the samples of a route are planned by due time."""
+        return route is not None and self._step_planner.plans(route.services[0].service)
+
+    def _step_times(
+        self, batch_id: BatchId, route: Route | None, submitted_at: float | None
+    ) -> StepTimes | None:
+        if route is None or not self._plans(route):
+            return None
+        if submitted_at is None:
+            submitted_at = self._owners.accepted_at(batch_id)
+        return StepTimes.from_route(route, submitted_at)
+
     async def _stop_work(self, batch_id: BatchId) -> None:
         task = self._tasks.get(batch_id)
         if task is not None:
--- a/src/bankrudder/batches/_values.py
+++ b/src/bankrudder/batches/_values.py
@@ -106,8 +106,8 @@
     Attributes
     ----------
     accepted_at : float
-        Store time in seconds at which the batch was accepted. Not in use: it is always
-        0 in the rows that this release writes.
+        Store time in seconds at which the batch was accepted, so that a new owner knows
+        when it is due; 0 if unknown.
     work : int
         Tokens that the batch is expected to generate.
     samples : int
--- a/src/bankrudder/node/_components.py
+++ b/src/bankrudder/node/_components.py
@@ -283,8 +283,16 @@
             self.tracer,
             self.pace,
             self._make_loads_follower(),
+            self._store_clock.time_at,
+            self._plans_steps,
         )
 
+    @property
+    def _plans_steps(self) -> bool:
+        """Whether the settings call for the planning of all steps."""
+        overload = self._settings.overload
+        return overload is not None and overload.plans_steps
+
     def _make_loads_follower(self) -> TableFollower:
         return TableFollower(
             self.store,
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -166,6 +166,12 @@
             "bankrudder_samples_waiting": (
                 self._components.batches.waiting_sample_count
             ),
+            "bankrudder_groups_in_time": (
+                self._components.batches.step_planner.in_time_count
+            ),
+            "bankrudder_groups_deferred": (
+                self._components.batches.step_planner.deferred_count
+            ),
             "bankrudder_endpoints_listed": len(self._components.directory),
             "bankrudder_endpoints_unreadable": (
                 self._components.directory.unreadable_count
--- a/src/bankrudder/scheduling/__init__.py
+++ b/src/bankrudder/scheduling/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from bankrudder.scheduling._assignment import assign_engines, followed_models
+from bankrudder.scheduling._due_times import plan_steps
 from bankrudder.scheduling._loads import (
     ChosenLoad,
     EngineLoad,
@@ -19,6 +20,14 @@
     placement_order,
 )
 from bankrudder.scheduling._ranking import Rank, TokenPace, sample_ranks
+from bankrudder.scheduling._step_work import (
+    GroupKey,
+    GroupWork,
+    SampleWork,
+    StepPlan,
+    StepWork,
+    expected_left_s,
+)
 from bankrudder.scheduling._supply import (
     EngineOffer,
     PeakNeed,
@@ -30,18 +39,25 @@
     "ChosenLoad",
     "EngineLoad",
     "EngineView",
+    "GroupKey",
+    "GroupWork",
     "PeakNeed",
     "ModelDemand",
     "EngineOffer",
     "PlacementOrder",
     "Rank",
+    "SampleWork",
+    "StepPlan",
+    "StepWork",
     "TokenPace",
     "assign_engines",
     "choose_loads",
     "engines_needed",
+    "expected_left_s",
     "followed_models",
     "is_worth_moving",
     "placement_order",
+    "plan_steps",
     "sample_ranks",
     "spread_engines",
 ]
--- a/src/bankrudder/scheduling/_ranking.py
+++ b/src/bankrudder/scheduling/_ranking.py
@@ -58,19 +58,31 @@
     def __init__(self) -> None:
         self._seconds = 0.0
         self._tokens = 0.0
+        self._events = 0.0
 
     @property
     def seconds(self) -> float:
         """Mean seconds for each hinted token, 0 before the first sample."""
         return self._seconds / self._tokens if self._tokens else 0.0
 
-    def note(self, hinted_tokens: int, duration: timedelta) -> None:
+    def expected_s(self, hinted_tokens: int) -> float:
+        """Return the expected duration of a sample, the mean one without a hint."""
+        return self.seconds * hinted_tokens if hinted_tokens else self._seconds
+
+    def generated_s(self, event_count: int) -> float:
+        """Return the mean time in which engines generate a number of events."""
+        return event_count * self._seconds / self._events if self._events else 0.0
+
+    def note(
+        self, hinted_tokens: int, duration: timedelta, event_count: int = 0
+    ) -> None:
         """Add the time that a complete sample took on engines, without its waits."""
         if not hinted_tokens:
             return
         weight = PACE_WEIGHT if self._tokens else 1.0
         self._seconds += weight * (duration.total_seconds() - self._seconds)
         self._tokens += weight * (hinted_tokens - self._tokens)
+        self._events += weight * (event_count - self._events)
 
 
 def sample_ranks(
