A memory budget for the bodies of requests and answers

Cause: callers that read slowly make a host hold their answers until the platform kills it. 40 callers that do not read answers of 8 MB: a host of 200 MB took 848 MB. Besides, the HTTP server keeps the last answer while it waits for the next request on a connection: 200 idle connections that had read 1 MB each kept 200 MB.

Change: with overload.limits_memory, bodies in transfer count against a budget derived from memory_mb. What does not fit ends the slowest transfers; a request that still does not fit is refused as not run; an answer is given up truly. The body of a sent answer is dropped.

Without the setting nothing changes.

--- a/src/bankrudder/fleet/_sending.py
+++ b/src/bankrudder/fleet/_sending.py
@@ -94,6 +94,9 @@
     ENDPOINT_RESTARTED = "endpoint_restarted"
     """The endpoint restarted before it answered."""
 
+    NO_MEMORY = "no_memory"
+    """This host has no memory for the answer."""
+
 
 class Answered(msgspec.Struct, frozen=True):
     """The endpoint ran the request and its answer is complete.
--- /dev/null
+++ b/src/bankrudder/memory/_budget.py
@@ -0,0 +1,255 @@
+"""A budget for the data that a host holds while it is transferred.
+
+Load pattern: hundreds of callers read large answers slowly, or send large requests
+slowly. A host that holds the data of all of them exceeds its memory and is killed, with
+every request that it works on.
+
+All data that is being transferred counts against one budget, apart from the first bytes
+of each transfer: callers of small requests must not fail because of large ones. Neither
+requests nor answers may use all of the budget, so that neither takes the room of the
+other. If data does not fit, the slowest transfers are ended until it
+does. A transfer younger than `MIN_ENDED_AGE_S` is never ended, and neither is one that
+is faster than the transfer that needs the memory.
+"""
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Self
+
+import structlog
+
+from bankrudder.world import Clock
+
+PROCESS_MB = 80.0
+"""Memory that the process takes without transfers, in megabytes."""
+
+DATA_SHARE = 0.25
+"""Share of the remaining memory that transfers may use. Data stands in memory up to
+three times while its parts are joined and written, and the allocator does not return
+freed memory at once."""
+
+MIN_BUDGET_MB = 8.0
+"""Smallest budget, in megabytes: room for a thousand answers of the usual size."""
+
+MAX_KIND_SHARE = 0.75
+"""Share of the budget that requests may use, and that answers may use."""
+
+UNCOUNTED_BYTES = 16 << 10
+"""Bytes of each transfer that do not count. Usual requests and answers are smaller, and
+a thousand transfers take only 16 MB so."""
+
+MIN_ENDED_AGE_S = 1.0
+"""Age from which a transfer may be ended. A caller that reads at once has received an
+answer of megabytes by then."""
+
+BYTES_PER_MB = 1 << 20
+
+_log = structlog.get_logger("memory")
+
+
+class TransferKind(Enum):
+    """What is transferred."""
+
+    REQUEST = "request"
+    """A request, of which nothing has run."""
+
+    ANSWER = "answer"
+
+
+class Holding:
+    """The data of one transfer that is in progress.
+
+    Parameters
+    ----------
+    transferred_bytes : callable
+        Returns how many bytes the other side has sent or received so far.
+    end : callable
+        Ends the transfer by closing its connection.
+    """
+
+    def __init__(
+        self,
+        budget: "MemoryBudget",
+        kind: TransferKind,
+        began_at: float,
+        transferred_bytes: Callable[[], int],
+        end: Callable[[], None],
+    ):
+        self._budget = budget
+        self._kind = kind
+        self._began_at = began_at
+        self._transferred_bytes = transferred_bytes
+        self._end = end
+        self._size_bytes = 0
+        self._held_bytes = 0
+
+    @property
+    def kind(self) -> TransferKind:
+        """What is transferred."""
+        return self._kind
+
+    @property
+    def size_bytes(self) -> int:
+        """Bytes of the transfer so far."""
+        return self._size_bytes
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that count against the budget."""
+        return self._held_bytes
+
+    def age_s(self, now: float) -> float:
+        """Return the time since the transfer began."""
+        return now - self._began_at
+
+    def bytes_per_s(self, now: float) -> float:
+        """Return the mean rate of the transfer so far."""
+        return self._transferred_bytes() / max(self.age_s(now), 0.001)
+
+    def grow(self, count: int) -> bool:
+        """Hold more bytes; return whether there is room for them."""
+        size_bytes = self._size_bytes + count
+        added_bytes = (
+            max(size_bytes - self._budget.uncounted_bytes, 0) - self._held_bytes
+        )
+        if not self._budget.take(self, added_bytes):
+            return False
+        self._size_bytes = size_bytes
+        self._held_bytes += added_bytes
+        return True
+
+    def end(self) -> None:
+        """End the transfer and release its bytes."""
+        self.release()
+        self._end()
+
+    def release(self) -> None:
+        """Release all bytes, at the end of the transfer."""
+        self._budget.discard(self)
+        self._held_bytes = 0
+
+
+class MemoryBudget:
+    """The memory that all transfers of a host may use together.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        Largest number of counted bytes that are held at the same time.
+    uncounted_bytes : int
+        Bytes of each transfer that do not count.
+    """
+
+    def __init__(
+        self, limit_bytes: int, clock: Clock, uncounted_bytes: int = UNCOUNTED_BYTES
+    ):
+        self._limit_bytes = limit_bytes
+        self._uncounted_bytes = uncounted_bytes
+        self._clock = clock
+        self._held_bytes = dict.fromkeys(TransferKind, 0)
+        self._holdings: set[Holding] = set()
+
+    @classmethod
+    def from_config(cls, memory_mb: float, clock: Clock) -> Self:
+        """Create the budget of a process that may use `memory_mb` megabytes."""
+        budget_mb = max(DATA_SHARE * (memory_mb - PROCESS_MB), MIN_BUDGET_MB)
+        return cls(int(budget_mb * BYTES_PER_MB), clock)
+
+    @property
+    def limit_bytes(self) -> int:
+        """Largest number of bytes that are held at the same time."""
+        return self._limit_bytes
+
+    @property
+    def uncounted_bytes(self) -> int:
+        """Bytes of each transfer that do not count."""
+        return self._uncounted_bytes
+
+    @property
+    def held_bytes(self) -> int:
+        """Counted bytes that are held at present."""
+        return sum(self._held_bytes.values())
+
+    def hold(
+        self,
+        kind: TransferKind,
+        transferred_bytes: Callable[[], int],
+        end: Callable[[], None],
+    ) -> Holding:
+        """Begin a transfer, which holds no bytes yet."""
+        holding = Holding(self, kind, self._clock.monotonic(), transferred_bytes, end)
+        self._holdings.add(holding)
+        return holding
+
+    def discard(self, holding: Holding) -> None:
+        """Forget a transfer that has ended, and free what it held."""
+        if holding in self._holdings:
+            self._holdings.remove(holding)
+            self._held_bytes[holding.kind] -= holding.held_bytes
+
+    def take(self, holding: Holding, count: int) -> bool:
+        """Count more bytes of a transfer; return whether there is room for them."""
+        if holding not in self._holdings or not self._make_room(holding, count):
+            return False
+        self._held_bytes[holding.kind] += count
+        return True
+
+    def _make_room(self, holding: Holding, count: int) -> bool:
+        """End slower transfers until `count` more bytes fit; return whether they do."""
+        kind_limit_bytes = int(MAX_KIND_SHARE * self._limit_bytes)
+        held_of_kind = self._held_bytes[holding.kind]
+        missing_bytes = self.held_bytes + count - self._limit_bytes
+        missing_of_kind = held_of_kind + count - kind_limit_bytes
+        if count <= 0 or max(missing_bytes, missing_of_kind) <= 0:
+            return True
+        ended = self._slower_transfers(holding, missing_bytes, missing_of_kind)
+        for each in ended:
+            self._log_end(each, holding, count)
+            each.end()
+        return bool(ended)
+
+    def _slower_transfers(
+        self, holding: Holding, missing_bytes: int, missing_of_kind: int
+    ) -> list[Holding]:
+        """Return the slowest transfers that hold the missing bytes, none if too few."""
+        ended = []
+        for each in self._transfers_to_end(holding):
+            if missing_bytes <= 0 and each.kind is not holding.kind:
+                continue
+            ended.append(each)
+            missing_bytes -= each.held_bytes
+            if each.kind is holding.kind:
+                missing_of_kind -= each.held_bytes
+            if max(missing_bytes, missing_of_kind) <= 0:
+                return ended
+        return []
+
+    def _transfers_to_end(self, holding: Holding) -> list[Holding]:
+        """Return the transfers that may be ended for another one, the slowest first."""
+        now = self._clock.monotonic()
+        own_rate = holding.bytes_per_s(now)
+        is_new = holding.age_s(now) < MIN_ENDED_AGE_S
+        return sorted(
+            (
+                each
+                for each in self._holdings
+                if each is not holding
+                and each.held_bytes
+                and each.age_s(now) >= MIN_ENDED_AGE_S
+                and (is_new or each.bytes_per_s(now) < own_rate)
+            ),
+            key=lambda each: each.bytes_per_s(now),
+        )
+
+    def _log_end(self, ended: Holding, holding: Holding, count: int) -> None:
+        now = self._clock.monotonic()
+        _log.warning(
+            "memory: slow transfer ended",
+            kind=ended.kind.value,
+            held_bytes=ended.held_bytes,
+            bytes_per_s=round(ended.bytes_per_s(now)),
+            seconds=round(ended.age_s(now), 2),
+            needed_bytes=count,
+            needed_for=holding.kind.value,
+            budget_bytes=self._limit_bytes,
+        )
--- a/src/bankrudder/node/_adapter.py
+++ b/src/bankrudder/node/_adapter.py
@@ -31,6 +31,11 @@
         """Number of requests that are not answered yet."""
         ...
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of bodies that the host holds, 0 if they are not counted."""
+        ...
+
 
 class Adapter(Protocol):
     """The connections of a node to its platform."""
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -175,6 +175,7 @@
                 self._components.crashes.refused_count
             ),
             "bankrudder_requests_in_progress": self._callers.in_progress,
+            "bankrudder_held_bytes": self._callers.held_bytes,
             "bankrudder_orders_lease_held": int(self._components.lease.is_valid),
             "bankrudder_hosts_alive": len(self._components.presence.live_hosts()),
             "bankrudder_ready": int(self._components.gateway.is_ready),
--- a/src/bankrudder/platform/_adapter.py
+++ b/src/bankrudder/platform/_adapter.py
@@ -4,6 +4,7 @@
 
 from bankrudder.duties import DutyApi
 from bankrudder.fleet import Endpoint, ModelState
+from bankrudder.memory import MemoryBudget
 from bankrudder.node import Gateway, NodeSettings, run_daemon
 from bankrudder.platform import _names as names
 from bankrudder.platform._contracts import complete_settings
@@ -17,7 +18,7 @@
 from bankrudder.platform._listeners import CallerListener, ReadinessListener
 from bankrudder.platform._store import PlatformStore
 from bankrudder.routing import RoutingConfiguration
-from bankrudder.world import Clock
+from bankrudder.world import Clock, SystemClock
 
 
 class PlatformDocuments:
@@ -44,9 +45,10 @@
 class PlatformAdapter:
     """All connections of one host to the platform."""
 
-    def __init__(self, settings: NodeSettings):
+    def __init__(self, settings: NodeSettings, clock: Clock | None = None):
+        self._budget = _memory_budget(settings, clock or SystemClock())
         self._store = PlatformStore.from_config(settings.store.address)
-        self._endpoints = HttpEndpointClient()
+        self._endpoints = HttpEndpointClient(self._budget)
         self._documents = PlatformDocuments()
         duties = settings.duties
         self._duties = HttpDutyApi(duties.address) if duties is not None else None
@@ -80,7 +82,7 @@
         self, settings: NodeSettings, gateway: Gateway, clock: Clock
     ) -> CallerListener:
         """Create the HTTP listener for callers."""
-        return CallerListener(settings.callers_address, gateway, clock)
+        return CallerListener(settings.callers_address, gateway, clock, self._budget)
 
     def readiness_listener(
         self, settings: NodeSettings, gateway: Gateway
@@ -96,6 +98,14 @@
             await self._duties.close()
 
 
+def _memory_budget(settings: NodeSettings, clock: Clock) -> MemoryBudget | None:
+    """Return the budget for bodies, None unless the settings ask for one."""
+    overload = settings.overload
+    if overload is None or not overload.limits_memory or settings.memory_mb is None:
+        return None
+    return MemoryBudget.from_config(settings.memory_mb, clock)
+
+
 def main() -> None:
     """Run a daemon on the platform."""
     run_daemon(PlatformAdapter.from_config, complete_settings)
--- a/src/bankrudder/platform/_answers.py
+++ b/src/bankrudder/platform/_answers.py
@@ -20,9 +20,11 @@
     SendOutcome,
     StreamOutcome,
 )
+from bankrudder.memory import MemoryBudget
 from bankrudder.platform import _names as names
 from bankrudder.platform._events import read_events
 from bankrudder.platform._load_reports import reported_load
+from bankrudder.platform._transfers import NoMemoryError, read_answer_body
 from bankrudder.world import ModelVersion
 
 NOT_FORWARDED_HEADERS = frozenset(
@@ -95,8 +97,13 @@
     return echoed_id == request.request_id
 
 
-async def read_answer(response: aiohttp.ClientResponse) -> SendOutcome:
-    """Read a complete answer, or return why there is none."""
+async def read_answer(
+    response: aiohttp.ClientResponse, budget: MemoryBudget | None = None
+) -> SendOutcome:
+    """Read a complete answer, or return why there is none.
+
+    An answer that does not fit into the budget is broken off.
+    """
     load = reported_load(response)
     if _is_refusal(response):
         await response.read()
@@ -105,7 +112,9 @@
         response.close()
         return Lost(LossReason.BROKEN_OFF)
     closed = _body_end_of_close_delimited(response)
-    body = await response.read()
+    body = await _read_body(response, budget)
+    if body is None:
+        return Lost(LossReason.NO_MEMORY)
     if closed is not None and not await _was_closed_cleanly(closed):
         return Lost(LossReason.BROKEN_OFF)
     proof = response.headers.get(names.ANSWER_PROOF, "")
@@ -130,6 +139,19 @@
     )
 
 
+async def _read_body(
+    response: aiohttp.ClientResponse, budget: MemoryBudget | None
+) -> bytes | None:
+    """Return the body of an answer, None if there is no memory for it."""
+    if budget is None:
+        return await response.read()
+    try:
+        return await read_answer_body(response, budget)
+    except NoMemoryError:
+        response.close()
+        return None
+
+
 def _body_end_of_close_delimited(
     response: aiohttp.ClientResponse,
 ) -> "asyncio.Future[None] | None":
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -28,6 +28,7 @@
     SwitchMode,
     VersionOrder,
 )
+from bankrudder.memory import MemoryBudget
 from bankrudder.platform import _names as names
 from bankrudder.platform._answers import (
     is_answer_to,
@@ -91,9 +92,15 @@
 
     Each request states the endpoint that it is meant for, so that another endpoint at
     the same address refuses it.
+
+    Parameters
+    ----------
+    budget : MemoryBudget or None
+        Memory for the bodies of answers; None if it is not limited.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: MemoryBudget | None = None) -> None:
+        self._budget = budget
         self._sessions = EndpointSessions()
 
     async def close(self) -> None:
@@ -108,7 +115,7 @@
                 if not is_answer_to(response, request):
                     response.close()
                     return Lost(LossReason.FOREIGN_ANSWER)
-                outcome = await read_answer(response)
+                outcome = await read_answer(response, self._budget)
                 if isinstance(outcome, Answered):
                     keep_alive_s = self._sessions.keep_alive_s(
                         endpoint, request, response
--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -11,6 +11,7 @@
 
 from bankrudder.batches import BatchId
 from bankrudder.fleet import StreamBrokenError
+from bankrudder.memory import Holding, MemoryBudget
 from bankrudder.node import Gateway
 from bankrudder.platform import _names as names
 from bankrudder.platform._batch_documents import (
@@ -18,11 +19,20 @@
     decode_batch,
     encode_page,
 )
+from bankrudder.platform._transfers import (
+    MAX_BODY_BYTES,
+    BodyTooLargeError,
+    NoMemoryError,
+    holding_request,
+    read_request_body,
+    send_answer,
+)
 from bankrudder.relay import (
     IncomingRequest,
     Malformed,
     NotFound,
     NotRun,
+    RejectReason,
     Relayed,
     Reply,
     StreamStarted,
@@ -46,9 +56,6 @@
 the configuration allows.
 """
 
-MAX_BODY_BYTES = 64 << 20
-"""Maximum size of a request body; a larger one is answered with status 413."""
-
 DEFAULT_TIMEOUT_S = 30.0
 """Timeout of a request whose caller states none."""
 
@@ -64,13 +71,30 @@
 LONG_POLL_MARGIN_S = 0.1
 """Time by which a long poll is answered before the caller's maximum wait ends."""
 
+MEMORY_RETRY_AFTER_S = 0.1
+"""Retry delay while this host has no memory for a request or an answer: the retry goes
+to another host, which may have some."""
+
 _log = structlog.get_logger("front")
 
 
 class CallerListener:
-    """Serves the HTTP requests of callers and trainers."""
+    """Serves the HTTP requests of callers and trainers.
 
-    def __init__(self, address: Address, gateway: Gateway, clock: Clock):
+    Parameters
+    ----------
+    budget : MemoryBudget or None
+        Memory for the bodies of requests and answers; None if it is not limited.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        gateway: Gateway,
+        clock: Clock,
+        budget: MemoryBudget | None = None,
+    ):
+        self._budget = budget
         self._address = address
         self._gateway = gateway
         self._clock = clock
@@ -83,6 +107,11 @@
         """Number of requests that are not answered yet."""
         return self._in_progress
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of bodies that this host holds, 0 if they are not counted."""
+        return self._budget.held_bytes if self._budget is not None else 0
+
     async def start(self) -> None:
         """Start listening.
 
@@ -114,19 +143,52 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self._in_progress += 1
         try:
-            response = await self._answer(request)
+            with holding_request(request, self._budget) as holding:
+                response = await self._answer(request, holding)
+            if self._gateway.is_leaving:
+                response.force_close()
+            if self._budget is not None and isinstance(response, web.Response):
+                response = await self._send_within(self._budget, request, response)
         finally:
             self._in_progress -= 1
-        if self._gateway.is_leaving:
-            response.force_close()
         return response
 
-    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _send_within(
+        self, budget: MemoryBudget, request: web.BaseRequest, response: web.Response
+    ) -> web.Response:
+        """Send a response, whose body counts against the budget until it is sent."""
+        try:
+            await send_answer(request, response, budget)
+        except NoMemoryError:
+            _log.warning(
+                "front: no memory for an answer",
+                request=request.headers.get(names.REQUEST_ID, ""),
+                held_bytes=budget.held_bytes,
+                budget_bytes=budget.limit_bytes,
+            )
+            return _unsent_response(request.path)
+        return response
+
+    def _no_memory_for_request(self, request: web.BaseRequest) -> web.Response:
+        _log.warning(
+            "front: no memory for a request",
+            request=request.headers.get(names.REQUEST_ID, ""),
+            held_bytes=self.held_bytes,
+        )
+        response = _response(NotRun(RejectReason.NO_MEMORY, MEMORY_RETRY_AFTER_S))
+        response.force_close()
+        return response
+
+    async def _answer(
+        self, request: web.BaseRequest, holding: Holding | None
+    ) -> web.StreamResponse:
         received_at = self._clock.monotonic()
         try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
+            body = await read_request_body(request, holding)
+        except BodyTooLargeError:
             return web.Response(status=413)
+        except NoMemoryError:
+            return self._no_memory_for_request(request)
         path = request.path
         if path.startswith(names.BATCH_PATH_PREFIX):
             return await self._batch_call(request, path)
@@ -263,6 +325,16 @@
         return web.Response(status=200 if self._gateway.is_ready else 503)
 
 
+def _unsent_response(path: str) -> web.Response:
+    """Return the response to a request whose answer this host cannot hold.
+
+    Results of a batch can be read again. Any other request may have run.
+    """
+    if path.startswith((names.BATCH_PATH_PREFIX, names.SAMPLE_PATH_PREFIX)):
+        return _response(NotRun(RejectReason.NO_MEMORY, MEMORY_RETRY_AFTER_S))
+    return _response(Unanswered(RejectReason.NO_MEMORY, is_timeout=False))
+
+
 def _make_request(
     message: RawRequestMessage,
     payload: StreamReader,
--- /dev/null
+++ b/src/bankrudder/platform/_transfers.py
@@ -0,0 +1,143 @@
+"""Bodies of requests and answers, held within the host's memory budget."""
+
+import asyncio
+import math
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
+
+import aiohttp
+from aiohttp import web
+
+from bankrudder.memory import Holding, MemoryBudget, TransferKind
+
+MAX_BODY_BYTES = 64 << 20
+"""Maximum size of a request body; a larger one is answered with status 413."""
+
+
+SEND_POLL_INTERVAL_S = 0.02
+"""Interval at which the unsent part of an answer is checked: a fraction of the time in
+which a caller on a slow link receives such an answer."""
+
+
+class BodyTooLargeError(Exception):
+    """A request body is larger than `MAX_BODY_BYTES`."""
+
+
+class NoMemoryError(Exception):
+    """There is no memory for a body, even after slower transfers were ended."""
+
+
+@contextmanager
+def holding_request(
+    request: web.BaseRequest, budget: MemoryBudget | None
+) -> Iterator[Holding | None]:
+    """Hold a request while it is in progress; None if memory is not limited."""
+    if budget is None:
+        yield None
+        return
+    holding = budget.hold(
+        TransferKind.REQUEST, lambda: holding.size_bytes, lambda: _abort(request)
+    )
+    try:
+        yield holding
+    finally:
+        holding.release()
+
+
+async def read_request_body(request: web.BaseRequest, holding: Holding | None) -> bytes:
+    """Return the body of a request, which stays held by `holding`.
+
+    Raises
+    ------
+    BodyTooLargeError
+        If the body is larger than `MAX_BODY_BYTES`.
+    NoMemoryError
+        If the body does not fit into the budget. Its rest is not read.
+    """
+    if holding is None:
+        try:
+            return await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            raise BodyTooLargeError from None
+    if not request.can_read_body:
+        return b""
+    return await _read_chunks(request.content.iter_any(), holding, MAX_BODY_BYTES)
+
+
+async def read_answer_body(
+    response: aiohttp.ClientResponse, budget: MemoryBudget
+) -> bytes:
+    """Return the body of an endpoint's answer, which is held while it is read.
+
+    Raises
+    ------
+    NoMemoryError
+        If the body does not fit into the budget. Its rest is not read.
+    """
+    holding = budget.hold(
+        TransferKind.ANSWER, lambda: holding.size_bytes, response.close
+    )
+    try:
+        return await _read_chunks(response.content.iter_any(), holding)
+    finally:
+        holding.release()
+
+
+async def _read_chunks(
+    chunks: AsyncIterator[bytes], holding: Holding, max_bytes: float = math.inf
+) -> bytes:
+    parts: list[bytes] = []
+    async for chunk in chunks:
+        if not holding.grow(len(chunk)):
+            raise NoMemoryError
+        if holding.size_bytes > max_bytes:
+            raise BodyTooLargeError
+        parts.append(chunk)
+    return b"".join(parts)
+
+
+async def send_answer(
+    request: web.BaseRequest, response: web.Response, budget: MemoryBudget
+) -> None:
+    """Send an answer, whose body counts against the budget until it is sent.
+
+    A small answer does not count and is left to the server.
+
+    Raises
+    ------
+    NoMemoryError
+        If the body does not fit into the budget. Nothing is sent.
+    """
+    size = len(response.body) if isinstance(response.body, bytes) else 0
+    if size <= budget.uncounted_bytes:
+        return
+    holding = budget.hold(
+        TransferKind.ANSWER,
+        lambda: size - _unsent_bytes(request),
+        lambda: _abort(request),
+    )
+    try:
+        if not holding.grow(size):
+            raise NoMemoryError
+        await response.prepare(request)
+        await response.write_eof()
+        # The server keeps the response while it waits for the next request.
+        response.body = None
+        # The event loop sends the data after this task has yielded, so the server does
+        # not know of unsent data when it has written all of it.
+        await asyncio.sleep(0)
+        while _unsent_bytes(request):  # noqa: ASYNC110 - there is no event for it
+            await asyncio.sleep(SEND_POLL_INTERVAL_S)
+    finally:
+        holding.release()
+
+
+def _unsent_bytes(request: web.BaseRequest) -> int:
+    transport = request.transport
+    return transport.get_write_buffer_size() if transport is not None else 0
+
+
+def _abort(request: web.BaseRequest) -> None:
+    """Close a caller's connection so that the answer does not look complete."""
+    if request.transport is not None:
+        request.transport.abort()
--- a/src/bankrudder/relay/_outcomes.py
+++ b/src/bankrudder/relay/_outcomes.py
@@ -41,6 +41,8 @@
             pass
         case Lost(reason=LossReason.ENDPOINT_RESTARTED):
             pass  # The endpoint's new run did not fail.
+        case Lost(reason=LossReason.NO_MEMORY):
+            target.note_alive()
         case _:
             was_suspended = target.is_suspended(now)
             seconds = target.note_failure(now)
--- a/src/bankrudder/relay/_values.py
+++ b/src/bankrudder/relay/_values.py
@@ -106,6 +106,9 @@
     OUT_OF_TIME = "out_of_time"
     MALFORMED = "malformed"
     ENDPOINT_FAILED = "endpoint_failed"
+    NO_MEMORY = "no_memory"
+    """This host cannot hold the request or its answer."""
+
     CRASHES_ENDPOINTS = "crashes_endpoints"
     """Endpoints crashed while processing the same request, at any host."""
 
--- /dev/null
+++ b/tests/memory/test_budget.py
@@ -0,0 +1,159 @@
+"""The memory that transfers take stays within a budget."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bankrudder.memory import MemoryBudget, TransferKind
+from bankrudder.memory._budget import (
+    BYTES_PER_MB,
+    MAX_KIND_SHARE,
+    MIN_BUDGET_MB,
+    MIN_ENDED_AGE_S,
+    PROCESS_MB,
+)
+from manual_clock import ManualClock
+
+LIMIT = 1000
+KIND_LIMIT = int(MAX_KIND_SHARE * LIMIT)
+
+
+class Transfer:
+    """A transfer at a fixed rate; ``is_ended`` is set when its connection closes."""
+
+    def __init__(self, budget, clock, kind=TransferKind.ANSWER, bytes_per_s=0):
+        self._clock = clock
+        self._began_at = clock.monotonic()
+        self._bytes_per_s = bytes_per_s
+        self.is_ended = False
+        self.holding = budget.hold(kind, self._transferred, self._end)
+
+    def _transferred(self):
+        return int(self._bytes_per_s * (self._clock.monotonic() - self._began_at))
+
+    def _end(self):
+        self.is_ended = True
+
+
+@pytest.fixture
+def budget(manual_clock):
+    return MemoryBudget(LIMIT, manual_clock, uncounted_bytes=0)
+
+
+def test_the_slowest_reader_yields_to_an_answer_that_does_not_fit(budget, manual_clock):
+    slow, fast = (
+        Transfer(budget, manual_clock, bytes_per_s=rate) for rate in (10, 200)
+    )
+    assert slow.holding.grow(350)
+    assert fast.holding.grow(350)
+    manual_clock.advance(2 * MIN_ENDED_AGE_S)
+    new = Transfer(budget, manual_clock)
+    assert new.holding.grow(300)
+    assert (slow.is_ended, fast.is_ended) == (True, False)
+    assert budget.held_bytes == 650
+
+
+def test_nobody_is_ended_for_data_that_never_fits(budget, manual_clock):
+    slow = Transfer(budget, manual_clock)
+    assert slow.holding.grow(500)
+    manual_clock.advance(2 * MIN_ENDED_AGE_S)
+    assert not Transfer(budget, manual_clock).holding.grow(LIMIT + 1)
+    assert not slow.is_ended
+
+
+def test_a_young_transfer_is_not_ended(budget, manual_clock):
+    young = Transfer(budget, manual_clock)
+    assert young.holding.grow(KIND_LIMIT)
+    assert not Transfer(budget, manual_clock).holding.grow(1)
+    assert not young.is_ended
+
+
+def test_a_slow_transfer_does_not_end_a_faster_one(budget, manual_clock):
+    fast = Transfer(budget, manual_clock, bytes_per_s=100)
+    slow = Transfer(budget, manual_clock, bytes_per_s=10)
+    assert fast.holding.grow(KIND_LIMIT)
+    manual_clock.advance(2 * MIN_ENDED_AGE_S)
+    assert not slow.holding.grow(1)
+    assert not fast.is_ended
+
+
+@pytest.mark.parametrize("kind", TransferKind)
+def test_neither_kind_takes_the_room_of_the_other(kind, budget, manual_clock):
+    [other_kind] = set(TransferKind) - {kind}
+    transfer = Transfer(budget, manual_clock, kind)
+    assert not transfer.holding.grow(KIND_LIMIT + 1)
+    assert transfer.holding.grow(KIND_LIMIT)
+    assert Transfer(budget, manual_clock, other_kind).holding.grow(LIMIT - KIND_LIMIT)
+
+
+def test_room_of_its_own_kind_is_not_made_by_ending_the_other(budget, manual_clock):
+    request = Transfer(budget, manual_clock, TransferKind.REQUEST)
+    slow = Transfer(budget, manual_clock, bytes_per_s=10)
+    assert request.holding.grow(100)
+    assert slow.holding.grow(KIND_LIMIT)
+    manual_clock.advance(2 * MIN_ENDED_AGE_S)
+    assert Transfer(budget, manual_clock).holding.grow(100)
+    assert (request.is_ended, slow.is_ended) == (False, True)
+
+
+def test_the_first_bytes_of_each_transfer_are_free(manual_clock):
+    budget = MemoryBudget(LIMIT, manual_clock, uncounted_bytes=100)
+    large = Transfer(budget, manual_clock)
+    assert large.holding.grow(50)
+    assert budget.held_bytes == 0
+    assert large.holding.grow(KIND_LIMIT + 50)
+    assert budget.held_bytes == KIND_LIMIT
+    assert Transfer(budget, manual_clock).holding.grow(100)
+
+
+def test_what_a_finished_transfer_held_is_free(budget, manual_clock):
+    transfer = Transfer(budget, manual_clock)
+    assert transfer.holding.grow(KIND_LIMIT)
+    transfer.holding.release()
+    assert budget.held_bytes == 0
+    assert not transfer.is_ended
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "budget_mb"),
+    [(PROCESS_MB + 120, 30), (PROCESS_MB, MIN_BUDGET_MB), (10, MIN_BUDGET_MB)],
+)
+def test_the_budget_is_what_the_process_does_not_need(
+    memory_mb, budget_mb, manual_clock
+):
+    budget = MemoryBudget.from_config(memory_mb, manual_clock)
+    assert budget.limit_bytes == budget_mb * BYTES_PER_MB
+
+
+steps = st.tuples(
+    st.integers(0, 4),  # which transfer grows
+    st.integers(1, LIMIT),
+    st.floats(0, 3),  # seconds that pass before
+    st.booleans(),  # whether a transfer is released instead
+)
+
+
+@given(st.lists(steps, max_size=40), st.lists(st.integers(0, 500), min_size=5))
+def test_the_budget_is_never_exceeded_and_no_faster_transfer_is_ended(moves, rates):
+    clock = ManualClock()
+    budget = MemoryBudget(LIMIT, clock, uncounted_bytes=0)
+    transfers = [
+        Transfer(budget, clock, list(TransferKind)[n % 2], rates[n]) for n in range(5)
+    ]
+    for number, count, pause_s, is_release in moves:
+        clock.advance(pause_s)
+        transfer = transfers[number]
+        running = [each for each in transfers if not each.is_ended]
+        if transfer.is_ended:
+            continue
+        if is_release:
+            transfer.holding.release()
+            transfer.is_ended = True
+            continue
+        is_old = transfer.holding.age_s(clock.monotonic()) >= MIN_ENDED_AGE_S
+        transfer.holding.grow(count)
+        assert budget.held_bytes <= LIMIT
+        for each in running:
+            if each.is_ended and is_old:
+                rate = each.holding.bytes_per_s(clock.monotonic())
+                assert rate < transfer.holding.bytes_per_s(clock.monotonic())
--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -36,9 +36,18 @@
     """A daemon process and its own gate to the store."""
 
     def __init__(
-        self, name, data_centre, gate, folder, rpc=None, min_feed_hosts=0, duties=None
+        self,
+        name,
+        data_centre,
+        gate,
+        folder,
+        rpc=None,
+        min_feed_hosts=0,
+        duties=None,
+        settings=None,
     ):
         self.name = name
+        self._settings = settings or {}
         self._rpc = rpc
         self._duties = duties
         self._min_feed_hosts = min_feed_hosts
@@ -109,6 +118,7 @@
             "lease_ms": 1000,
             "grace_s": 8,
             **optional_settings,
+            **self._settings,
             **changes,
         }
         self.settings_path.write_text(json.dumps(settings))
@@ -194,6 +204,8 @@
         Number of hosts, counted from the first, that can be suspended.
     duties : dict or None
         Settings of the platform's duty API.
+    settings : dict or None
+        Further settings of all hosts.
     """
 
     def __init__(
@@ -207,7 +219,9 @@
         min_feed_hosts=0,
         suspendable=0,
         duties=None,
+        settings=None,
     ):
+        self._settings = settings
         self.duties = duties
         self.key = ""
         self._suspendable = suspendable
@@ -256,6 +270,7 @@
                 self._rpc,
                 self._min_feed_hosts,
                 self.duties,
+                self._settings,
             )
             host.is_suspendable = number < self._suspendable
             if proxy_factory is not None:
