Lasting speed of endpoints, apart from momentary slowness

Cause: what a host knew of an endpoint's speed was a moving average over about ten values. On machines that are 2.5 times slower for 15 % of spells of 600 ms it follows each spell.

Streams of samples note the report at their first event if it carries a slowdown. Runs that report no slowdown keep the moving averages.

--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -230,8 +230,12 @@
             stream = self._client.open_stream(target.endpoint, self._outgoing_request())
             match await enter_stream(stack, stream):
                 case OpenedStream(
-                    version=version, events=events, keep_alive_s=keep_alive_s
+                    version=version, events=events, keep_alive_s=keep_alive_s, load=load
                 ):
+                    # Without a slowdown, `running` would count this host's own samples
+                    # as load of the engine for the choice of other requests.
+                    if load is not None and load.slowdown is not None:
+                        target.note_load(load, self._clock.monotonic())
                     await self._consume_stream(target, demand, version, events)
                     if self._text.is_whole:
                         now = self._clock.monotonic()
@@ -298,7 +302,8 @@
                     continue
                 count += 1
                 if count % EVENTS_PER_MOVE_CHECK == 0:
-                    target.note_event_gap((now - last_check_at) / EVENTS_PER_MOVE_CHECK)
+                    gap_s = (now - last_check_at) / EVENTS_PER_MOVE_CHECK
+                    target.note_event_gap(gap_s, now)
                     last_check_at = now
                     if self._dispatcher.should_move(demand, target, len(self._text)):
                         self._log_run_end(target, "a faster engine has a free slot")
@@ -316,7 +321,8 @@
             return
         self._text.is_whole = True
         self._crashes.note_answer(self._content_id)
-        target.note_answer(self._clock.monotonic() - began)
+        now = self._clock.monotonic()
+        target.note_answer(now - began, now)
 
     def _add_event(
         self, target: TrackedEndpoint, event: StreamEvent, version: ModelVersion | None
--- a/src/bankrudder/fleet/_tracked.py
+++ b/src/bankrudder/fleet/_tracked.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from bankrudder.fleet._speed import RunSpeed
 from bankrudder.fleet._values import Endpoint, EndpointRun, Readiness, ReportedLoad
 from bankrudder.routing import ModelName
 from bankrudder.world import ModelVersion
@@ -68,6 +69,8 @@
         "_load_at",
         "_loading",
         "_on_end",
+        "_own_at_report",
+        "_speed",
         "_suspended_until",
         "_versions",
         "in_flight",
@@ -86,6 +89,8 @@
         self._event_gap_s: float | None = None
         self._load: ReportedLoad | None = None
         self._load_at = 0.0
+        self._own_at_report = 0
+        self._speed: RunSpeed | None = None
         self._idle_until: list[float] = []
         self._failures = 0
         self._suspended_until = 0.0
@@ -143,17 +148,28 @@
     def lasting_gap_s(self) -> float | None:
         """Time between stream events without momentary slowness of the machine.
 
-        None before the first events.
+        None before the first events. Where the endpoint reports no slowdown, it is the
+        moving average.
         """
-        return self._event_gap_s
+        if not self.reports_slowdown or self._speed is None:
+            return self._event_gap_s
+        return self._speed.gap_s or self._event_gap_s
 
     @property
     def lasting_latency_s(self) -> float | None:
         """Latency of answers without momentary slowness of the machine.
 
-        None before the first answer.
+        None before the first answer. Where the endpoint reports no slowdown, it is the
+        moving average.
         """
-        return self._latency_s
+        if not self.reports_slowdown or self._speed is None:
+            return self._latency_s
+        return self._speed.latency_s or self._latency_s
+
+    @property
+    def speed(self) -> RunSpeed | None:
+        """What is known of the run's speed, None unless it reports its slowdown."""
+        return self._speed if self.reports_slowdown else None
 
     @property
     def reports_slowdown(self) -> bool:
@@ -190,14 +206,33 @@
             return 0
         return max(self._load.running + self._load.waiting - self.in_flight, 0)
 
-    def slowdown(self, now: float) -> float:
-        """Return the duration of work on the endpoint's machine, 1 if it is usual.
+    def load(self, now: float) -> int:
+        """Return the requests at the endpoint, by the last load report if recent.
 
-        It is 1 as well if there is no recent report of it.
+        The requests that this host sent since the report are added to those reported.
         """
+        if not self.reports_slowdown:
+            return self.in_flight + self.other_hosts_load(now)
         if self._load is None or now - self._load_at > MAX_LOAD_AGE_S:
-            return 1.0
-        return 1.0 if self._load.slowdown is None else self._load.slowdown
+            return self.in_flight
+        reported = self._load.running + self._load.waiting
+        return max(reported - self._own_at_report, 0) + self.in_flight
+
+    def slowdown(self, now: float) -> float:
+        """Return the expected duration of work, as a multiple of the lasting one.
+
+        It is 1 without a recent report of the slowdown of the endpoint's machine.
+        """
+        return 1.0 if self.speed is None else self.speed.slowdown(now)
+
+    def usual_latency_s(self, now: float) -> float | None:
+        """Return the latency that is expected of an answer, None before the first.
+
+        Momentary slowness of the machine is left out; the reported queue counts.
+        """
+        if self.speed is None or self.speed.latency_s is None:
+            return self._latency_s
+        return self.speed.latency_s * self.speed.queueing(now)
 
     def free_slots(self, now: float) -> int:
         """Return the slots not known to be in use, negative if requests are queued."""
@@ -270,10 +305,18 @@
         for state in endpoint.models:
             self.note_version(state.model, state.version)
 
-    def note_answer(self, latency_s: float) -> None:
-        """Record a complete answer."""
+    def note_answer(self, latency_s: float, now: float | None = None) -> None:
+        """Record a complete answer, after the load report that came with it.
+
+        Parameters
+        ----------
+        now : float, optional
+            Monotonic time of the answer, by default that of the last load report.
+        """
         self.note_alive()
         self._latency_s = _updated_mean(self._latency_s, latency_s)
+        if self.speed is not None:
+            self.speed.note_latency(latency_s, self._load_at if now is None else now)
 
     def note_connection(self, keep_alive_s: float, now: float) -> None:
         """Record how long the connection of an answer stays open, 0 if it is closed."""
@@ -291,14 +334,27 @@
         self._failures = 0
         self._suspended_until = 0.0
 
-    def note_event_gap(self, gap_s: float) -> None:
-        """Record the time between two events of a stream."""
+    def note_event_gap(self, gap_s: float, now: float | None = None) -> None:
+        """Record the time between two events of a stream.
+
+        Parameters
+        ----------
+        now : float, optional
+            Monotonic time of the later event, by default that of the last load report.
+        """
         self._event_gap_s = _updated_mean(self._event_gap_s, gap_s)
+        if self.speed is not None:
+            self.speed.note_gap(gap_s, self._load_at if now is None else now)
 
     def note_load(self, load: ReportedLoad, now: float) -> None:
         """Record the load that the endpoint reported."""
         self._load = load
         self._load_at = now
+        self._own_at_report = self.in_flight
+        if load.slowdown is not None:
+            if self._speed is None:
+                self._speed = RunSpeed()
+            self._speed.note_report(load, now)
 
     def note_failure(self, now: float) -> float:
         """Record a missing answer; return the duration of the suspension in seconds."""
--- a/src/bankrudder/relay/_outcomes.py
+++ b/src/bankrudder/relay/_outcomes.py
@@ -32,7 +32,7 @@
         case Answered():
             if outcome.load is not None:
                 target.note_load(outcome.load, now)
-            target.note_answer(now - sent_at)
+            target.note_answer(now - sent_at, now)
             target.note_connection(outcome.keep_alive_s, now)
         case Refused(reason=RefusalReason.FULL):
             if outcome.load is not None:
