Running samples move by lasting speeds, where that pays and a step may be late

Cause: samples moved by running means of the time between events. Each move costs a connection and a prompt read again.

Change: for engines that report their slowdown, scheduling/_lasting_moves weighs the time saved over the expected remaining length, by lasting times between events, against the cost of the move and the time left until the step is due. At most two moves a sample; an engine that was slower for 2 s without a break is left for good. batches/_moving gives a free slot to the sample that saves most and lets no two samples swap places; the slot of a move is reserved. Waiting samples are placed by lasting speed as well. Other engines keep the rule as it was. The wait for admission moves into a module of its own, as do the reservations; the test of the dispatcher imports their constant from there.

The due time reaches the decision as an optional parameter of SampleGenerator, which the work on a batch does not pass yet: without it the cost and the least saving decide.

--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -10,9 +10,19 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from bankrudder.batches._moving import MovePlanner, RunView
+from bankrudder.batches._reservations import Reservations
 from bankrudder.fleet import EndpointDirectory, EndpointRun, TrackedEndpoint
 from bankrudder.routing import ModelName, ServiceName
-from bankrudder.scheduling import EngineView, is_worth_moving, placement_order
+from bankrudder.scheduling import (
+    EngineView,
+    Move,
+    MoveReason,
+    RunningSample,
+    is_worth_moving,
+    may_move,
+    placement_order,
+)
 from bankrudder.world import Clock, DataCentreName, GroupId, ModelVersion, SampleId
 
 RECHECK_INTERVAL_S = 0.05
@@ -30,15 +40,6 @@
 shows whether it is back. Such an engine is chosen last, and no running sample moves to
 it, as a sample on an engine that does not answer waits for a second or more."""
 
-RESERVATION_EVENT_COUNT = 8
-"""Duration of a reservation for a running sample that would gain by moving, in events
-of its present engine. However slow that engine is, two move checks of the sample fall
-into this time, so that it finds the reserved slot."""
-
-MAX_RESERVED_SHARE = 0.5
-"""Largest share of an engine's slots that may be reserved; waiting samples get the
-others."""
-
 
 @dataclass(frozen=True)
 class SlotDemand:
@@ -87,8 +88,16 @@
         self._sequence = itertools.count()
         self._paused: dict[tuple[EndpointRun, ModelName], float] = {}
         self._group_slot_counts: dict[tuple[GroupId, EndpointRun], int] = {}
-        self._reserved: dict[SampleId, tuple[EndpointRun, float]] = {}
+        self._reserved = Reservations(clock)
         self._eligible: dict[tuple[object, ...], _EligibleEngines] = {}
+        self._moves = MovePlanner(
+            clock, self._accepts, self._free_slot_count, self._has_cached_prompt
+        )
+
+    @property
+    def moves(self) -> MovePlanner:
+        """The moves of running samples."""
+        return self._moves
 
     @property
     def waiting_sample_count(self) -> int:
@@ -124,14 +133,44 @@
         until = self._clock.monotonic() + REFUSAL_PAUSE_S
         self._paused[target.run, model] = until
 
+    def find_move(
+        self, demand: SlotDemand, target: TrackedEndpoint, sample: RunningSample
+    ) -> Move | None:
+        """Return the move with which a running sample should begin now, if any.
+
+        A slot is reserved for it: on the chosen engine if there is a free one, or else
+        the next one of the best engine. `should_move` decides for engines that do not
+        report the slowdown of their machine.
+        """
+        if not target.reports_slowdown:
+            if not self.should_move(demand, target, sample.event_count):
+                return None
+            self._moves.count(MoveReason.FASTER_ENGINE)
+            return Move(MoveReason.FASTER_ENGINE)
+        if not may_move(sample):
+            return None
+        now = self._clock.monotonic()
+        view = RunView(demand, target, sample)
+        planned = self._moves.find(view, self._eligible_engines(demand, now))
+        if planned is None:
+            return None
+        run, move = planned.engine.run, planned.move
+        if not planned.has_slot:
+            self._reserved.reserve_next(
+                planned.engine, demand.sample, sample.present_gap_s, move.saving_s or 0
+            )
+            return None
+        self._reserved.reserve_destination(run, demand.sample)
+        self._moves.begin(view, move, run)
+        return move
+
     def should_move(
         self, demand: SlotDemand, target: TrackedEndpoint, event_count: int
     ) -> bool:
         """Whether a running sample should continue on another engine.
 
         If all engines on which it would gain are full, the next slot of the fastest is
-        reserved for it. Without reservations, waiting samples would take each released
-        slot, and samples that are likely to run for long would stay on slow engines.
+        reserved for it.
 
         Parameters
         ----------
@@ -156,8 +195,8 @@
         if any(self._has_free_slot(candidate, demand.sample) for candidate in faster):
             return True
         if faster:
-            seconds = RESERVATION_EVENT_COUNT * target.event_gap_s
-            self._reserve(min(faster, key=_gap_s), demand.sample, seconds)
+            fastest = min(faster, key=_gap_s)
+            self._reserved.reserve_next(fastest, demand.sample, target.event_gap_s)
         return False
 
     async def run(self) -> None:
@@ -193,7 +232,7 @@
             target.in_flight += 1
             target.suspects += demand.is_suspect
             target.take_connection()
-            self._reserved.pop(demand.sample, None)
+            self._reserved.release(demand.sample)
             self._change_group_slot_count(demand.group, target.run, 1)
             request.granted.set_result(target)
         for request in ungranted:
@@ -207,9 +246,10 @@
         ]
         if not free:
             return None
-        known = sorted(
-            candidate.event_gap_s for candidate in free if candidate.event_gap_s
-        )
+        destination = self._move_destination(demand.sample, free)
+        if destination is not None:
+            return destination
+        known = sorted(gap for each in free if (gap := self._placement_gap_s(each)))
         median_gap_s = known[len(known) // 2] if known else 1.0
         return min(
             free,
@@ -222,14 +262,41 @@
         self, candidate: TrackedEndpoint, group: GroupId, median_gap_s: float
     ) -> EngineView:
         return EngineView(
-            pace=(candidate.event_gap_s or median_gap_s) / median_gap_s,
+            pace=(self._placement_gap_s(candidate) or median_gap_s) / median_gap_s,
             occupied_share=candidate.in_flight / candidate.endpoint.slots,
-            has_cached_prompt=(group, candidate.run) in self._group_slot_counts,
+            has_cached_prompt=self._has_cached_prompt(group, candidate.run),
             is_connected=candidate.is_connected(self._clock.monotonic()),
             is_trusted=candidate.is_trusted,
             runs_suspect_sample=candidate.suspects > 0,
         )
 
+    def _move_destination(
+        self, sample: SampleId, free: list[TrackedEndpoint]
+    ) -> TrackedEndpoint | None:
+        """Return the engine to which a sample has begun to move, if it is free."""
+        run = self._reserved.destination(sample)
+        return next((each for each in free if each.run == run), None)
+
+    def _placement_gap_s(self, candidate: TrackedEndpoint) -> float | None:
+        """Return the time between events by which engines are compared for placement.
+
+        It is the lasting time where the engine's report tells the momentary slowness of
+        its machine, which is over before a sample ends.
+        """
+        if candidate.reports_slowdown and not self._moves.is_avoided(candidate.run):
+            return candidate.lasting_gap_s
+        return candidate.event_gap_s
+
+    def _has_cached_prompt(self, group: GroupId, run: EndpointRun) -> bool:
+        return (group, run) in self._group_slot_counts
+
+    def _accepts(self, candidate: TrackedEndpoint, demand: SlotDemand) -> bool:
+        """Whether an engine may run samples of a demand now, if it has a slot."""
+        version = candidate.version_of(demand.model) or 0
+        return version >= demand.min_version and self._is_usable(
+            candidate, demand, self._clock.monotonic()
+        )
+
     def _usable_engines(self, demand: SlotDemand) -> list[TrackedEndpoint]:
         """Return the engines that accept samples of a demand, including full ones."""
         now = self._clock.monotonic()
@@ -279,26 +346,16 @@
         return engines
 
     def _has_free_slot(self, candidate: TrackedEndpoint, sample: SampleId) -> bool:
-        """Whether an engine has a slot that is not reserved for another sample."""
-        now = self._clock.monotonic()
-        reserved_count = sum(
-            run == candidate.run and now < until and other != sample
-            for other, (run, until) in self._reserved.items()
-        )
-        return candidate.in_flight + reserved_count < self._slot_limit(candidate)
+        return self._free_slot_count(candidate, sample) > 0
 
-    def _reserve(
-        self, engine: TrackedEndpoint, sample: SampleId, seconds: float
-    ) -> None:
-        now = self._clock.monotonic()
-        self._reserved = {
-            other: (engine_run, until)
-            for other, (engine_run, until) in self._reserved.items()
-            if now < until
-        }
-        reserved_count = sum(run == engine.run for run, _ in self._reserved.values())
-        if reserved_count < MAX_RESERVED_SHARE * engine.endpoint.slots:
-            self._reserved[sample] = (engine.run, now + seconds)
+    def _free_slot_count(self, candidate: TrackedEndpoint, sample: SampleId) -> int:
+        """Return the slots of an engine that are not reserved for another sample.
+
+        Samples of other hosts are not counted: a reported load is of the time at which
+        the last answer began, and mostly consists of this host's own samples.
+        """
+        reserved_count = self._reserved.count_for_others(candidate, sample)
+        return self._slot_limit(candidate) - candidate.in_flight - reserved_count
 
     @staticmethod
     def _slot_limit(candidate: TrackedEndpoint) -> int:
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -4,12 +4,12 @@
 engine fails or another one is faster, the next run resumes after the last event.
 """
 
-import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
 
 import structlog
 
+from bankrudder.batches._admission import wait_for_admission
 from bankrudder.batches._dispatcher import Dispatcher, SlotDemand
 from bankrudder.batches._event_timeout import (
     enter_stream,
@@ -17,9 +17,10 @@
     with_event_timeout,
 )
 from bankrudder.batches._failures import SampleFailedError, StaleWeightsError
+from bankrudder.batches._sample_moves import SampleMoves
 from bankrudder.batches._text import SampleText, can_resume
 from bankrudder.batches._values import Batch, Progress, Sample
-from bankrudder.crashes import Admission, CrashGuard, Send, content_id
+from bankrudder.crashes import CrashGuard, Send, content_id
 from bankrudder.fleet import (
     Answered,
     EndpointClient,
@@ -29,6 +30,7 @@
     OutgoingRequest,
     RefusalReason,
     Refused,
+    ReportedLoad,
     RunEndedError,
     StreamBrokenError,
     StreamEvent,
@@ -39,20 +41,12 @@
 from bankrudder.routing import Route
 from bankrudder.world import Clock, ModelVersion
 
-EVENTS_PER_MOVE_CHECK = 4
-"""Number of events between two checks whether a sample should move."""
-
 METHOD = "POST"
 """HTTP method of the requests to engines."""
 
 MIN_RUN_TIMEOUT_S = 0.5
 """Shortest timeout of a request, however near the deadline of the sample is."""
 
-MAX_HOLD_S = 1.0
-"""Longest pause before a sample under which engines crashed is checked again. An answer
-to the same request on any host, or another sample that explains the crashes, may clear
-it at any time."""
-
 STATUS_UNPROCESSABLE = 422
 """Status with which an engine refuses a sample that can never be generated."""
 
@@ -70,6 +64,8 @@
         Progress of an earlier owner or batch; ignored if its versions are unusable.
     deadline : float
         Monotonic time at which the sample is given up.
+    due_at : float, optional
+        Monotonic time at which the results of the batch are due, None if unknown.
     """
 
     def __init__(
@@ -85,6 +81,7 @@
         deadline: float,
         tracer: Tracer,
         progress: Progress | None = None,
+        due_at: float | None = None,
     ):
         self._tracer = tracer
         self._batch = batch
@@ -107,6 +104,7 @@
         )
         self._clock = clock
         self._deadline = deadline
+        self._moves = SampleMoves(batch.id, sample, dispatcher, clock, due_at)
         self._text = SampleText()
         self._error_answer_count = 0
         self._run_count = 0
@@ -159,11 +157,14 @@
         try:
             await self._generate(trace)
         finally:
+            self._moves.end()
             self._crashes.share_strikes(self._content_id)
 
     async def _generate(self, trace: str) -> None:
         while not self._text.is_whole:
-            is_suspect = await self._wait_for_admission()
+            is_suspect = await wait_for_admission(
+                self._crashes, self._content_id, self._batch.id, self._sample.id
+            )
             requested_at = self._clock.monotonic()
             route = self._current_route()
             demand = self._demand(route, is_suspect)
@@ -179,31 +180,13 @@
             )
             try:
                 with span:
+                    self._moves.begin_run(target, len(self._text))
                     await self._run_on_engine(target, demand)
                     span.set(events=len(self._text), is_whole=self._text.is_whole)
             finally:
+                self._moves.end_run(target, len(self._text))
                 self._dispatcher.release(target, demand.group, demand.is_suspect)
 
-    async def _wait_for_admission(self) -> bool:
-        """Wait until the sample may run; return whether it is a suspect."""
-        is_logged = False
-        while True:
-            decision = self._crashes.decision(self._content_id)
-            if decision.admission is not Admission.REFUSED:
-                return decision.admission is Admission.ALONE
-            if not is_logged:
-                is_logged = True
-                _log.warning(
-                    "batches: sample held back",
-                    batch=self._batch.id,
-                    sample=self._sample.id,
-                    content=self._content_id,
-                    reason="crashes_endpoints",
-                    strikes=decision.strikes,
-                    retry_after_s=round(decision.retry_after_s, 1),
-                )
-            await asyncio.sleep(min(decision.retry_after_s, MAX_HOLD_S))
-
     def _demand(self, route: Route, is_suspect: bool) -> SlotDemand:
         return SlotDemand(
             self._sample.id,
@@ -230,13 +213,15 @@
             stream = self._client.open_stream(target.endpoint, self._outgoing_request())
             match await enter_stream(stack, stream):
                 case OpenedStream(
-                    version=version, events=events, keep_alive_s=keep_alive_s
+                    version=version, events=events, keep_alive_s=keep_alive_s, load=load
                 ):
+                    self._note_slowdown(target, load)
                     await self._consume_stream(target, demand, version, events)
                     if self._text.is_whole:
                         now = self._clock.monotonic()
                         target.note_connection(keep_alive_s, now)
-                case Refused(reason=RefusalReason.FULL):
+                case Refused(reason=RefusalReason.FULL, load=load):
+                    self._note_slowdown(target, load)
                     self._dispatcher.pause(target, self._batch.model)
                 case Refused(reason=reason):
                     self._record_failure(target, reason.value)
@@ -246,6 +231,12 @@
                 case Answered(status=status):
                     self._handle_error_status(target, status)
 
+    def _note_slowdown(
+        self, target: TrackedEndpoint, load: ReportedLoad | None
+    ) -> None:
+        if load is not None and load.slowdown is not None:
+            target.note_load(load, self._clock.monotonic())
+
     @property
     def _is_single_version(self) -> bool:
         return self._route is not None and self._route.is_single_version
@@ -281,8 +272,6 @@
     ) -> None:
         began = self._clock.monotonic()
         last_event_at = began
-        last_check_at: float | None = None
-        count = 0
         try:
             async for event in with_event_timeout(
                 events, lambda: event_timeout_s(target.event_gap_s)
@@ -292,17 +281,10 @@
                 last_event_at = now
                 self._add_event(target, event, version)
                 version = event.version or version
-                if last_check_at is None:
-                    target.note_alive()
-                    last_check_at = now
-                    continue
-                count += 1
-                if count % EVENTS_PER_MOVE_CHECK == 0:
-                    target.note_event_gap((now - last_check_at) / EVENTS_PER_MOVE_CHECK)
-                    last_check_at = now
-                    if self._dispatcher.should_move(demand, target, len(self._text)):
-                        self._log_run_end(target, "a faster engine has a free slot")
-                        return
+                move = self._moves.note_event(target, demand, now, len(self._text))
+                if move is not None:
+                    self._log_run_end(target, move.reason.value)
+                    return
         except StreamBrokenError as error:
             self._record_failure(target, str(error))
             await self._report_lost(target, LossReason.BROKEN_OFF)
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -15,6 +15,7 @@
 from bankrudder.batches._carried import CarriedSamples
 from bankrudder.batches._dispatcher import Dispatcher
 from bankrudder.batches._loading import BatchLoader
+from bankrudder.batches._moving import MovePlanner
 from bankrudder.batches._ownership import OwnerRegistry
 from bankrudder.batches._progress import ProgressStore
 from bankrudder.batches._repository import (
@@ -125,6 +126,11 @@
         """Number of samples that wait for a slot."""
         return self._dispatcher.waiting_sample_count
 
+    @property
+    def moves(self) -> MovePlanner:
+        """The moves of running samples."""
+        return self._dispatcher.moves
+
     async def accept(self, batch: Batch) -> bool:
         """Store a batch, and start work on it if this host is its owner.
 
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -13,6 +13,7 @@
 from bankrudder.node._components import NodeComponents
 from bankrudder.node._settings import NodeSettings
 from bankrudder.observe import MonitoringServer, Sample
+from bankrudder.scheduling import MoveReason
 from bankrudder.world import Clock
 
 if TYPE_CHECKING:
@@ -189,6 +190,22 @@
             yield Sample.gauge(name, value)
         for table, age_s in self._components.platform_state.table_ages_s().items():
             yield Sample.gauge("bankrudder_table_age_seconds", age_s, table=table)
+        yield from self._move_samples()
+
+    def _move_samples(self) -> Iterable[Sample]:
+        """Yield the moves of running samples, and the time that these saved."""
+        moves = self._components.batches.moves
+        for reason in MoveReason:
+            yield Sample.counter(
+                "bankrudder_sample_moves_total",
+                moves.counts[reason],
+                reason=reason.name.lower(),
+            )
+        savings_s = {"expected": moves.expected_saving_s, "seen": moves.seen_saving_s}
+        for kind, seconds in savings_s.items():
+            yield Sample.gauge(
+                "bankrudder_sample_move_saving_seconds", seconds, kind=kind
+            )
 
     def _start_task(self, name: str, function: Callable[[], Awaitable[None]]) -> None:
         self._tasks.append(
--- a/src/bankrudder/scheduling/__init__.py
+++ b/src/bankrudder/scheduling/__init__.py
@@ -6,6 +6,15 @@
 """
 
 from bankrudder.scheduling._assignment import assign_engines, followed_models
+from bankrudder.scheduling._lasting_moves import (
+    Move,
+    MoveDestination,
+    MoveReason,
+    RunningSample,
+    SustainedGap,
+    lasting_move,
+    may_move,
+)
 from bankrudder.scheduling._loads import (
     ChosenLoad,
     EngineLoad,
@@ -30,17 +39,24 @@
     "ChosenLoad",
     "EngineLoad",
     "EngineView",
+    "Move",
+    "MoveDestination",
+    "MoveReason",
     "PeakNeed",
     "ModelDemand",
     "EngineOffer",
     "PlacementOrder",
     "Rank",
+    "RunningSample",
+    "SustainedGap",
     "TokenPace",
     "assign_engines",
     "choose_loads",
     "engines_needed",
     "followed_models",
     "is_worth_moving",
+    "lasting_move",
+    "may_move",
     "placement_order",
     "sample_ranks",
     "spread_engines",
--- a/tests/batches/test_dispatcher.py
+++ b/tests/batches/test_dispatcher.py
@@ -7,10 +7,10 @@
 
 from bankrudder.batches._dispatcher import (
     RECHECK_INTERVAL_S,
-    RESERVATION_EVENT_COUNT,
     Dispatcher,
     SlotDemand,
 )
+from bankrudder.batches._reservations import RESERVATION_EVENT_COUNT
 from bankrudder.fleet import Endpoint, EndpointDirectory, ModelState
 from bankrudder.fleet._tracked import LOADING_TIMEOUT_S, MAX_SUSPENSION_S
 
--- a/tests/node/test_observing.py
+++ b/tests/node/test_observing.py
@@ -28,6 +28,7 @@
     assert "bankrudder_store_call_seconds_count" in text
     assert 'event="relay: answered"' in text
     assert "bankrudder_configuration_revision" in text
+    assert "bankrudder_sample_moves_total{" in text
 
 
 async def test_a_request_can_be_followed_by_its_id(site):
