--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -128,6 +128,7 @@
                 self._deadline,
                 tracer,
                 progress.get(sample.id),
+                times.due_at if times is not None else None,
             )
             for sample in batch.samples
             if sample.id not in done
--- a/src/bankrudder/scheduling/__init__.py
+++ b/src/bankrudder/scheduling/__init__.py
@@ -7,6 +7,15 @@
 
 from bankrudder.scheduling._assignment import assign_engines, followed_models
 from bankrudder.scheduling._due_times import plan_steps
+from bankrudder.scheduling._lasting_moves import (
+    Move,
+    MoveDestination,
+    MoveReason,
+    RunningSample,
+    SustainedGap,
+    lasting_move,
+    may_move,
+)
 from bankrudder.scheduling._loads import (
     ChosenLoad,
     EngineLoad,
@@ -41,6 +50,9 @@
     "EngineView",
     "GroupKey",
     "GroupWork",
+    "Move",
+    "MoveDestination",
+    "MoveReason",
     "PeakNeed",
     "ModelDemand",
     "EngineOffer",
@@ -49,6 +61,8 @@
     "SampleWork",
     "StepPlan",
     "StepWork",
+    "RunningSample",
+    "SustainedGap",
     "TokenPace",
     "assign_engines",
     "choose_loads",
@@ -56,6 +70,8 @@
     "expected_left_s",
     "followed_models",
     "is_worth_moving",
+    "lasting_move",
+    "may_move",
     "placement_order",
     "plan_steps",
     "sample_ranks",
