--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -45,6 +45,7 @@
         self.gate = gate
         self.store_proxy = None
         self.is_suspendable = False
+        self.settings: dict[str, Any] = {}
         self._data_centre = data_centre
         self._folder = folder
         self._process: Any = None
@@ -109,6 +110,7 @@
             "lease_ms": 1000,
             "grace_s": 8,
             **optional_settings,
+            **self.settings,
             **changes,
         }
         self.settings_path.write_text(json.dumps(settings))
@@ -194,6 +196,8 @@
         Number of hosts, counted from the first, that can be suspended.
     duties : dict or None
         Settings of the platform's duty API.
+    settings : dict or None
+        Further settings of each host.
     """
 
     def __init__(
@@ -207,8 +211,10 @@
         min_feed_hosts=0,
         suspendable=0,
         duties=None,
+        settings=None,
     ):
         self.duties = duties
+        self._settings = settings or {}
         self.key = ""
         self._suspendable = suspendable
         self._min_feed_hosts = min_feed_hosts
@@ -258,6 +264,7 @@
                 self.duties,
             )
             host.is_suspendable = number < self._suspendable
+            host.settings = self._settings
             if proxy_factory is not None:
                 host.store_proxy = await proxy_factory(gate.address).start()
             await host.start()
@@ -414,7 +421,9 @@
     return {**document, **changes}
 
 
-def batch(batch_id, samples=8, min_version=1, group_size=4, names=None):
+def batch(
+    batch_id, samples=8, min_version=1, group_size=4, names=None, target_groups=2
+):
     """Return a batch as trainers submit it; ``names`` is a prefix of its sample ids."""
     names = names or batch_id
     items = [
@@ -438,7 +447,7 @@
         "step": 0,
         "model": MODEL,
         "min_version": min_version,
-        "target_groups": 2,
+        "target_groups": target_groups,
         "items": items,
     }
 
