Record when a step is accepted at hosts that see reports of any endpoint

A host that accepts a step for another owner gets no reports of the step's engines, so it left the time out where only reports call for planning.

--- a/src/bankrudder/batches/_loading.py
+++ b/src/bankrudder/batches/_loading.py
@@ -95,17 +95,11 @@
         while self._routes() is None:
             _log.warning("batches: no configuration yet", batch=batch.id)
             await asyncio.sleep(CONFIGURATION_PAUSE_S)
-        route = self.configured_route(batch)
+        route = self._configured_route(batch)
         if route is None:
             _log.warning("batches: route no longer configured", batch=batch.id)
         return route
 
-    def configured_route(self, batch: Batch) -> Route | None:
-        """Return the route of a batch, None if none is known."""
-        table = self._routes()
-        routes = table.routes if table else ()
-        return next((route for route in routes if route.name == batch.route), None)
-
     @staticmethod
     def retention_s(route: Route | None) -> float:
         """Return the time after which samples of a batch are given up."""
@@ -117,6 +111,12 @@
         route = table.match(host, target.partition("?")[0]) if table else None
         return route if route and route.kind is RouteKind.ROLLOUT else None
 
+    def _configured_route(self, batch: Batch) -> Route | None:
+        """Return the route of a batch, None if none is known."""
+        table = self._routes()
+        routes = table.routes if table else ()
+        return next((route for route in routes if route.name == batch.route), None)
+
     async def _load_progress(self, batch: Batch) -> dict[SampleId, Progress]:
         """Return the saved progress of a batch, empty if it cannot be read."""
         try:
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -162,7 +162,7 @@
         owner = self._owners.choose_owner(
             batch,
             may_choose_this_host=not self._is_leaving,
-            records_time=self._plans(self._loader.configured_route(batch)),
+            records_time=self._step_planner.plans_any(),
         )
         outcome = await self._repository.accept(batch, owner)
         _log.info(
@@ -301,14 +301,10 @@
         if obsolete:
             await self._progress_store.drop(batch.model, obsolete)
 
-    def _plans(self, route: Route | None) -> bool:
-        """Whether the samples of a route are planned by due time."""
-        return route is not None and self._step_planner.plans(route.services[0].service)
-
     def _step_times(
         self, batch_id: BatchId, route: Route | None, submitted_at: float | None
     ) -> StepTimes | None:
-        if route is None or not self._plans(route):
+        if route is None or not self._step_planner.plans(route.services[0].service):
             return None
         if submitted_at is None:
             submitted_at = self._owners.accepted_at(batch_id)
--- a/src/bankrudder/batches/_step_planning.py
+++ b/src/bankrudder/batches/_step_planning.py
@@ -138,6 +138,16 @@
             self._services[service] = (does_report, now)
         return does_report
 
+    def plans_any(self) -> bool:
+        """Whether a host may plan steps, as far as this one knows.
+
+        A host that accepts a step for another owner gets no reports of the step's
+        engines, but those of other services.
+        """
+        return self._plans_all or any(
+            each.reports_slowdown for each in self._directory.all()
+        )
+
     def plan_anew(self) -> None:
         """Make the next call of `ranks` plan without delay: a step began or ended."""
         self._planned_at = None
--- a/src/bankrudder/scheduling/_due_times.py
+++ b/src/bankrudder/scheduling/_due_times.py
@@ -165,7 +165,8 @@
             for left_s in group.waiting_s:
                 end = slots[0] + left_s
                 heapreplace(slots, end)
-                latest = max(latest, end)
+                if end > latest:
+                    latest = end
             finished.append((latest, group))
         in_use = self._counted(finished, lambda group: group.given_up_s)
         return _Outcome(
--- a/tests/batches/test_step_planning.py
+++ b/tests/batches/test_step_planning.py
@@ -84,10 +84,12 @@
         directory, manual_clock, lambda: [StepStub()], plans_all=False
     )
     assert planner.ranks() == {}
+    assert not planner.plans_any()
     load = ReportedLoad(1, 0, 1, slowdown=1.4)
     directory.get("e").note_load(load, manual_clock.monotonic())
     manual_clock.advance(SERVICE_CHECK_INTERVAL_S)
     assert planner.ranks() != {}
+    assert planner.plans_any()
 
 
 def demand(sample, rank):
