--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -36,24 +36,16 @@
     """A daemon process and its own gate to the store."""
 
     def __init__(
-        self,
-        name,
-        data_centre,
-        gate,
-        folder,
-        rpc=None,
-        min_feed_hosts=0,
-        duties=None,
-        settings=None,
+        self, name, data_centre, gate, folder, rpc=None, min_feed_hosts=0, duties=None
     ):
         self.name = name
-        self._settings = settings or {}
         self._rpc = rpc
         self._duties = duties
         self._min_feed_hosts = min_feed_hosts
         self.gate = gate
         self.store_proxy = None
         self.is_suspendable = False
+        self.settings: dict[str, Any] = {}
         self._data_centre = data_centre
         self._folder = folder
         self._process: Any = None
@@ -118,7 +110,7 @@
             "lease_ms": 1000,
             "grace_s": 8,
             **optional_settings,
-            **self._settings,
+            **self.settings,
             **changes,
         }
         self.settings_path.write_text(json.dumps(settings))
@@ -205,7 +197,7 @@
     duties : dict or None
         Settings of the platform's duty API.
     settings : dict or None
-        Further settings of all hosts.
+        Further settings of each host.
     """
 
     def __init__(
@@ -221,8 +213,8 @@
         duties=None,
         settings=None,
     ):
-        self._settings = settings
         self.duties = duties
+        self._settings = settings or {}
         self.key = ""
         self._suspendable = suspendable
         self._min_feed_hosts = min_feed_hosts
@@ -270,9 +262,9 @@
                 self._rpc,
                 self._min_feed_hosts,
                 self.duties,
-                self._settings,
             )
             host.is_suspendable = number < self._suspendable
+            host.settings = self._settings
             if proxy_factory is not None:
                 host.store_proxy = await proxy_factory(gate.address).start()
             await host.start()
@@ -429,7 +421,9 @@
     return {**document, **changes}
 
 
-def batch(batch_id, samples=8, min_version=1, group_size=4, names=None):
+def batch(
+    batch_id, samples=8, min_version=1, group_size=4, names=None, target_groups=2
+):
     """Return a batch as trainers submit it; ``names`` is a prefix of its sample ids."""
     names = names or batch_id
     items = [
@@ -453,7 +447,7 @@
         "step": 0,
         "model": MODEL,
         "min_version": min_version,
-        "target_groups": 2,
+        "target_groups": target_groups,
         "items": items,
     }
 
