Endpoints that report their slowdown are chosen by speed and work ahead

Cause: each host takes the endpoint with the least cost by its own memory of latency. A load seen by 86 hosts sends all of them to the same endpoint, fast ones get more than fits their speed, and a momentary slowness stays in the memory for ten answers.

Change: for services with an endpoint that reports its slowdown, two endpoints are drawn by speed, the first from those with an idle connection, and the one with less ahead is taken: work over slots, slowdown now, place, connection. Requests that the host sent since a report count on top of it. An estimate from few answers leans on the service's usual. The mean latency that delays hedges leaves momentary slowness out. Services without such reports are chosen as before.

--- a/src/bankrudder/fleet/_directory.py
+++ b/src/bankrudder/fleet/_directory.py
@@ -6,6 +6,7 @@
 import msgspec
 import structlog
 
+from bankrudder.fleet._balancing import Contender, choose_contender
 from bankrudder.fleet._choice import Candidate, expected_cost_s, mean_latency_s
 from bankrudder.fleet._tracked import TrackedEndpoint
 from bankrudder.fleet._values import Endpoint, EndpointId, EndpointRun
@@ -188,8 +189,14 @@
         return {each.endpoint.service for each in self._tracked.values()}
 
     def mean_latency_s(self, service: ServiceName) -> float | None:
-        """Return the mean latency of a service's endpoints, None if none answered."""
-        return mean_latency_s(each.latency_s for each in self.of_service(service))
+        """Return the mean latency of a service's endpoints, None if none answered.
+
+        Momentary slowness of endpoints that report it is left out.
+        """
+        now = self._clock.monotonic()
+        return mean_latency_s(
+            each.usual_latency_s(now) for each in self.of_service(service)
+        )
 
     def choose(
         self,
@@ -198,7 +205,10 @@
         data_centres: Collection[DataCentreName] = (),
         is_suspect: bool = False,
     ) -> TrackedEndpoint | None:
-        """Return the endpoint with the lowest expected cost, None if there is none.
+        """Return the endpoint for a request, None if there is none.
+
+        It is the one with the lowest expected cost or, for services whose endpoints
+        report their slowdown, one of those that are expected to answer first.
 
         Endpoints that work on a suspect are used only if all others were tried or are
         suspended, suspended endpoints only if all others were tried, and endpoints that
@@ -223,6 +233,9 @@
     def _best(
         self, endpoints: Sequence[TrackedEndpoint], now: float
     ) -> TrackedEndpoint | None:
+        if any(each.reports_slowdown for each in endpoints):
+            contenders = [self._contender(each, now) for each in endpoints]
+            return endpoints[choose_contender(contenders, self._rng)]
         candidates = [self._candidate(each, now) for each in endpoints]
         mean_s = mean_latency_s(each.latency_s for each in candidates)
         # Without the random factor, all hosts would choose the same of several equals.
@@ -242,3 +255,15 @@
             is_local=tracked.endpoint.data_centre == self._data_centre,
             is_connected=tracked.is_connected(now),
         )
+
+    def _contender(self, tracked: TrackedEndpoint, now: float) -> Contender:
+        speed = tracked.speed
+        return Contender(
+            slots=tracked.endpoint.slots,
+            load=tracked.load(now),
+            duration_s=tracked.lasting_latency_s,
+            bin_count=1 if speed is None else speed.latency_bin_count,
+            slowdown=tracked.slowdown(now),
+            is_local=tracked.endpoint.data_centre == self._data_centre,
+            is_connected=tracked.is_connected(now),
+        )
