Lasting paces are shared, and operators see speeds of endpoints

Cause: owners wrote the moving average of gaps, which each spell of slowness changes by far more than a tenth: two writes for each spell, and a reader that needs ten seconds to know a lasting change from them.

Change: for engines that report their slowdown owners write the lasting gap, once it comes from seven bins of time (1.75 s), which one spell cannot make up, and mark the row. Readers use such a row at once. Rows of other engines are as before, byte for byte. The metrics have lasting seconds, their bins, slowdown and age of the report of each endpoint in use.

With the earlier orders/_paces.py three of the new tests fail: a spell is written (3 calls in place of 1), it is read as the usual gap, a change is not known at the next read.

--- a/src/bankrudder/fleet/_speed.py
+++ b/src/bankrudder/fleet/_speed.py
@@ -117,19 +117,23 @@
         """Number of bins of time in which latencies were measured."""
         return 0 if self._latencies is None else self._latencies.bin_count
 
+    def report_age_s(self, now: float) -> float:
+        """Return the time since the last report."""
+        return max(now - self._reported_at, 0.0)
+
     def slowdown(self, now: float) -> float:
         """Return the expected duration of work as a multiple of the lasting one.
 
         The reported slowdown decays towards 1, the usual duration, with its age.
         """
-        age_s = max(now - self._reported_at, 0.0)
+        age_s = self.report_age_s(now)
         if age_s > MAX_REPORT_AGE_S:
             return 1.0
         return 1.0 + (self._slowdown - 1.0) * math.exp(-age_s / SLOWDOWN_DECAY_S)
 
     def queueing(self, now: float) -> float:
         """Return the reported wait and work of a request, as a multiple of its work."""
-        is_recent = now - self._reported_at <= MAX_REPORT_AGE_S
+        is_recent = self.report_age_s(now) <= MAX_REPORT_AGE_S
         return self._queueing if is_recent else 1.0
 
     def note_report(self, load: ReportedLoad, now: float) -> None:
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -12,6 +12,7 @@
 from bankrudder.node._adapter import Adapter
 from bankrudder.node._components import NodeComponents
 from bankrudder.node._settings import NodeSettings
+from bankrudder.node._speed_samples import speed_samples
 from bankrudder.observe import MonitoringServer, Sample
 from bankrudder.world import Clock
 
@@ -189,6 +190,9 @@
             yield Sample.gauge(name, value)
         for table, age_s in self._components.platform_state.table_ages_s().items():
             yield Sample.gauge("bankrudder_table_age_seconds", age_s, table=table)
+        yield from speed_samples(
+            self._components.directory.all(), self._clock.monotonic()
+        )
 
     def _start_task(self, name: str, function: Callable[[], Awaitable[None]]) -> None:
         self._tasks.append(
--- a/src/bankrudder/orders/_paces.py
+++ b/src/bankrudder/orders/_paces.py
@@ -42,7 +42,12 @@
 GAP_HISTORY_LENGTH = 20
 """Number of latest reads whose median is the usual gap. The reads cover twice the
 duration of an occasional slowdown, which therefore does not change the median. An
-engine that stays slow is known to be slow ten seconds later."""
+engine that stays slow is known to be slow ten seconds later. Lasting paces need no
+median, as their owners have left out slowdowns."""
+
+MIN_GAP_BINS = 7
+"""Number of bins of time from which a lasting pace is written: a spell of slowness of
+0.6 s fills less than half of them. Until then the engine counts as usual."""
 
 _log = structlog.get_logger("orders")
 
@@ -50,11 +55,18 @@
 class EnginePace(msgspec.Struct, frozen=True):
     """Value of a row: mean seconds between events, as one owner measured them.
 
-    ``born`` is the start time of the engine's run that was measured, if known.
+    Attributes
+    ----------
+    born : StartTime or None
+        Start time of the engine's run that was measured, None if unknown.
+    is_lasting : bool or UNSET
+        Whether momentary slowness of the engine's machine is left out. Unset, and not
+        in the row, if the engine does not report it.
     """
 
     gap_s: float
     born: StartTime | None = None
+    is_lasting: bool | msgspec.UnsetType = msgspec.UNSET
 
 
 class EnginePaces:
@@ -74,23 +86,20 @@
     async def write_changed(self) -> None:
         """Write the paces that changed. After a failure the next call tries again."""
         changed = {
-            each.run: each.event_gap_s
+            each.run: pace
             for each in self._directory.all()
-            if each.event_gap_s is not None
-            and self._has_changed(each.run, each.event_gap_s)
+            if (pace := _measured_pace(each)) is not None
+            and self._has_changed(each.run, pace.gap_s)
         }
         if not changed:
             return
         puts = tuple(
-            Put(
-                RowKey(PACES_TABLE, "", run.endpoint),
-                msgspec.json.encode(EnginePace(gap_s, run.born)),
-            )
-            for run, gap_s in changed.items()
+            Put(RowKey(PACES_TABLE, "", run.endpoint), msgspec.json.encode(pace))
+            for run, pace in changed.items()
         )
         outcome = await self._store.commit(Transaction(puts=puts))
         if isinstance(outcome, Committed):
-            self._written.update(changed)
+            self._written.update((run, pace.gap_s) for run, pace in changed.items())
 
     async def read_all(self) -> None:
         """Read the paces of all owners, and remove the rows of unlisted engines."""
@@ -105,12 +114,14 @@
             if engine is None:
                 gone_keys.append(row.key)
                 continue
-            gap_s = _gap_in_row(row, engine)
-            if gap_s is not None:
+            pace = _pace_in_row(row, engine)
+            if pace is not None:
                 observed = self._observed.setdefault(
                     engine.run, deque(maxlen=GAP_HISTORY_LENGTH)
                 )
-                observed.append(gap_s)
+                if pace.is_lasting is True:
+                    observed.clear()
+                observed.append(pace.gap_s)
         self._forget_ended()
         if gone_keys:
             await self._store.commit(Transaction(removals=tuple(gone_keys)))
@@ -133,8 +144,19 @@
         )
 
 
-def _gap_in_row(row: Row, engine: TrackedEndpoint) -> float | None:
-    """Return the gap in a row, None unless it is a valid gap of the latest run."""
+def _measured_pace(engine: TrackedEndpoint) -> EnginePace | None:
+    """Return the pace that this host measured, None if too little is known."""
+    if engine.lasting_gap_s is None:
+        return None
+    if engine.speed is None:
+        return EnginePace(engine.lasting_gap_s, engine.run.born)
+    if engine.speed.gap_bin_count < MIN_GAP_BINS:
+        return None
+    return EnginePace(engine.lasting_gap_s, engine.run.born, is_lasting=True)
+
+
+def _pace_in_row(row: Row, engine: TrackedEndpoint) -> EnginePace | None:
+    """Return the pace in a row, None unless it is a valid pace of the latest run."""
     try:
         pace = msgspec.json.decode(row.value, type=EnginePace)
     except msgspec.DecodeError as error:
@@ -143,7 +165,7 @@
         )
         return None
     if pace.born == engine.run.born and pace.gap_s > 0:
-        return pace.gap_s
+        return pace
     _log.info(
         "orders: stale or invalid pace ignored",
         endpoint=row.key.key,
--- a/tests/orders/test_paces.py
+++ b/tests/orders/test_paces.py
@@ -1,9 +1,11 @@
 """Paces that owners of batches measure reach the host that gives the orders."""
 
+import msgspec
 import pytest
 
-from bankrudder.fleet import Endpoint, EndpointDirectory
+from bankrudder.fleet import Endpoint, EndpointDirectory, ReportedLoad
 from bankrudder.orders import EnginePaces
+from bankrudder.orders._paces import EnginePace
 from bankrudder.world import SystemClock
 from outside.fixtures import gate, rows, store
 from outside.store import GateMode
@@ -91,3 +93,64 @@
     rows.put("paces", "e2", document)
     await paces.read_all()
     assert paces.usual_gaps == {"e1": 0.04}
+
+
+def note_gaps(engine, gap_s, began, seconds):
+    """Note gaps of an engine that reports its slowdown; return the time."""
+    engine.note_load(ReportedLoad(1, 0, 8, 1.0), began)
+    now = began
+    while now < began + seconds:
+        now += 4 * gap_s
+        engine.note_event_gap(gap_s, now)
+    return now
+
+
+async def test_a_spell_of_slowness_is_not_written(paces, directory, gate):
+    """With the moving average, each spell was written at its begin and its end."""
+    engine = directory.get("e1")
+    now = note_gaps(engine, 0.04, 0.0, 4.0)
+    await paces.write_changed()
+    call_count = len(gate.calls)
+    now = note_gaps(engine, 0.1, now, 0.6)
+    await paces.write_changed()
+    note_gaps(engine, 0.04, now, 1.0)
+    await paces.write_changed()
+    assert len(gate.calls) == call_count
+
+
+async def test_a_lasting_pace_is_written_once_a_spell_cannot_make_it_up(
+    paces, directory, store
+):
+    engine = directory.get("e1")
+    now = note_gaps(engine, 0.1, 0.0, 0.6)
+    await paces.write_changed()
+    await paces.read_all()
+    assert paces.usual_gaps == {}
+    note_gaps(engine, 0.04, now, 2.0)
+    await paces.write_changed()
+    await paces.read_all()
+    assert paces.usual_gaps == {"e1": pytest.approx(0.04)}
+
+
+async def test_a_lasting_change_applies_at_the_next_read(paces, directory):
+    engine = directory.get("e1")
+    now = note_gaps(engine, 0.04, 0.0, 4.0)
+    await paces.write_changed()
+    for _ in range(20):
+        await paces.read_all()
+    note_gaps(engine, 0.08, now, 4.0)
+    await paces.write_changed()
+    await paces.read_all()
+    assert paces.usual_gaps == {"e1": pytest.approx(0.08)}
+
+
+async def test_rows_of_engines_without_slowdown_are_as_before(paces, directory, rows):
+    directory.get("e1").note_event_gap(0.04)
+    await paces.write_changed()
+    [(_, value)] = rows.rows.values()
+    assert msgspec.json.decode(value) == {"gap_s": 0.04, "born": None}
+
+
+def test_a_row_of_an_earlier_program_is_understood():
+    pace = msgspec.json.decode(b'{"gap_s": 0.04, "born": null}', type=EnginePace)
+    assert pace == EnginePace(0.04)
