--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -232,8 +232,7 @@
                 case OpenedStream(
                     version=version, events=events, keep_alive_s=keep_alive_s, load=load
                 ):
-                    # Without a slowdown, `running` would count this host's own samples
-                    # as load of the engine for the choice of other requests.
+                    # Loads of engines that report no slowdown are not used.
                     if load is not None and load.slowdown is not None:
                         target.note_load(load, self._clock.monotonic())
                     await self._consume_stream(target, demand, version, events)
