--- a/src/bankrudder/fleet/_directory.py
+++ b/src/bankrudder/fleet/_directory.py
@@ -261,7 +261,7 @@
         return Contender(
             slots=tracked.endpoint.slots,
             load=tracked.load(now),
-            duration_s=tracked.lasting_latency_s,
+            duration_s=tracked.lasting_latency_s or None,
             bin_count=1 if speed is None else speed.latency_bin_count,
             slowdown=tracked.slowdown(now),
             is_local=tracked.endpoint.data_centre == self._data_centre,
--- a/src/bankrudder/relay/_outcomes.py
+++ b/src/bankrudder/relay/_outcomes.py
@@ -32,7 +32,11 @@
         case Answered():
             if outcome.load is not None:
                 target.note_load(outcome.load, now)
-            target.note_answer(now - sent_at, now)
+            if outcome.status < 500 or not target.reports_slowdown:
+                target.note_answer(now - sent_at, now)
+            else:
+                # Errors often come early. They would make the endpoint look fast.
+                target.note_alive()
             target.note_connection(outcome.keep_alive_s, now)
         case Refused(reason=RefusalReason.FULL):
             if outcome.load is not None:
--- a/tests/relay/test_outcomes.py
+++ b/tests/relay/test_outcomes.py
@@ -13,10 +13,10 @@
     return directory
 
 
-def note_answer(directory, clock, latency_s, load):
+def note_answer(directory, clock, latency_s, load, status=200):
     clock.advance(latency_s)
     now = clock.monotonic()
-    answer = Answered(200, (), b"", load)
+    answer = Answered(status, (), b"", load)
     note_outcome(directory.get("e"), answer, now - latency_s, now)
 
 
@@ -44,3 +44,20 @@
     for latency_s in (0.05, 0.1):
         note_answer(directory, manual_clock, latency_s, ReportedLoad(1, 0, 6))
     assert directory.mean_latency_s("s") == pytest.approx(0.06)
+
+
+def test_early_errors_do_not_make_an_endpoint_look_fast(directory, manual_clock):
+    """An endpoint that fails part of its requests would get more of them."""
+    load = ReportedLoad(1, 0, 6, 1.0)
+    note_answer(directory, manual_clock, 0.05, load)
+    for _ in range(10):
+        note_answer(directory, manual_clock, 0.001, load, status=500)
+    assert directory.get("e").lasting_latency_s == pytest.approx(0.05)
+
+
+def test_an_answer_without_duration_gives_a_choice_all_the_same(
+    directory, manual_clock
+):
+    directory.put(Endpoint("e2", "s", "a:2", "north", 6))
+    note_answer(directory, manual_clock, 0.0, ReportedLoad(1, 0, 6, 1.0))
+    assert directory.choose("s") is not None
