--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -12,6 +12,7 @@
 from bankrudder.node._adapter import Adapter
 from bankrudder.node._components import NodeComponents
 from bankrudder.node._settings import NodeSettings
+from bankrudder.node._speed_samples import speed_samples
 from bankrudder.observe import MonitoringServer, Sample
 from bankrudder.scheduling import MoveReason
 from bankrudder.world import Clock
@@ -198,6 +199,9 @@
         for table, age_s in self._components.platform_state.table_ages_s().items():
             yield Sample.gauge("bankrudder_table_age_seconds", age_s, table=table)
         yield from self._move_samples()
+        yield from speed_samples(
+            self._components.directory.all(), self._clock.monotonic()
+        )
 
     def _move_samples(self) -> Iterable[Sample]:
         """Yield the moves of running samples, and the time that these saved."""
