Tell ages in the cleaning table apart by their key

Cause: the part of a row told whether it was about an ended batch, an open one, the progress of a model or the store's time, and trainers choose the names of batches. A batch named clock made each pass fail with msgspec.ValidationError; batches named open/b1 and progress/m took the age of something else and were removed at once.

Change: the part is the identifier alone and the key says what the row is about. Rows of open batches and of progress that an earlier version wrote are not used, so that their ages start anew once.

Seen failing before: the new test for clock, open/b1 and progress/m.

--- a/src/bankrudder/batches/_cleaning.py
+++ b/src/bankrudder/batches/_cleaning.py
@@ -5,6 +5,8 @@
 so that the age survives a restart of the host.
 """
 
+from enum import Enum
+
 import msgspec
 import structlog
 
@@ -20,6 +22,7 @@
     Committed,
     NotSettledError,
     Put,
+    Row,
     RowKey,
     Store,
     Transaction,
@@ -37,15 +40,22 @@
 """Time for which a batch is kept beyond its retention, for late readers."""
 
 FIRST_SEEN_TABLE = "cleaning"
-"""Table of the times from which ages are measured. The part is the identifier of an
-ended batch, ``open/BATCH`` for an open one, or ``progress/MODEL``; its one row holds a
-`FirstSeen`. The row in the part ``clock`` is written only to learn the store's time."""
-
-_FIRST_SEEN_KEY = "ended"
+"""Table of the times from which ages are measured. The part is the identifier of a
+batch or a model, the key an `_Aging`, and the value a `FirstSeen`. Trainers choose the
+identifiers, so that a part alone does not tell what its rows are about. The row
+``clock`` in the part ``clock`` is written only to learn the store's time."""
 
 _log = structlog.get_logger("batches")
 
 
+class _Aging(Enum):
+    """What is removed or ended at a certain age; the keys of the rows."""
+
+    ENDED_BATCH = "ended"
+    OPEN_BATCH = "open"
+    PROGRESS = "progress"
+
+
 class FirstSeen(msgspec.Struct, frozen=True):
     """Store time at which a batch was first seen open or ended.
 
@@ -83,10 +93,12 @@
         stored = await self._store.parts(BATCHES_TABLE)
         ended = [name for name in stored if name not in open_batches]
         for name in ended:
-            if self._lease.is_valid and await self._is_due(name, now_s):
+            if self._lease.is_valid and await self._is_due(
+                _Aging.ENDED_BATCH, name, now_s, self._min_age_s
+            ):
                 await self._repository.delete(BatchId(name))
-                await self._clear_first_seen(name)
-                await self._clear_first_seen(f"open/{name}")
+                await self._clear_first_seen(_Aging.ENDED_BATCH, name)
+                await self._clear_first_seen(_Aging.OPEN_BATCH, name)
                 _log.info("batches: removed after retention", batch=name)
         for name in sorted(open_batches):
             await self._end_abandoned(name, now_s)
@@ -95,16 +107,15 @@
 
     async def _end_abandoned(self, name: str, now_s: float) -> None:
         """End a batch that has been open for `MAX_OPEN_S`: its trainer must be lost."""
-        open_part = f"open/{name}"
         if not self._lease.is_valid or not await self._is_due(
-            open_part, now_s, MAX_OPEN_S
+            _Aging.OPEN_BATCH, name, now_s, MAX_OPEN_S
         ):
             return
         try:
             await self._repository.end(BatchId(name))
         except NotSettledError:
             return  # the next pass tries again
-        await self._clear_first_seen(open_part)
+        await self._clear_first_seen(_Aging.OPEN_BATCH, name)
         _log.warning(
             "batches: ended, as its trainer did not end it in time", batch=name
         )
@@ -119,38 +130,45 @@
                 return None
 
     async def _is_due(
-        self, name: str, now_s: float, min_age_s: float | None = None
+        self, aging: _Aging, name: str, now_s: float, min_age_s: float
     ) -> bool:
-        """Whether a part was first seen at least `min_age_s` ago; record a new part.
+        """Whether something was first seen at least `min_age_s` ago.
 
-        The default age is the retention with its margin.
+        What was not seen before is recorded.
         """
-        min_age_s = self._min_age_s if min_age_s is None else min_age_s
-        page = await self._store.read(FIRST_SEEN_TABLE, name)
-        if page.rows:
-            seen = msgspec.json.decode(page.rows[0].value, type=FirstSeen)
+        row = await self._first_seen(aging, name)
+        if row is not None:
+            seen = msgspec.json.decode(row.value, type=FirstSeen)
             return now_s - seen.store_time_s >= min_age_s
         value = msgspec.json.encode(FirstSeen(now_s))
-        put = Put(RowKey(FIRST_SEEN_TABLE, name, _FIRST_SEEN_KEY), value)
+        put = Put(_first_seen_key(aging, name), value)
         await self._store.commit(Transaction(puts=(put,)))
         return False
 
-    async def _clear_first_seen(self, name: str) -> None:
-        key = RowKey(FIRST_SEEN_TABLE, name, _FIRST_SEEN_KEY)
+    async def _first_seen(self, aging: _Aging, name: str) -> Row | None:
+        key = _first_seen_key(aging, name)
+        page = await self._store.read(FIRST_SEEN_TABLE, name)
+        return next((row for row in page.rows if row.key == key), None)
+
+    async def _clear_first_seen(self, aging: _Aging, name: str) -> None:
+        key = _first_seen_key(aging, name)
         await self._store.commit(Transaction(removals=(key,)))
 
     async def _clean_progress(self, model: str, now_s: float) -> None:
         """Remove a model's progress if no row of it changed during the retention."""
         page = await self._store.read(PROGRESS_TABLE, model, limit=500)
-        name = f"progress/{model}"
         newest = max((row.version for row in page.rows), default=0)
-        seen = await self._store.read(FIRST_SEEN_TABLE, name)
-        if page.rows and seen.rows and newest < seen.rows[0].version:
-            if not await self._is_due(name, now_s):
+        seen = await self._first_seen(_Aging.PROGRESS, model)
+        if page.rows and seen is not None and newest < seen.version:
+            if not await self._is_due(_Aging.PROGRESS, model, now_s, self._min_age_s):
                 return
             keys = [row.key for row in page.rows]
             await remove_all(self._store, keys)
             _log.info("batches: old progress removed", model=model, samples=len(keys))
         if page.rows:
-            await self._clear_first_seen(name)
-            await self._is_due(name, now_s)
+            await self._clear_first_seen(_Aging.PROGRESS, model)
+            await self._is_due(_Aging.PROGRESS, model, now_s, self._min_age_s)
+
+
+def _first_seen_key(aging: _Aging, name: str) -> RowKey:
+    return RowKey(FIRST_SEEN_TABLE, name, aging.value)
--- a/tests/batches/test_cleaning.py
+++ b/tests/batches/test_cleaning.py
@@ -63,6 +63,26 @@
     assert await repository.load("b1") == batch()
 
 
+@pytest.mark.parametrize(
+    "name", ["clock", "ended", "open", "open/b1", "progress/m", "progress"]
+)
+async def test_a_batch_of_any_name_is_removed_after_its_retention(
+    cleaner, timed_store, repository, progress_store, name
+):
+    await progress_store.save("m", [("s1", Progress(("a",), (1,), 1))])
+    await repository.accept(batch(), THIS_OWNER)
+    await repository.accept(batch(batch_id=name), THIS_OWNER)
+    await cleaner.clean()
+    timed_store.now_s += RETENTION_S + RETENTION_MARGIN_S
+    await repository.end(name)
+    await cleaner.clean()
+    assert await repository.head(name) is not None
+    timed_store.now_s += RETENTION_S + RETENTION_MARGIN_S
+    await cleaner.clean()
+    assert await repository.head(name) is None
+    assert await repository.head("b1") is not None
+
+
 async def test_unused_progress_is_removed(cleaner, timed_store, progress_store):
     await progress_store.save("m", [("s1", Progress(("a",), (1,), 1))])
     await cleaner.clean()
