Bound transactions of results in bytes

The loop that collects finished results counted characters, while the limit of a transaction is in bytes: eight results of 120 kB in three-byte or four-byte characters went into one transaction of 960 kB, where 600 kB are allowed. It counts the bytes of the encoded text now.

--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -287,7 +287,7 @@
 
     async def _next_results(self) -> list[SampleResult]:
         results = [await self._unlisted_results.get()]
-        size = len(results[0].text)
+        size = _text_bytes(results[0])
         while (
             not self._unlisted_results.empty()
             and len(results) < MAX_RESULTS_PER_TRANSACTION
@@ -295,5 +295,10 @@
             if size > MAX_TRANSACTION_BYTES // 2:
                 break
             results.append(self._unlisted_results.get_nowait())
-            size += len(results[-1].text)
+            size += _text_bytes(results[-1])
         return results
+
+
+def _text_bytes(result: SampleResult) -> int:
+    """Return the size of a result's text in the store."""
+    return len(result.text.encode())
