--- a/src/bankrudder/cli/_calls.py
+++ b/src/bankrudder/cli/_calls.py
@@ -11,7 +11,7 @@
 from bankrudder.cli._files import read_file, read_token
 from bankrudder.cli._output import Output
 from bankrudder.cli._tls import credentials_of
-from bankrudder.client import Answer, Caller, Trainer
+from bankrudder.client import Answer, Caller, Trainer, TrainerSettings
 from bankrudder.world import DataClassName
 
 TRACE_ID_BYTES = 16
@@ -66,6 +66,7 @@
         read_token(arguments.token_file),
         data_class=arguments.data_class,
         credentials=credentials_of(arguments),
+        settings=TrainerSettings(patience_s=arguments.timeout),
     )
     async with trainer:
         samples = trainer.step(
--- a/src/bankrudder/cli/_parser.py
+++ b/src/bankrudder/cli/_parser.py
@@ -6,6 +6,7 @@
 from bankrudder.cli import _calls, _commands, _logs
 from bankrudder.cli._commands import Command
 from bankrudder.cli._exit import EXIT_CODES_HELP
+from bankrudder.client import TrainerSettings
 from bankrudder.config import address_error
 from bankrudder.world import Address
 
@@ -198,6 +199,7 @@
     )
     step.add_argument("--samples-per-group", type=_parse_count, default=1, metavar="N")
     step.add_argument("--data-class", default="", metavar="NAME")
+    step.set_defaults(timeout=TrainerSettings().patience_s)
 
 
 def _common_options() -> argparse.ArgumentParser:
--- a/src/bankrudder/node/_main.py
+++ b/src/bankrudder/node/_main.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import structlog
@@ -54,25 +55,26 @@
     path = Path(arguments.settings)
     try:
         settings = complete_settings(load_settings(path))
-        configure_logging(
+        set_log_level = partial(
+            configure_logging,
             LogFormat.JSON,
-            settings.log_level,
             stream=sink,
             limit=line_limit,
             host=settings.host,
         )
+        set_log_level(settings.log_level)
     except InvalidError as error:
         failure = error.failure
         _log.error("node: wrong settings", field=failure.field, reason=failure.detail)
         sys.exit(EXIT_INVALID_SETTINGS)
     try:
-        uvloop.run(_run(settings, path, make_adapter, clock, line_limit))
+        uvloop.run(_run(settings, path, make_adapter, clock, line_limit, set_log_level))
     except OSError as error:
         _log.error("node: not started", reason=str(error))
         sys.exit(EXIT_NOT_STARTED)
 
 
-def _reload(node: Node, path: Path) -> None:
+def _reload(node: Node, path: Path, set_log_level: Callable[[LogLevel], None]) -> None:
     try:
         settings = load_settings(path)
     except InvalidError as error:
@@ -84,6 +86,7 @@
         )
         return
     node.reload(settings)
+    set_log_level(settings.log_level)
 
 
 async def _run(
@@ -92,12 +95,13 @@
     make_adapter: Callable[[NodeSettings], Adapter],
     clock: Clock,
     line_limit: LogRateLimiter,
+    set_log_level: Callable[[LogLevel], None],
 ) -> None:
     node = Node.from_config(settings, make_adapter(settings), clock, line_limit)
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, node.stop)
-    loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, path, set_log_level)
     await node.run()
 
 
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -83,13 +83,15 @@
     def reload(self, settings: NodeSettings) -> None:
         """Apply the settings that may change while the node runs.
 
-        These are the grace period and the duration of leases. Changes of listeners,
-        names and the store take effect at the next start.
+        These are the grace period and the duration of leases; the level of the log is
+        applied by the caller. Changes of listeners, names and the store take effect at
+        the next start.
         """
         _log.info(
             "node: settings reloaded",
             grace_s=settings.grace_s,
             lease_ms=settings.lease_ms,
+            log_level=settings.log_level.value,
         )
         self._settings = msgspec.structs.replace(
             self._settings, grace_s=settings.grace_s, lease_ms=settings.lease_ms
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bankrudder.cli import ExitCode, build_parser, main
+from bankrudder.client import Trainer
 from bankrudder.config import published_schema
 from bankrudder.node import NodeSettings
 from bankrudder.v1 import bankrudder_pb2 as pb
@@ -288,6 +289,26 @@
     assert "0.0 versions 4: risk of a press" in capsys.readouterr().out
 
 
+@pytest.mark.parametrize(
+    ("options", "patience_s"), [([], 600.0), (["--timeout", "7"], 7.0)]
+)
+def test_a_step_waits_for_samples_as_long_as_it_is_told(
+    run, tmp_path, monkeypatch, options, patience_s
+):
+    prompts = tmp_path / "prompts"
+    prompts.write_text("risk of a press\n")
+    made = []
+    from_config = Trainer.from_config
+
+    def record(*arguments, settings=None, **rest):
+        made.append(settings)
+        return from_config(*arguments, settings=settings, **rest)
+
+    monkeypatch.setattr(Trainer, "from_config", record)
+    run("step", "wording", "--step", "1", "--prompts", str(prompts), *options)
+    assert [each.patience_s for each in made] == [patience_s]
+
+
 def test_a_broken_reply_to_a_change_is_outcome_unknown(run, capsys):
     assert run("apply", TASMAN) == ExitCode.FAILED
     assert "outcome_unknown" in capsys.readouterr().err
--- a/tests/node/test_observing.py
+++ b/tests/node/test_observing.py
@@ -60,6 +60,26 @@
     assert await host.is_ready()
 
 
+async def test_a_reload_changes_the_level_of_the_log(site):
+    host = site.hosts[0]
+
+    async def ask():
+        return await site.call(host, "POST", "/score/1", headers={"X-Request-Id": "q"})
+
+    async def logs_requests():
+        await ask()
+        return "relay: answered" in events(host)
+
+    host.write_settings(log_level="error")
+    host.signal(HANGUP_SIGNAL)
+    await until(lambda: "node: settings reloaded" in events(host))
+    assert (await ask())[0] == 200
+    assert not await logs_requests()
+    host.write_settings(log_level="info")
+    host.signal(HANGUP_SIGNAL)
+    await until(logs_requests)
+
+
 def events(host):
     return [line["event"] for line in host.log_lines()]
 
