Apply the configured limits on the size of callers' requests

max_body_bytes and max_header_bytes were decoded and not used. A request beyond one is answered 413 or 431 before it is sent to an endpoint. They do not apply to submissions of batches, whose size grows with the step; the listener's own limits apply to all. Seen failing before: requests of 501 bytes under a limit of 500.

--- a/src/bankrudder/node/_gateway.py
+++ b/src/bankrudder/node/_gateway.py
@@ -32,7 +32,7 @@
     Unanswered,
     Unauthorized,
 )
-from bankrudder.routing import Route, RoutingTable
+from bankrudder.routing import CallerLimits, Route, RoutingTable
 from bankrudder.store import NotSettledError, StoreUnavailableError
 from bankrudder.workspaces import Admitted, ApiKey, Denial, DenialReason
 from bankrudder.world import NO_WORKSPACE, Clock, SampleId, WorkspaceName
@@ -108,6 +108,12 @@
             return NotRun(RejectReason.NO_CONFIGURATION, START_RETRY_AFTER_S)
         return table.match(host, path) or NotFound(RejectReason.NO_ROUTE)
 
+    @property
+    def caller_limits(self) -> CallerLimits:
+        """The limits of the configuration in force on the requests of callers."""
+        table = self._routes()
+        return CallerLimits() if table is None else table.configuration.limits
+
     @property
     def has_workspaces(self) -> bool:
         """Whether callers must present a key of a workspace."""
--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -18,6 +18,7 @@
     decode_batch,
     encode_page,
 )
+from bankrudder.platform._limits import limit_status
 from bankrudder.relay import (
     IncomingRequest,
     Malformed,
@@ -143,9 +144,12 @@
             return _response(admitted)
         if self._gateway.has_workspaces or admitted.workspace:
             incoming = _with_workspace(incoming, admitted.workspace)
+        if route.kind is RouteKind.ROLLOUT:
+            return await self._accept_batch(incoming, route)
+        status = limit_status(request, body, self._gateway.caller_limits)
+        if status is not None:
+            return web.Response(status=status)
         match route:
-            case Route(kind=RouteKind.ROLLOUT):
-                return await self._accept_batch(incoming, route)
             case Route(kind=RouteKind.STREAM):
                 return await self._stream(request, incoming, route)
             case _:
