--- a/src/bankrudder/cli/_output.py
+++ b/src/bankrudder/cli/_output.py
@@ -6,7 +6,13 @@
 
 import msgspec
 
-from bankrudder.client import Applied, NodeReport, UsageReport
+from bankrudder.client import (
+    Applied,
+    EndpointReport,
+    EndpointSpeedReport,
+    NodeReport,
+    UsageReport,
+)
 from bankrudder.config import ConfigurationDifference
 from bankrudder.failures import Failure
 from bankrudder.world import Configuration
@@ -24,6 +30,7 @@
 )
 USAGE_COLUMNS = ("WINDOW", "STATE", "WORKSPACE", "REQUESTS")
 ENDPOINT_COLUMNS = ("ENDPOINT", "STATE", "IN FLIGHT", "SLOTS", "VERSION")
+SPEED_COLUMNS = ("LATENCY MS", "GAP MS", "SLOWDOWN", "REPORT AGE S")
 
 
 class Output:
@@ -90,7 +97,7 @@
     """
     lines = _format_table([NODE_COLUMNS, *(_node_row(node) for node in nodes)])
     if endpoints:
-        lines += ["", *_format_table([ENDPOINT_COLUMNS, *_endpoint_rows(nodes)])]
+        lines += ["", *_endpoint_lines(nodes)]
     return lines
 
 
@@ -126,18 +133,37 @@
     return "running" if node.serving else "waiting"
 
 
-def _endpoint_rows(nodes: Sequence[NodeReport]) -> list[tuple[str, ...]]:
-    return [
-        (
-            endpoint.name,
-            endpoint.state,
-            str(endpoint.in_flight),
-            str(endpoint.slots),
-            str(endpoint.version),
-        )
-        for node in nodes
-        for endpoint in node.endpoints
+def _endpoint_lines(nodes: Sequence[NodeReport]) -> list[str]:
+    """Return a table of endpoints, with their speed if one of them has any."""
+    endpoints = [endpoint for node in nodes for endpoint in node.endpoints]
+    if not any(endpoint.speed for endpoint in endpoints):
+        return _format_table([ENDPOINT_COLUMNS, *map(_endpoint_row, endpoints)])
+    rows = [
+        (*_endpoint_row(endpoint), *_speed_row(endpoint.speed))
+        for endpoint in endpoints
     ]
+    return _format_table([(*ENDPOINT_COLUMNS, *SPEED_COLUMNS), *rows])
+
+
+def _endpoint_row(endpoint: EndpointReport) -> tuple[str, ...]:
+    return (
+        endpoint.name,
+        endpoint.state,
+        str(endpoint.in_flight),
+        str(endpoint.slots),
+        str(endpoint.version),
+    )
+
+
+def _speed_row(speed: EndpointSpeedReport | None) -> tuple[str, ...]:
+    if speed is None:
+        return ("",) * len(SPEED_COLUMNS)
+    return (
+        f"{1000 * speed.latency_s:.1f}" if speed.latency_s else "",
+        f"{1000 * speed.gap_s:.1f}" if speed.gap_s else "",
+        f"{speed.slowdown:.2f}",
+        f"{speed.report_age_s:.1f}",
+    )
 
 
 def _format_table(rows: Sequence[Sequence[str]]) -> list[str]:
--- a/src/bankrudder/client/_operator.py
+++ b/src/bankrudder/client/_operator.py
@@ -61,14 +61,38 @@
     document: str
 
 
+class EndpointSpeedReport(msgspec.Struct, frozen=True):
+    """What a node measured of an endpoint that reports the slowdown of its machine.
+
+    Attributes
+    ----------
+    latency_s, gap_s : float
+        Latency of answers and time between stream events without momentary slowness,
+        0 if unknown.
+    slowdown : float
+        Expected duration of work at present, as a multiple of the lasting one.
+    report_age_s : float
+        Time since the endpoint's last report.
+    """
+
+    latency_s: float
+    gap_s: float
+    slowdown: float
+    report_age_s: float
+
+
 class EndpointReport(msgspec.Struct, frozen=True):
-    """The state of an endpoint, as one node knows it."""
+    """The state of an endpoint, as one node knows it.
+
+    ``speed`` is None unless the endpoint reports the slowdown of its machine.
+    """
 
     name: str
     state: str
     in_flight: int
     slots: int
     version: int
+    speed: EndpointSpeedReport | None = None
 
 
 class UsageReport(msgspec.Struct, frozen=True):
@@ -256,10 +280,26 @@
         stopping=node.stopping,
         serving=node.serving,
         unreachable=node.unreachable,
-        endpoints=tuple(
-            EndpointReport(e.name, e.state, e.in_flight, e.slots, e.version)
-            for e in node.endpoints
-        ),
+        endpoints=tuple(_endpoint_report(each) for each in node.endpoints),
         memory_bytes=node.memory_bytes,
         version=node.version,
     )
+
+
+def _endpoint_report(endpoint: pb.EndpointStatus) -> EndpointReport:
+    speed = None
+    if endpoint.HasField("speed"):
+        speed = EndpointSpeedReport(
+            endpoint.speed.latency_s,
+            endpoint.speed.gap_s,
+            endpoint.speed.slowdown,
+            endpoint.speed.report_age_s,
+        )
+    return EndpointReport(
+        endpoint.name,
+        endpoint.state,
+        endpoint.in_flight,
+        endpoint.slots,
+        endpoint.version,
+        speed,
+    )
--- a/src/bankrudder/rpc/_operators.py
+++ b/src/bankrudder/rpc/_operators.py
@@ -4,7 +4,7 @@
 
 from bankrudder.observe import Tracer
 from bankrudder.rpc._context import RpcContext
-from bankrudder.rpc._status import NodeState, StatusReporter
+from bankrudder.rpc._status import EndpointSpeed, NodeState, StatusReporter
 from bankrudder.rpc._types import ServicerContext
 from bankrudder.store import translate_store_errors
 from bankrudder.usage import UsageRows, WindowSummary
@@ -125,6 +125,7 @@
             in_flight=endpoint.in_flight,
             slots=endpoint.slots,
             version=endpoint.version,
+            speed=_speed_to_proto(endpoint.speed),
         )
         for endpoint in state.endpoints
     ]
@@ -141,3 +142,14 @@
         memory_bytes=state.memory_bytes,
         version=state.version,
     )
+
+
+def _speed_to_proto(speed: EndpointSpeed | None) -> pb.EndpointSpeed | None:
+    if speed is None:
+        return None
+    return pb.EndpointSpeed(
+        latency_s=speed.latency_s,
+        gap_s=speed.gap_s,
+        slowdown=speed.slowdown,
+        report_age_s=speed.report_age_s,
+    )
--- a/src/bankrudder/rpc/_status.py
+++ b/src/bankrudder/rpc/_status.py
@@ -20,6 +20,26 @@
 HEARTBEATS_STOPPED = "its heartbeats stopped"
 
 
+class EndpointSpeed(msgspec.Struct, frozen=True):
+    """What a node measured of an endpoint that reports the slowdown of its machine.
+
+    Attributes
+    ----------
+    latency_s, gap_s : float
+        Latency of answers and time between stream events without momentary slowness,
+        0 if unknown.
+    slowdown : float
+        Expected duration of work at present, as a multiple of the lasting one.
+    report_age_s : float
+        Time since the endpoint's last report.
+    """
+
+    latency_s: float
+    gap_s: float
+    slowdown: float
+    report_age_s: float
+
+
 class EndpointState(msgspec.Struct, frozen=True):
     """Status of an endpoint, as the node that reports it knows it.
 
@@ -30,6 +50,8 @@
     version : ModelVersion
         Newest version of weights that the endpoint serves as far as the node
         knows, 0 if it knows of none, as for a service.
+    speed : EndpointSpeed or None
+        Speed of the endpoint, None unless it reports the slowdown of its machine.
     """
 
     name: str
@@ -37,6 +59,7 @@
     in_flight: int
     slots: int
     version: ModelVersion = ModelVersion(0)
+    speed: EndpointSpeed | None = None
 
 
 class NodeState(msgspec.Struct, frozen=True):
@@ -121,6 +144,7 @@
                 tracked.in_flight,
                 tracked.endpoint.slots,
                 _newest_version(tracked),
+                _speed(tracked, now),
             )
 
 
@@ -148,3 +172,15 @@
     if tracked.is_suspended(now):
         return "suspended"
     return tracked.endpoint.readiness.value
+
+
+def _speed(tracked: TrackedEndpoint, now: float) -> EndpointSpeed | None:
+    speed = tracked.speed
+    if speed is None:
+        return None
+    return EndpointSpeed(
+        speed.latency_s or 0.0,
+        speed.gap_s or 0.0,
+        speed.slowdown(now),
+        speed.report_age_s(now),
+    )
