Overload control for requests: lines, rejection of the hopeless, budgets for repeats

Cause: relay had no admission. A full service was met by up to six refused sends of each request, 40 ms apart, then one constant Retry-After of 0.25 s, without priorities, shares of workspaces or a budget for repeats and hedges.

Change: a package `overload`. ServiceGate decides without I/O which requests are sent, wait or are rejected; ServiceLine and RequestLines feed it from the directory and from answers. A host sends at a pace that grows with requests that endpoints take and falls with refusals, so that slots are not idle while requests wait and refused sends stay a small share. Within a priority workspaces take turns; while not all can be answered when due, requests that still can go first. A caller that returns is told by the time it has left. Repeats and hedges take tokens that first sends fill in. The priority of a workspace is carried on requests. In force only with overload.limits_requests.

--- a/src/bankrudder/batches/_scoring.py
+++ b/src/bankrudder/batches/_scoring.py
@@ -2,6 +2,13 @@
 
 A reward call goes through the relay as other requests do. It is repeated until an
 answer carries a proof, or as many answers failed as the route allows.
+
+Where slots are short, a reward call waits by the priority of its route at first:
+callers wait for their answers now, while results of a batch are due seconds later. Once
+it was refused, it goes before the callers' requests. A reward call that is not answered
+loses a sample that took an engine seconds, and with it the value of a group that is
+otherwise complete; a caller's request loses one answer. `MAX_SLOT_SHARE` bounds what
+reward calls take.
 """
 
 import asyncio
@@ -28,6 +35,10 @@
 RETRY_PAUSE_S = 0.1
 """Pause before a reward call is repeated: about twice the usual latency."""
 
+REFUSED_PRIORITY = -1
+"""Priority of a reward call that was refused: before the most urgent requests of
+callers, which have priority 0."""
+
 MAX_HOLD_S = 1.0
 """Longest pause before a call under which endpoints crashed is tried again. An answer
 to the same request on any host may clear it at any time."""
@@ -65,6 +76,7 @@
             If the call failed as often as its route allows.
         """
         failures = 0
+        priority = None
         while True:
             table = self._routes()
             route = table.match(call.host, _path(call.target)) if table else None
@@ -86,6 +98,7 @@
                     deadline=now + route.timeout_s,
                     received_at=now,
                     trace=trace,
+                    priority=priority,
                 )
                 reply = await self._forwarder.forward(request, route)
             finally:
@@ -109,6 +122,12 @@
                     await asyncio.sleep(RETRY_PAUSE_S)
                 case NotRun(RejectReason.CRASHES_ENDPOINTS, retry_after_s=seconds):
                     await asyncio.sleep(min(seconds, MAX_HOLD_S))
+                case NotRun(RejectReason.OVERLOADED, retry_after_s=seconds):
+                    priority = REFUSED_PRIORITY
+                    await asyncio.sleep(min(seconds, RETRY_PAUSE_S))
+                case NotRun(RejectReason.FULL):
+                    priority = REFUSED_PRIORITY
+                    await asyncio.sleep(RETRY_PAUSE_S)
                 case _:
                     await asyncio.sleep(RETRY_PAUSE_S)
 
--- a/src/bankrudder/calls/_service.py
+++ b/src/bankrudder/calls/_service.py
@@ -148,6 +148,7 @@
             trace=spec.trace,
             identity=(spec.caller.workspace or spec.caller.name, spec.data_class),
             workspace=spec.caller.workspace,
+            priority=own_class.priority,
         )
 
     async def _service_answer(
@@ -236,6 +237,12 @@
                 "all endpoints are at capacity",
                 retry_after_s=seconds,
             )
+        case NotRun(reason=RejectReason.OVERLOADED, retry_after_s=seconds):
+            return NotRunError(
+                FailureReason.OVERLOADED,
+                "the answer could not be expected before the deadline",
+                retry_after_s=seconds,
+            )
         case NotRun(reason=RejectReason.CRASHES_ENDPOINTS, retry_after_s=seconds):
             return NotRunError(
                 FailureReason.CRASHES_ENDPOINTS,
--- a/src/bankrudder/node/_components.py
+++ b/src/bankrudder/node/_components.py
@@ -47,6 +47,7 @@
     LoadPlanner,
     VersionSwitcher,
 )
+from bankrudder.overload import RequestLines
 from bankrudder.presence import (
     NO_ADDRESS,
     HostCleaner,
@@ -111,6 +112,7 @@
         self.usage = self._make_usage(adapter.duties)
         meter = self.usage.counter if self.usage is not None else None
         self.crashes = self._make_crash_guard()
+        self.lines = self._make_lines()
         self.forwarder = Forwarder(
             self.directory,
             self._endpoints,
@@ -118,6 +120,7 @@
             clock,
             self.tracer,
             meter=meter,
+            lines=self.lines,
         )
         self.streams = StreamForwarder(
             self.directory, self._endpoints, self.crashes, clock, meter
@@ -207,6 +210,12 @@
             self.pace,
         )
 
+    def _make_lines(self) -> RequestLines | None:
+        overload = self._settings.overload
+        if overload is None or not overload.limits_requests:
+            return None
+        return RequestLines(self.directory, self._clock)
+
     def _make_presence(self) -> Presence:
         settings = self._settings
         capacity = settings.processor_share * settings.processor_speed
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -189,6 +189,24 @@
             yield Sample.gauge(name, value)
         for table, age_s in self._components.platform_state.table_ages_s().items():
             yield Sample.gauge("bankrudder_table_age_seconds", age_s, table=table)
+        yield from self._line_samples()
+
+    def _line_samples(self) -> Iterable[Sample]:
+        """Yield the gauges of the lines in which requests wait for slots."""
+        lines = self._components.lines
+        for state in lines.states() if lines is not None else ():
+            gauges = {
+                "bankrudder_line_requests": state.waiting,
+                "bankrudder_repeat_budget": state.repeat_budget,
+                "bankrudder_answer_estimate_seconds": state.estimate_s,
+            }
+            for name, value in gauges.items():
+                yield Sample.gauge(
+                    name,
+                    value,
+                    service=state.key.service,
+                    data_centres=",".join(state.key.data_centres),
+                )
 
     def _start_task(self, name: str, function: Callable[[], Awaitable[None]]) -> None:
         self._tasks.append(
--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -31,7 +31,7 @@
 )
 from bankrudder.routing import Route, RouteKind
 from bankrudder.workspaces import Admitted, ApiKey, parse_bearer
-from bankrudder.world import Address, Clock, SampleId, WorkspaceName
+from bankrudder.world import Address, Clock, SampleId
 
 KEEP_ALIVE_S = 20.0
 """Idle timeout of callers' connections.
@@ -142,7 +142,7 @@
         if not isinstance(admitted, Admitted):
             return _response(admitted)
         if self._gateway.has_workspaces or admitted.workspace:
-            incoming = _with_workspace(incoming, admitted.workspace)
+            incoming = _with_workspace(incoming, admitted)
         match route:
             case Route(kind=RouteKind.ROLLOUT):
                 return await self._accept_batch(incoming, route)
@@ -308,9 +308,7 @@
     return parse_bearer(request.headers.getall(names.AUTHORIZATION, []))
 
 
-def _with_workspace(
-    incoming: IncomingRequest, workspace: WorkspaceName
-) -> IncomingRequest:
+def _with_workspace(incoming: IncomingRequest, admitted: Admitted) -> IncomingRequest:
     """Return a request of a workspace, without its API key.
 
     The key is not needed after the workspace was determined from it.
@@ -322,7 +320,11 @@
     )
     _, *prompt = incoming.identity
     return msgspec.structs.replace(
-        incoming, headers=headers, workspace=workspace, identity=(workspace, *prompt)
+        incoming,
+        headers=headers,
+        workspace=admitted.workspace,
+        priority=admitted.priority,
+        identity=(admitted.workspace, *prompt),
     )
 
 
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -22,7 +22,16 @@
     within_run,
 )
 from bankrudder.observe import Tracer
+from bankrudder.overload import Turn
 from bankrudder.relay._hedging import hedge_delay
+from bankrudder.relay._limits import (
+    ALL_FULL_PAUSE_S,
+    MAX_REFUSALS,
+    MIN_SEND_S,
+    RETRY_AFTER_S,
+    SUSPECT_PAUSE_S,
+    route_deadline,
+)
 from bankrudder.relay._metering import RunMeter
 from bankrudder.relay._outcomes import crash_refusal, describe, note_outcome
 from bankrudder.relay._values import (
@@ -36,28 +45,6 @@
 from bankrudder.routing import Route, RouteKind, ServiceName
 from bankrudder.world import Clock
 
-REPLY_MARGIN_S = 0.03
-"""Time reserved for sending the reply, so that it arrives before the deadline."""
-
-MIN_SEND_S = 0.02
-"""Minimum time left before the deadline for another attempt to be made."""
-
-SUSPECT_PAUSE_S = 0.02
-"""Pause of a suspect, a request during which endpoints crashed, while every remaining
-endpoint works on another suspect. It is a fraction of a typical response time."""
-
-MAX_REFUSALS = 6
-"""Number of endpoint refusals after which a request is given up."""
-
-ALL_FULL_PAUSE_S = 0.04
-"""Pause after a refusal once all endpoints were tried: about a typical response time,
-after which one of them has a free slot. Without the pause, `MAX_REFUSALS` refusals come
-within a few milliseconds."""
-
-RETRY_AFTER_S = 0.25
-"""Retry delay sent with a refusal: a few times a typical response time, in which a full
-endpoint finishes the requests that it runs."""
-
 _log = structlog.get_logger("relay")
 
 
@@ -67,7 +54,9 @@
     An idempotent request may be sent to a second endpoint while the first has not
     answered, and sent again after a failure, to at most as many endpoints as its route
     allows. Any other request is sent again only if it certainly did not run. A request
-    during which endpoints crash is further limited by `CrashGuard`.
+    during which endpoints crash is further limited by `CrashGuard`. Where overload is
+    limited, a request that did not run yet waits for its turn, and repeats and hedges
+    have a budget.
     """
 
     def __init__(
@@ -81,7 +70,9 @@
         clock: Clock,
         tracer: Tracer,
         meter: RunMeter,
+        turn: Turn,
     ):
+        self._turn = turn
         self._tracer = tracer
         self._meter = meter
         self._began_at: float | None = None
@@ -109,6 +100,10 @@
         """Send the request until it is answered or no further attempt is allowed."""
         try:
             while True:
+                if not self._sent_count:
+                    rejection = await self._turn.wait()
+                    if rejection is not None:
+                        return NotRun(RejectReason.OVERLOADED, rejection.retry_after_s)
                 self._send_next()
                 if not self._sends:
                     if not self._must_wait_for_suspects():
@@ -126,6 +121,7 @@
         finally:
             self._crashes.share_strikes(self._content)
             self._cancel()
+            self._turn.close()
             if self._began_at is not None:
                 self._meter.note_begun(self._request.workspace, self._began_at)
 
@@ -152,21 +148,29 @@
         if target is None:
             return
         self._tried.append(target.endpoint.id)
+        self._turn.note_sent(is_repeat=self._sent_count > 0)
         release = target.occupy(is_suspect)
         task = asyncio.ensure_future(self._send(target))
         task.add_done_callback(lambda _: release())
         self._sends[task] = Send(self._content, target, self._clock.monotonic())
 
     def _may_send(self) -> bool:
-        sent = self._run_count + len(self._sends)
         return (
             self._left_s() >= MIN_SEND_S
             and self._refusal_count < MAX_REFUSALS
-            and sent < self._route.max_attempts
-            and (sent == 0 or self._is_idempotent())
+            and self._sent_count < self._route.max_attempts
+            and (not self._sent_count or self._may_repeat())
             and self._is_admitted()
         )
 
+    @property
+    def _sent_count(self) -> int:
+        """Number of sends that ran, may have run or may run."""
+        return self._run_count + len(self._sends)
+
+    def _may_repeat(self) -> bool:
+        return self._is_idempotent() and self._turn.may_repeat()
+
     def _is_admitted(self) -> bool:
         match self._decision().admission:
             case Admission.FREE:
@@ -204,7 +208,9 @@
         with span:
             outcome = await self._send_within_run(target, outgoing)
             span.set(outcome=describe(outcome))
-        note_outcome(target, outcome, sent_at, self._clock.monotonic())
+        now = self._clock.monotonic()
+        note_outcome(target, outcome, sent_at, now)
+        self._turn.note_outcome(target.endpoint.id, outcome, now - sent_at)
         return outcome
 
     async def _send_within_run(
@@ -273,12 +279,15 @@
         )
         if isinstance(outcome, Answered) and not self._is_idempotent():
             return self._relayed(outcome, target)
-        if isinstance(outcome, Refused) and self._were_all_tried():
+        if isinstance(outcome, Refused) and self._must_pause():
             await asyncio.sleep(min(ALL_FULL_PAUSE_S, self._left_s()))
         return None
 
-    def _were_all_tried(self) -> bool:
-        return all(each.endpoint.id in self._tried for each in self._endpoints())
+    def _must_pause(self) -> bool:
+        """Whether all endpoints were tried and nothing else delays the next send."""
+        return not self._turn.is_limited and all(
+            each.endpoint.id in self._tried for each in self._endpoints()
+        )
 
     def _endpoints(self) -> list[TrackedEndpoint]:
         return self._directory.of_service(self._service, self._route.data_centres)
@@ -308,8 +317,9 @@
         refusal = crash_refusal(self._decision())
         if refusal is not None:
             return refusal
-        reason = RejectReason.FULL if self._endpoints() else RejectReason.NO_ENDPOINT
-        return NotRun(reason, RETRY_AFTER_S)
+        if not self._endpoints():
+            return NotRun(RejectReason.NO_ENDPOINT, RETRY_AFTER_S)
+        return NotRun(RejectReason.FULL, self._turn.retry_after_s(RETRY_AFTER_S))
 
     def _relayed(self, answer: Answered, target: TrackedEndpoint) -> Relayed:
         return Relayed(
@@ -337,9 +347,3 @@
 
     def _left_s(self) -> float:
         return max(self._deadline - self._clock.monotonic(), 0.0)
-
-
-def route_deadline(request: IncomingRequest, route: Route) -> float:
-    """Return the monotonic time by which the caller must have a first answer."""
-    deadline = min(request.deadline, request.received_at + route.timeout_s)
-    return deadline - REPLY_MARGIN_S
--- a/src/bankrudder/relay/_forwarder.py
+++ b/src/bankrudder/relay/_forwarder.py
@@ -7,7 +7,9 @@
 from bankrudder.crashes import CrashGuard
 from bankrudder.fleet import EndpointClient, EndpointDirectory
 from bankrudder.observe import Tracer
+from bankrudder.overload import FreeTurn, RequestLines, Turn, TurnRequest
 from bankrudder.relay._attempts import Attempts
+from bankrudder.relay._limits import route_deadline
 from bankrudder.relay._metering import NoMeter, RunMeter
 from bankrudder.relay._outcomes import crash_refusal
 from bankrudder.relay._values import IncomingRequest, NotRun, Reply
@@ -18,7 +20,13 @@
 
 
 class Forwarder:
-    """Sends requests to the endpoints of their route."""
+    """Sends requests to the endpoints of their route.
+
+    Parameters
+    ----------
+    lines : RequestLines or None
+        Lines in which requests wait for their turn; None lets each be sent at once.
+    """
 
     def __init__(
         self,
@@ -29,7 +37,9 @@
         tracer: Tracer,
         rng: random.Random | None = None,
         meter: RunMeter | None = None,
+        lines: RequestLines | None = None,
     ):
+        self._lines = lines
         self._meter = meter or NoMeter()
         self._directory = directory
         self._client = client
@@ -67,15 +77,31 @@
 
     async def forward(self, request: IncomingRequest, route: Route) -> Reply:
         """Return an endpoint's answer, or the reason why there is none."""
+        service = self.pick_service(route)
         attempts = Attempts(
             request,
             route,
-            self.pick_service(route),
+            service,
             self._directory,
             self._client,
             self._crashes,
             self._clock,
             self._tracer,
             self._meter,
+            self._turn(request, route, service),
         )
         return await attempts.reply()
+
+    def _turn(
+        self, request: IncomingRequest, route: Route, service: ServiceName
+    ) -> Turn:
+        if self._lines is None:
+            return FreeTurn()
+        turn_request = TurnRequest(
+            request.request_id,
+            request.workspace,
+            route.priority if request.priority is None else request.priority,
+            route_deadline(request, route),
+            request.received_at,
+        )
+        return self._lines.turn(turn_request, route, service)
--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -23,7 +23,7 @@
     TrackedEndpoint,
     within_run,
 )
-from bankrudder.relay._attempts import (
+from bankrudder.relay._limits import (
     MAX_REFUSALS,
     MIN_SEND_S,
     RETRY_AFTER_S,
--- a/src/bankrudder/relay/_values.py
+++ b/src/bankrudder/relay/_values.py
@@ -31,6 +31,9 @@
         Values that distinguish requests with the same path and body: caller and prompt.
     workspace : WorkspaceName
         Workspace that the request belongs to; it is passed on to endpoints.
+    priority : int or None
+        Overrides the priority of the route, 0 being the most urgent; None leaves it in
+        effect.
     """
 
     request_id: str
@@ -47,6 +50,7 @@
     trace: str = ""
     identity: tuple[str, ...] = ()
     workspace: WorkspaceName = NO_WORKSPACE
+    priority: int | None = None
 
     @property
     def content(self) -> ContentId:
@@ -101,6 +105,9 @@
     NO_ROUTE = "no_route"
     NO_ENDPOINT = "no_endpoint"
     FULL = "full"
+    OVERLOADED = "overloaded"
+    """The answer could not be expected before the caller's deadline."""
+
     STORE_UNAVAILABLE = "store_unavailable"
     STOPPING = "stopping"
     OUT_OF_TIME = "out_of_time"
--- a/src/bankrudder/workspaces/_admission.py
+++ b/src/bankrudder/workspaces/_admission.py
@@ -11,9 +11,16 @@
 
 
 class Admitted(msgspec.Struct, frozen=True):
-    """The request may run, for `NO_WORKSPACE` if it has no known key."""
+    """The request may run, for `NO_WORKSPACE` if it has no known key.
+
+    Attributes
+    ----------
+    priority : int or None
+        Priority of the workspace's requests, None for that of their route.
+    """
 
     workspace: WorkspaceName = NO_WORKSPACE
+    priority: int | None = None
 
 
 class DenialReason(Enum):
@@ -41,6 +48,7 @@
     def __init__(self, workspaces: Iterable[WorkspaceKeys]):
         self._workspace_names: set[WorkspaceName] = set()
         self._by_key: dict[KeyDigest, WorkspaceName] = {}
+        self._priorities: dict[WorkspaceName, int] = {}
         for each in workspaces:
             self._add(each)
 
@@ -48,6 +56,8 @@
         if workspace.name in self._workspace_names:
             raise DuplicateKeyError("two workspaces have the same name")
         self._workspace_names.add(workspace.name)
+        if workspace.priority is not None:
+            self._priorities[workspace.name] = workspace.priority
         for key in workspace.keys:
             if self._by_key.setdefault(key, workspace.name) != workspace.name:
                 raise DuplicateKeyError("two workspaces have the same key")
@@ -66,7 +76,7 @@
         """
         owner = self._by_key.get(key.digest) if key is not None else None
         if owner is not None:
-            return Admitted(owner)
+            return Admitted(owner, self._priorities.get(owner))
         if is_public:
             return Admitted()
         return Denial(DenialReason.NO_KEY if key is None else DenialReason.UNKNOWN_KEY)
