Split the callers' listener and the node's components

Change: conversion of requests and replies, and the readiness listener, are modules of their own, as is the node's periodic work. Moved as they were.

--- a/src/bankrudder/node/_components.py
+++ b/src/bankrudder/node/_components.py
@@ -1,11 +1,9 @@
 """Creation of a node's components and their dependencies."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 
 import uuid_utils
 
-from bankrudder import batches, crashes, presence
 from bankrudder.batches import (
     BatchReader,
     BatchRepository,
@@ -41,7 +39,6 @@
 from bankrudder.observe import Tracer
 from bankrudder.orders import (
     LOADED_TABLE,
-    PACES_PAUSE_S,
     EnginePaces,
     LoadAnnouncer,
     LoadPlanner,
@@ -126,16 +123,16 @@
             self.directory, self._endpoints, self.crashes, clock, meter
         )
         self._announcer = LoadAnnouncer(self.store, self.directory, clock)
-        self._paces = EnginePaces(self.store, self.directory)
+        self.paces = EnginePaces(self.store, self.directory)
         self.repository = BatchRepository(self.store, clock, settings.store.row_bytes)
         self.batches = self._make_batches()
         self.supply = self._make_supply(adapter.duties)
         self.lease = self.leases.make(ORDERS_LEASE, self.presence.set_holds_lease)
         self.switcher = self._make_switcher()
-        self._batch_cleaner = Cleaner(
+        self.batch_cleaner = Cleaner(
             self.store, self.repository, self.lease, settings.status_retention_s
         )
-        self._host_cleaner = HostCleaner(self.store, self.presence)
+        self.host_cleaner = HostCleaner(self.store, self.presence)
         self.gateway = self._make_gateway()
 
     def while_lease_held(
@@ -148,36 +145,6 @@
 
         return repeat
 
-    def platform_duties(self) -> dict[str, AsyncFunction]:
-        """Return the background tasks for duties to the platform, by name."""
-        background_tasks: dict[str, AsyncFunction] = {}
-        if self.usage is not None:
-            background_tasks |= self.usage.background_tasks()
-        if self.supply is not None:
-            background_tasks |= self.supply.background_tasks()
-        return background_tasks
-
-    async def share_paces(self) -> None:
-        """Write the measured paces of engines, and read all while holding the lease."""
-        while True:
-            await asyncio.sleep(PACES_PAUSE_S)
-            if self.batches.running_batch_count:
-                await self._paces.write_changed()
-            if self.lease.is_valid:
-                await self._paces.read_all()
-
-    def cleaning_tasks(self) -> dict[str, AsyncFunction]:
-        """Return the background tasks that remove old rows, by what they remove."""
-        cleaners = {
-            "batches": (batches.CLEANING_PAUSE_S, self._batch_cleaner.clean),
-            "hosts": (presence.CLEANING_PAUSE_S, self._host_cleaner.clean),
-            "crashes": (crashes.CLEANING_PAUSE_S, self.crashes.clean),
-        }
-        return {
-            name: self.while_lease_held(f"cleaning of {name}", pause_s, clean)
-            for name, (pause_s, clean) in cleaners.items()
-        }
-
     def make_election(self, feeds: FeedSettings) -> ReaderElection:
         """Create the election of the host that reads the store for the data centre."""
         row_filter = FeedRowFilter(self._documents)
@@ -315,7 +282,7 @@
         planner = LoadPlanner(
             self.platform_state.named_versions,
             self.batches.owners,
-            lambda: self._paces.usual_gaps,
+            lambda: self.paces.usual_gaps,
             self._clock,
         )
         return VersionSwitcher(
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -10,6 +10,7 @@
 from bankrudder.feeds import FeedRole
 from bankrudder.logs import LogRateLimiter
 from bankrudder.node._adapter import Adapter
+from bankrudder.node._background import background_tasks
 from bankrudder.node._components import NodeComponents
 from bankrudder.node._settings import NodeSettings
 from bankrudder.node._speed_samples import speed_samples
@@ -129,11 +130,8 @@
         self._start_task("crashes", self._components.crashes.run)
         self._start_task("lease", self._components.lease.run)
         self._start_task("orders", self._components.switcher.run)
-        self._start_task("paces", self._components.share_paces)
-        for name, function in self._components.platform_duties().items():
+        for name, function in background_tasks(self._components).items():
             self._start_task(name, function)
-        for name, clean in self._components.cleaning_tasks().items():
-            self._start_task(f"cleaning {name}", clean)
         if self._settings.feeds is not None:
             election = self._components.make_election(self._settings.feeds)
             self._start_task("feeds", election.run)
--- a/src/bankrudder/platform/_adapter.py
+++ b/src/bankrudder/platform/_adapter.py
@@ -15,7 +15,8 @@
 )
 from bankrudder.platform._duty_api import HttpDutyApi
 from bankrudder.platform._endpoint_client import HttpEndpointClient
-from bankrudder.platform._listeners import CallerListener, ReadinessListener
+from bankrudder.platform._listeners import CallerListener
+from bankrudder.platform._readiness import ReadinessListener
 from bankrudder.platform._store import PlatformStore
 from bankrudder.routing import RoutingConfiguration
 from bankrudder.world import Clock, SystemClock
--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -1,8 +1,7 @@
-"""HTTP listeners for callers and for the platform's load balancer."""
+"""HTTP listener for callers and trainers."""
 
 import asyncio
 
-import msgspec
 import structlog
 from aiohttp import StreamReader, web
 from aiohttp.abc import AbstractStreamWriter
@@ -20,6 +19,14 @@
     encode_page,
 )
 from bankrudder.platform._limits import limit_status
+from bankrudder.platform._requests import (
+    MEMORY_RETRY_AFTER_S,
+    api_key,
+    incoming_request,
+    response_to,
+    unsent_response,
+    with_workspace,
+)
 from bankrudder.platform._transfers import (
     MAX_BODY_BYTES,
     BodyTooLargeError,
@@ -34,14 +41,10 @@
     NotFound,
     NotRun,
     RejectReason,
-    Relayed,
-    Reply,
     StreamStarted,
-    Unanswered,
-    Unauthorized,
 )
 from bankrudder.routing import Route, RouteKind
-from bankrudder.workspaces import Admitted, ApiKey, parse_bearer
+from bankrudder.workspaces import Admitted
 from bankrudder.world import Address, Clock, SampleId
 
 KEEP_ALIVE_S = 20.0
@@ -57,25 +60,9 @@
 the configuration allows.
 """
 
-DEFAULT_TIMEOUT_S = 30.0
-"""Timeout of a request whose caller states none."""
-
-TRACE_HEADER = "traceparent"
-"""Header of the W3C Trace Context, which callers may send."""
-
-IDENTITY_HEADERS = (names.AUTHORIZATION, names.MODEL, names.PROMPT_PREFIX)
-"""Headers that distinguish requests of the same path and body."""
-
-AUTHENTICATE_HEADER = "WWW-Authenticate"
-"""Header of a 401 response that names the accepted authentication scheme."""
-
 LONG_POLL_MARGIN_S = 0.1
 """Time by which a long poll is answered before the caller's maximum wait ends."""
 
-MEMORY_RETRY_AFTER_S = 0.1
-"""Retry delay while this host has no memory for a request or an answer: the retry goes
-to another host, which may have some."""
-
 _log = structlog.get_logger("front")
 
 
@@ -167,7 +154,7 @@
                 held_bytes=budget.held_bytes,
                 budget_bytes=budget.limit_bytes,
             )
-            return _unsent_response(request.path)
+            return unsent_response(request.path)
         return response
 
     def _no_memory_for_request(self, request: web.BaseRequest) -> web.Response:
@@ -176,7 +163,7 @@
             request=request.headers.get(names.REQUEST_ID, ""),
             held_bytes=self.held_bytes,
         )
-        response = _response(NotRun(RejectReason.NO_MEMORY, MEMORY_RETRY_AFTER_S))
+        response = response_to(NotRun(RejectReason.NO_MEMORY, MEMORY_RETRY_AFTER_S))
         response.force_close()
         return response
 
@@ -195,17 +182,17 @@
             return await self._batch_call(request, path)
         if path.startswith(names.SAMPLE_PATH_PREFIX):
             return await self._sample_body(request, path)
-        incoming = _incoming_request(request, body, received_at)
+        incoming = incoming_request(request, body, received_at)
         route = self._gateway.route(incoming.host, incoming.path)
         if not isinstance(route, Route):
-            return _response(route)
+            return response_to(route)
         admitted = await self._gateway.admit(
-            _api_key(request), is_public=route.is_public
+            api_key(request), is_public=route.is_public
         )
         if not isinstance(admitted, Admitted):
-            return _response(admitted)
+            return response_to(admitted)
         if self._gateway.has_workspaces or admitted.workspace:
-            incoming = _with_workspace(incoming, admitted)
+            incoming = with_workspace(incoming, admitted)
         if route.kind is RouteKind.ROLLOUT:
             return await self._accept_batch(incoming, route)
         status = limit_status(request, body, self._gateway.caller_limits)
@@ -215,14 +202,14 @@
             case Route(kind=RouteKind.STREAM):
                 return await self._stream(request, incoming, route)
             case _:
-                return _response(await self._gateway.forward(incoming, route))
+                return response_to(await self._gateway.forward(incoming, route))
 
     async def _stream(
         self, request: web.BaseRequest, incoming: IncomingRequest, route: Route
     ) -> web.StreamResponse:
         started = await self._gateway.stream(incoming, route)
         if not isinstance(started, StreamStarted):
-            return _response(started)
+            return response_to(started)
         response = web.StreamResponse(
             status=started.status, headers=CIMultiDict(started.headers)
         )
@@ -255,21 +242,21 @@
                 incoming.workspace,
             )
         except MalformedBatchError as error:
-            return _response(Malformed(error.field))
+            return response_to(Malformed(error.field))
         reply = await self._gateway.accept(batch)
-        return web.Response(status=202) if reply is None else _response(reply)
+        return web.Response(status=202) if reply is None else response_to(reply)
 
     async def _batch_call(self, request: web.BaseRequest, path: str) -> web.Response:
-        admitted = await self._gateway.admit_batch_call(_api_key(request))
+        admitted = await self._gateway.admit_batch_call(api_key(request))
         if not isinstance(admitted, Admitted):
-            return _response(admitted)
+            return response_to(admitted)
         batch_id = BatchId(path.removeprefix(names.BATCH_PATH_PREFIX))
         if request.method == "DELETE":
             reply = await self._gateway.end(batch_id, admitted.workspace)
-            return web.Response(status=200) if reply is None else _response(reply)
+            return web.Response(status=200) if reply is None else response_to(reply)
         after = request.query.get("after", "0")
         if not after.isdigit():
-            return _response(Malformed("after"))
+            return response_to(Malformed("after"))
         wait_ms = request.headers.get(names.MAX_WAIT_MS, "0")
         wait_s = float(wait_ms) / 1000 if wait_ms.isdigit() else 0.0
         page = await self._gateway.results(
@@ -279,66 +266,21 @@
             admitted.workspace,
         )
         if isinstance(page, NotRun | NotFound):
-            return _response(page)
+            return response_to(page)
         return web.Response(body=encode_page(page), content_type="application/json")
 
     async def _sample_body(self, request: web.BaseRequest, path: str) -> web.Response:
-        admitted = await self._gateway.admit_batch_call(_api_key(request))
+        admitted = await self._gateway.admit_batch_call(api_key(request))
         if not isinstance(admitted, Admitted):
-            return _response(admitted)
+            return response_to(admitted)
         batch_id = BatchId(path.removeprefix(names.SAMPLE_PATH_PREFIX))
         sample_id = SampleId(request.query.get("id", ""))
         found = await self._gateway.sample_body(batch_id, sample_id, admitted.workspace)
         if isinstance(found, NotRun | NotFound):
-            return _response(found)
+            return response_to(found)
         return web.Response(body=found)
 
 
-class ReadinessListener:
-    """Answers the load balancer's readiness checks.
-
-    The response states whether this host accepts new connections.
-    """
-
-    def __init__(self, address: Address, gateway: Gateway):
-        self._address = address
-        self._gateway = gateway
-        self._runner: web.ServerRunner | None = None
-
-    async def start(self) -> None:
-        """Start listening.
-
-        Raises
-        ------
-        OSError
-            If the address cannot be bound.
-        """
-        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
-        await self._runner.setup()
-        host, _, port = self._address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
-
-    async def stop(self) -> None:
-        """Stop listening."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-
-    async def _handle(self, request: web.BaseRequest) -> web.Response:
-        if request.path != names.READINESS_PATH:
-            return web.Response(status=404)
-        return web.Response(status=200 if self._gateway.is_ready else 503)
-
-
-def _unsent_response(path: str) -> web.Response:
-    """Return the response to a request whose answer this host cannot hold.
-
-    Results of a batch can be read again. Any other request may have run.
-    """
-    if path.startswith((names.BATCH_PATH_PREFIX, names.SAMPLE_PATH_PREFIX)):
-        return _response(NotRun(RejectReason.NO_MEMORY, MEMORY_RETRY_AFTER_S))
-    return _response(Unanswered(RejectReason.NO_MEMORY, is_timeout=False))
-
-
 def _make_request(
     message: RawRequestMessage,
     payload: StreamReader,
@@ -355,74 +297,3 @@
         task.get_loop(),
         client_max_size=MAX_BODY_BYTES,
     )
-
-
-def _incoming_request(
-    request: web.BaseRequest, body: bytes, received_at: float
-) -> IncomingRequest:
-    timeout_ms = request.headers.get(names.REMAINING_TIME_MS, "")
-    timeout_s = float(timeout_ms) / 1000 if timeout_ms.isdigit() else DEFAULT_TIMEOUT_S
-    last_event = request.headers.get(names.LAST_EVENT_ID, "")
-    target = request.message.path
-    return IncomingRequest(
-        request_id=request.headers.get(names.REQUEST_ID, ""),
-        method=request.method,
-        target=target,
-        path=target.partition("?")[0],
-        host=request.headers.get("Host", ""),
-        headers=tuple(request.headers.items()),
-        body=body,
-        deadline=received_at + timeout_s,
-        received_at=received_at,
-        resume_after=int(last_event) if last_event.isdigit() else -1,
-        trace=request.headers.get(TRACE_HEADER, ""),
-        identity=tuple(request.headers.get(name, "") for name in IDENTITY_HEADERS),
-    )
-
-
-def _api_key(request: web.BaseRequest) -> ApiKey | None:
-    return parse_bearer(request.headers.getall(names.AUTHORIZATION, []))
-
-
-def _with_workspace(incoming: IncomingRequest, admitted: Admitted) -> IncomingRequest:
-    """Return a request of a workspace, without its API key.
-
-    The key is not needed after the workspace was determined from it.
-    """
-    headers = tuple(
-        (name, value)
-        for name, value in incoming.headers
-        if name.lower() != names.AUTHORIZATION.lower()
-    )
-    _, *prompt = incoming.identity
-    return msgspec.structs.replace(
-        incoming,
-        headers=headers,
-        workspace=admitted.workspace,
-        priority=admitted.priority,
-        identity=(admitted.workspace, *prompt),
-    )
-
-
-def _response(reply: Reply) -> web.Response:
-    match reply:
-        case Relayed(status=status, headers=headers, body=body):
-            return web.Response(status=status, headers=CIMultiDict(headers), body=body)
-        case NotRun(reason=reason, retry_after_s=seconds):
-            return web.Response(
-                status=503,
-                headers={names.RETRY_AFTER: f"{seconds:.2f}"},
-                text=f"not run: {reason.value}\n",
-            )
-        case NotFound():
-            return web.Response(status=404)
-        case Unauthorized(reason=refusal_reason):
-            return web.Response(
-                status=401,
-                headers={AUTHENTICATE_HEADER: "Bearer"},
-                text=f"not allowed: {refusal_reason.value}\n",
-            )
-        case Malformed(field=field):
-            return web.Response(status=400, text=f"malformed: {field}\n")
-        case Unanswered(is_timeout=is_timeout):
-            return web.Response(status=504 if is_timeout else 502)
--- /dev/null
+++ b/src/bankrudder/platform/_requests.py
@@ -0,0 +1,119 @@
+"""Conversion of callers' HTTP requests, and of the replies to them."""
+
+import msgspec
+from aiohttp import web
+from multidict import CIMultiDict
+
+from bankrudder.platform import _names as names
+from bankrudder.relay import (
+    IncomingRequest,
+    Malformed,
+    NotFound,
+    NotRun,
+    RejectReason,
+    Relayed,
+    Reply,
+    Unanswered,
+    Unauthorized,
+)
+from bankrudder.workspaces import Admitted, ApiKey, parse_bearer
+
+DEFAULT_TIMEOUT_S = 30.0
+"""Timeout of a request whose caller states none."""
+
+TRACE_HEADER = "traceparent"
+"""Header of the W3C Trace Context, which callers may send."""
+
+IDENTITY_HEADERS = (names.AUTHORIZATION, names.MODEL, names.PROMPT_PREFIX)
+"""Headers that distinguish requests of the same path and body."""
+
+AUTHENTICATE_HEADER = "WWW-Authenticate"
+"""Header of a 401 response that names the accepted authentication scheme."""
+
+MEMORY_RETRY_AFTER_S = 0.1
+"""Retry delay while this host has no memory for a request or an answer: the retry goes
+to another host, which may have some."""
+
+
+def incoming_request(
+    request: web.BaseRequest, body: bytes, received_at: float
+) -> IncomingRequest:
+    """Return a caller's HTTP request in the project's own form."""
+    timeout_ms = request.headers.get(names.REMAINING_TIME_MS, "")
+    timeout_s = float(timeout_ms) / 1000 if timeout_ms.isdigit() else DEFAULT_TIMEOUT_S
+    last_event = request.headers.get(names.LAST_EVENT_ID, "")
+    target = request.message.path
+    return IncomingRequest(
+        request_id=request.headers.get(names.REQUEST_ID, ""),
+        method=request.method,
+        target=target,
+        path=target.partition("?")[0],
+        host=request.headers.get("Host", ""),
+        headers=tuple(request.headers.items()),
+        body=body,
+        deadline=received_at + timeout_s,
+        received_at=received_at,
+        resume_after=int(last_event) if last_event.isdigit() else -1,
+        trace=request.headers.get(TRACE_HEADER, ""),
+        identity=tuple(request.headers.get(name, "") for name in IDENTITY_HEADERS),
+    )
+
+
+def api_key(request: web.BaseRequest) -> ApiKey | None:
+    """Return the API key of a request, None if it has none."""
+    return parse_bearer(request.headers.getall(names.AUTHORIZATION, []))
+
+
+def with_workspace(incoming: IncomingRequest, admitted: Admitted) -> IncomingRequest:
+    """Return a request of a workspace, without its API key.
+
+    The key is not needed after the workspace was determined from it.
+    """
+    headers = tuple(
+        (name, value)
+        for name, value in incoming.headers
+        if name.lower() != names.AUTHORIZATION.lower()
+    )
+    _, *prompt = incoming.identity
+    return msgspec.structs.replace(
+        incoming,
+        headers=headers,
+        workspace=admitted.workspace,
+        priority=admitted.priority,
+        identity=(admitted.workspace, *prompt),
+    )
+
+
+def response_to(reply: Reply) -> web.Response:
+    """Return a reply in the form in which callers receive it."""
+    match reply:
+        case Relayed(status=status, headers=headers, body=body):
+            return web.Response(status=status, headers=CIMultiDict(headers), body=body)
+        case NotRun(reason=reason, retry_after_s=seconds):
+            return web.Response(
+                status=503,
+                headers={names.RETRY_AFTER: f"{seconds:.2f}"},
+                text=f"not run: {reason.value}\n",
+            )
+        case NotFound():
+            return web.Response(status=404)
+        case Unauthorized(reason=refusal_reason):
+            return web.Response(
+                status=401,
+                headers={AUTHENTICATE_HEADER: "Bearer"},
+                text=f"not allowed: {refusal_reason.value}\n",
+            )
+        case Malformed(field=field):
+            return web.Response(status=400, text=f"malformed: {field}\n")
+        case Unanswered(is_timeout=is_timeout):
+            return web.Response(status=504 if is_timeout else 502)
+
+
+def unsent_response(path: str) -> web.Response:
+    """Return the response to a request whose answer this host cannot hold.
+
+    Results of a batch can be read again. Any other request may have run.
+    """
+    if path.startswith((names.BATCH_PATH_PREFIX, names.SAMPLE_PATH_PREFIX)):
+        return response_to(NotRun(RejectReason.NO_MEMORY, MEMORY_RETRY_AFTER_S))
+    return response_to(Unanswered(RejectReason.NO_MEMORY, is_timeout=False))
