--- a/src/bankrudder/fleet/_directory.py
+++ b/src/bankrudder/fleet/_directory.py
@@ -207,8 +207,8 @@
     ) -> TrackedEndpoint | None:
         """Return the endpoint for a request, None if there is none.
 
-        It is the one with the lowest expected cost or, for services whose endpoints
-        report their slowdown, one of those that are expected to answer first.
+        It is the one with the lowest expected cost or, if endpoints of the service
+        report their slowdown, one that is drawn by speed and has little work ahead.
 
         Endpoints that work on a suspect are used only if all others were tried or are
         suspended, suspended endpoints only if all others were tried, and endpoints that
