A test with processes of hopeless requests; late requests wait where nothing delays them

The test with two scorers of one slot each found two faults of the first version: a scorer that had refused nothing counted as full while the other one refused, and requests whose service takes longer than their target were all rejected once two were refused, though their deadlines left time.

--- a/src/bankrudder/overload/_gate.py
+++ b/src/bankrudder/overload/_gate.py
@@ -101,7 +101,8 @@
 
     def arrive(self, request: WaitingRequest, now: float) -> None:
         """Add a request to the line; `decide` may grant it at once."""
-        self._arrivals.setdefault(request.priority, DecayingRate()).note(now)
+        if not self._is_late(request, 0.0, now):
+            self._arrivals.setdefault(request.priority, DecayingRate()).note(now)
         self._line.push(request)
 
     def leave(self, request: WaitingRequest) -> None:
@@ -227,7 +228,10 @@
     def _late_wait_s(
         self, request: WaitingRequest, wait_s: float, rate: float, now: float
     ) -> float:
-        """Return the wait of a late request, which goes after those that are not."""
+        """Return the wait of a late request, which goes after those that are not.
+
+        Only requests that are not late when they arrive go before it.
+        """
         arriving = sum(
             each.per_s(now)
             for priority, each in self._arrivals.items()
--- a/src/bankrudder/overload/_line.py
+++ b/src/bankrudder/overload/_line.py
@@ -16,12 +16,13 @@
 The requests of one workspace are taken in the order in which they are due while all can
 be answered by then, which keeps the longest wait short. Beyond that the one that is due
 last goes first, and requests that can no longer be answered when due go after all
-others of their priority. First in, first out would answer every request just late, and
-so does the least time left, as it serves the requests that are closest to missing their
-time. Plain last in, first out takes callers that return for new ones.
+others of their priority, the one that is due first before the others. First in, first
+out would answer every request just late, and so does the least time left, as it serves
+the requests that are closest to missing their time. Plain last in, first out takes
+callers that return for new ones.
 """
 
-from bisect import insort
+from bisect import bisect_left, insort
 from dataclasses import dataclass, field
 
 from bankrudder.overload._values import WaitingRequest
@@ -46,6 +47,17 @@
     waits_since: int = 0
     requests: list[WaitingRequest] = field(default_factory=list)
 
+    def pop(self, useful_due: float | None) -> WaitingRequest:
+        if useful_due is None or self.requests[-1].due < useful_due:
+            return self.requests.pop(0)
+        return self.requests.pop()
+
+    def in_order(self, useful_due: float | None) -> list[WaitingRequest]:
+        if useful_due is None:
+            return self.requests
+        first_useful = bisect_left(self.requests, useful_due, key=lambda each: each.due)
+        return self.requests[first_useful:][::-1] + self.requests[:first_useful]
+
 
 class _Kind:
     """Waiting requests of one priority."""
@@ -84,7 +96,7 @@
         self._virtual_time = max(self._virtual_time, flow.start_tag)
         flow.start_tag += 1
         self.count -= 1
-        request = flow.requests.pop(0 if useful_due is None else -1)
+        request = flow.pop(useful_due)
         self._forget_idle_flows()
         return request
 
@@ -106,9 +118,7 @@
                 request,
             )
             for flow in self._flows.values()
-            for turn, request in enumerate(
-                flow.requests if useful_due is None else reversed(flow.requests)
-            )
+            for turn, request in enumerate(flow.in_order(useful_due))
         ]
         tagged.sort(key=lambda each: each[:3])
         return [each[-1] for each in tagged]
--- a/src/bankrudder/overload/_service_line.py
+++ b/src/bankrudder/overload/_service_line.py
@@ -18,7 +18,7 @@
     SendOutcome,
     TrackedEndpoint,
 )
-from bankrudder.overload._gate import ServiceGate
+from bankrudder.overload._gate import SHORTAGE_S, ServiceGate
 from bankrudder.overload._values import LineKey, Rejection, Room, WaitingRequest
 from bankrudder.world import Clock
 
@@ -59,6 +59,7 @@
         self._clock = clock
         self._waiting: dict[int, asyncio.Future[Rejection | None]] = {}
         self._reported_at: dict[EndpointId, float] = {}
+        self._refused_at: dict[EndpointId, float] = {}
         self._wake_up: asyncio.TimerHandle | None = None
 
     def room(self) -> Room:
@@ -81,9 +82,11 @@
         age_s = now - self._reported_at.get(tracked.endpoint.id, float("-inf"))
         if age_s <= MAX_REPORT_AGE_S:
             return tracked.free_slots(now)
-        if self.gate.is_short(now):
+        if now < self._refused_at.get(tracked.endpoint.id, float("-inf")) + SHORTAGE_S:
             return 0
-        return tracked.endpoint.slots - tracked.in_flight
+        free_slots = tracked.endpoint.slots - tracked.in_flight
+        # While the service is short, one request shows whether an endpoint is full too.
+        return int(not tracked.in_flight) if self.gate.is_short(now) else free_slots
 
     async def wait(self, request: WaitingRequest, is_first: bool) -> Rejection | None:
         """Wait for the decision on a request."""
@@ -148,12 +151,16 @@
             case Refused(reason=RefusalReason.FULL, load=load):
                 if load is not None:
                     self._reported_at[endpoint] = now
+                self._refused_at[endpoint] = now
                 self.gate.note_full(now)
-        if len(self._reported_at) > 2 * len(self.endpoints()) + 1:
-            known = {each.endpoint.id for each in self.endpoints()}
-            self._reported_at = {
-                each: at for each, at in self._reported_at.items() if each in known
-            }
+        self._forget_old(now)
+
+    def _forget_old(self, now: float) -> None:
+        for times in (self._reported_at, self._refused_at):
+            for endpoint in [
+                each for each, at in times.items() if at < now - SHORTAGE_S
+            ]:
+                del times[endpoint]
 
     def is_queued(self) -> bool:
         """Whether an endpoint reported waiting requests a short time ago."""
--- a/tests/outside/endpoints.py
+++ b/tests/outside/endpoints.py
@@ -29,6 +29,8 @@
         self.cancelled_runs: Counter[str] = Counter()
         self.fail_next = []
         self.delay_s = 0.0
+        self.slots = 4
+        self.refuses_when_full = False
         self.born = None
         self.crash_on = set()
         self.crash_after_s = 0.02
@@ -101,7 +103,8 @@
         self.headers.append((request_id, request.headers.copy()))
         self.arrivals.append((request_id, request.method, request.path_qs, body))
         fault = self.fail_next.pop(0) if self.fail_next else ""
-        if fault == "full":
+        is_full = self.refuses_when_full and self.busy >= self.slots
+        if fault == "full" or is_full:
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
         self.run_counts[request_id] += 1
         self.busy += 1
@@ -176,7 +179,7 @@
             "address": self.address,
             "zone": data_centre,
             "version": "v1",
-            "slot_count": 4,
+            "slot_count": self.slots,
             "state": "ready",
             "cold_ms": 0,
             "sequence": self.orders_taken,
@@ -283,7 +286,7 @@
             "address": self.address,
             "zone": data_centre,
             "version": "v1",
-            "slot_count": 4,
+            "slot_count": self.slots,
             "state": "ready",
             "cold_ms": 0,
             "sequence": 1,
--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -36,8 +36,17 @@
     """A daemon process and its own gate to the store."""
 
     def __init__(
-        self, name, data_centre, gate, folder, rpc=None, min_feed_hosts=0, duties=None
+        self,
+        name,
+        data_centre,
+        gate,
+        folder,
+        rpc=None,
+        min_feed_hosts=0,
+        duties=None,
+        overload=None,
     ):
+        self._overload = overload
         self.name = name
         self._rpc = rpc
         self._duties = duties
@@ -99,6 +108,8 @@
             }
         if self._duties:
             optional_settings["duties"] = self._duties
+        if self._overload is not None:
+            optional_settings["overload"] = self._overload
         settings = {
             "host": self.name,
             "data_centre": self._data_centre,
@@ -194,6 +205,8 @@
         Number of hosts, counted from the first, that can be suspended.
     duties : dict or None
         Settings of the platform's duty API.
+    overload : dict or None
+        Settings of the decisions for scarce capacity.
     """
 
     def __init__(
@@ -207,8 +220,10 @@
         min_feed_hosts=0,
         suspendable=0,
         duties=None,
+        overload=None,
     ):
         self.duties = duties
+        self._overload = overload
         self.key = ""
         self._suspendable = suspendable
         self._min_feed_hosts = min_feed_hosts
@@ -256,6 +271,7 @@
                 self._rpc,
                 self._min_feed_hosts,
                 self.duties,
+                self._overload,
             )
             host.is_suspendable = number < self._suspendable
             if proxy_factory is not None:
--- a/tests/overload/hosts.py
+++ b/tests/overload/hosts.py
@@ -9,7 +9,8 @@
 
 SERVICE_S = 0.035
 TARGET_S = 0.17
-REPORT_AGE_S = 1.0
+REPORT_AGE_S = 0.05
+SHORTAGE_S = 1.0
 MAX_REFUSALS = 6
 TICK_S = 0.02
 
@@ -56,6 +57,7 @@
         self.in_flight = [0] * endpoint_count
         self.others = [(-9.0, 0)] * endpoint_count
         self.full_at = [-9.0] * endpoint_count
+        self.refused_at = [-9.0] * endpoint_count
         self.waiting = {}
         self.first_sends = FirstSends()
 
@@ -65,14 +67,21 @@
         return endpoint.slots - self.in_flight[number] - known
 
     def room(self, endpoints, now):
-        is_short = self.gate.is_short(now)
         free = sum(
-            max(self.free(number, each, now), 0)
+            max(self.usable(number, each, now), 0)
             for number, each in enumerate(endpoints)
-            if not is_short or now - self.others[number][0] <= REPORT_AGE_S
         )
         return Room(len(endpoints), free, sum(self.in_flight))
 
+    def usable(self, number, endpoint, now):
+        if now - self.others[number][0] <= REPORT_AGE_S:
+            return self.free(number, endpoint, now)
+        if now - self.refused_at[number] < SHORTAGE_S:
+            return 0
+        if self.gate.is_short(now):
+            return int(not self.in_flight[number])
+        return endpoint.slots - self.in_flight[number]
+
 
 class Loop:
     """Plays calls on hosts; events are ordered by time."""
@@ -168,7 +177,7 @@
             return
         self.refused_sends += 1
         call.refusals += 1
-        host.full_at[chosen] = self.now
+        host.full_at[chosen] = host.refused_at[chosen] = self.now
         host.others[chosen] = (self.now, endpoint.load() - host.in_flight[chosen])
         if request is None:  # without overload control: up to six, 40 ms apart
             if call.refusals < MAX_REFUSALS and call.at + call.patience_s > self.now:
