Hopeless calls are rejected at once; pages for overload control

Cause: a call of the own interface waited to its queue time-out though its answer could not come before its deadline. Change: AdmissionController rejects it at arrival and while it waits, where overload.limits_requests is on; the policies of classes stay.

--- a/src/bankrudder/calls/_admission.py
+++ b/src/bankrudder/calls/_admission.py
@@ -3,6 +3,9 @@
 Each host admits its own requests, based on the load that endpoints report and on the
 requests that the host itself has in flight. Priorities therefore apply among the
 requests of one host; between hosts, only the slots that a class reserves take effect.
+
+Where overload is limited, a request whose answer cannot come before its deadline is
+rejected at once, at its arrival and while it waits, in place of after its time-out.
 """
 
 import asyncio
@@ -29,6 +32,9 @@
 RETRY_AFTER_S = 0.25
 """Retry delay sent with a refusal: a few times the usual answer time."""
 
+FAST_ANSWER_SHARE = 0.5
+"""Share of the mean latency that hardly any answer is faster than."""
+
 _log = structlog.get_logger("calls")
 
 
@@ -89,9 +95,22 @@
 
 
 class AdmissionController:
-    """Admits requests in the order of class priority, then of arrival."""
+    """Admits requests in the order of class priority, then of arrival.
+
+    Parameters
+    ----------
+    rejects_hopeless : bool
+        Whether requests whose answer cannot come before their deadline are rejected at
+        once.
+    """
 
-    def __init__(self, directory: EndpointDirectory, clock: Clock):
+    def __init__(
+        self,
+        directory: EndpointDirectory,
+        clock: Clock,
+        rejects_hopeless: bool = False,
+    ):
+        self._rejects_hopeless = rejects_hopeless
         self._directory = directory
         self._clock = clock
         self._queues: dict[QueueKey, _Queue] = {}
@@ -143,7 +162,7 @@
         queue.waiting_counts[policy.name] += 1
         until = min(deadline, self._clock.monotonic() + policy.queue_timeout_s)
         try:
-            await self._wait_until_admitted(queue_key, queue, entry, until)
+            await self._wait_until_admitted(queue_key, queue, entry, until, deadline)
         except BaseException:
             self._remove_entry(queue, entry)
             raise
@@ -151,10 +170,17 @@
             queue.waiting_counts[policy.name] -= 1
 
     async def _wait_until_admitted(
-        self, queue_key: QueueKey, queue: _Queue, entry: _QueuedRequest, until: float
+        self,
+        queue_key: QueueKey,
+        queue: _Queue,
+        entry: _QueuedRequest,
+        until: float,
+        deadline: float,
     ) -> None:
         while not entry.admitted.done():
             self._admit_waiting(queue_key, queue)
+            if not entry.admitted.done():
+                self._check_hope(queue_key, queue, entry, deadline)
             if self._clock.monotonic() >= until and not entry.admitted.done():
                 _log.info(
                     "calls: queue timeout",
@@ -167,6 +193,43 @@
                 )
             await asyncio.wait((entry.admitted,), timeout=RECHECK_PERIOD_S)
 
+    def _check_hope(
+        self,
+        queue_key: QueueKey,
+        queue: _Queue,
+        entry: _QueuedRequest,
+        deadline: float,
+    ) -> None:
+        """Raise `NotRunError` if the answer cannot come before the deadline."""
+        latency_s = self._directory.mean_latency_s(queue_key.service)
+        if not self._rejects_hopeless or latency_s is None:
+            return
+        slot_count = sum(
+            each.endpoint.slots
+            for each in self._directory.of_service(
+                queue_key.service, queue_key.data_centres
+            )
+        )
+        place = sum(each < entry for each in queue.waiting)
+        # All slots may be used by requests before it; none is known to be used longer.
+        wait_s = place * latency_s / max(slot_count, 1)
+        left_s = deadline - self._clock.monotonic()
+        if wait_s + FAST_ANSWER_SHARE * latency_s <= left_s:
+            return
+        _log.info(
+            "calls: hopeless call rejected",
+            service=queue_key.service,
+            caller_class=entry.policy.name,
+            waiting=len(queue.waiting),
+            wait_s=round(wait_s, 3),
+            latency_s=round(latency_s, 3),
+            left_s=round(left_s, 3),
+        )
+        raise _refusal(
+            FailureReason.OVERLOADED,
+            "the answer could not be expected before the deadline",
+        )
+
     def _remove_entry(self, queue: _Queue, entry: _QueuedRequest) -> None:
         if entry.admitted.done():
             queue.admitted_count -= 1
--- a/src/bankrudder/node/_rpc_interface.py
+++ b/src/bankrudder/node/_rpc_interface.py
@@ -160,7 +160,11 @@
         return CallService(
             self._configuration,
             self._placement,
-            AdmissionController(components.directory, self._clock),
+            AdmissionController(
+                components.directory,
+                self._clock,
+                rejects_hopeless=components.lines is not None,
+            ),
             components.forwarder,
             components.streams,
             AtMostOnceRunner(self._records, components.presence, self._clock),
--- a/tests/batches/test_scoring.py
+++ b/tests/batches/test_scoring.py
@@ -27,12 +27,14 @@
 
     def __init__(self, replies):
         self.replies = list(replies)
+        self.priorities = []
 
     def pick_service(self, route):
         return route.services[0].service
 
     async def forward(self, request, route):
         assert request.request_id == "r1"
+        self.priorities.append(request.priority)
         return self.replies.pop(0)
 
 
@@ -44,6 +46,7 @@
         table = RoutingTable(RoutingConfiguration(1, (ROUTE,), ()))
         forwarder = ScriptedForwarder(replies)
         scorer = Scorer(forwarder, directory, lambda: table, manual_clock)
+        score.priorities = forwarder.priorities
         return await scorer.score(CALL, trace="")
 
     return score
@@ -74,3 +77,9 @@
 
 async def test_an_answer_without_a_proof_is_no_score(score):
     assert await score(Relayed(200, (), b""), SCORED) == "receipt"
+
+
+async def test_a_call_that_was_refused_goes_before_the_requests_of_callers(score):
+    rejected = NotRun(RejectReason.OVERLOADED, 0.01)
+    assert await score(rejected, rejected, SCORED) == "receipt"
+    assert score.priorities == [None, -1, -1]
--- a/tests/calls/test_admission.py
+++ b/tests/calls/test_admission.py
@@ -130,3 +130,34 @@
 async def test_without_endpoints_no_request_waits(admission):
     async with admission.admitted(QueueKey("nothing"), policy(LEDGERS), FAR_DEADLINE):
         pass
+
+
+async def test_a_hopeless_request_is_rejected_at_arrival_and_when_the_estimate_turns(
+    directory, manual_clock
+):
+    admission = AdmissionController(directory, manual_clock, rejects_hopeless=True)
+    for name in ("e1", "e2"):
+        directory.get(EndpointId(name)).note_answer(0.2)
+    now = manual_clock.monotonic()
+    async with AsyncExitStack() as stack:
+        for _ in range(4):
+            await stack.enter_async_context(
+                admission.admitted(DESK, policy(BROKERS), FAR_DEADLINE)
+            )
+        with pytest.raises(NotRunError) as caught:
+            async with admission.admitted(DESK, policy(BROKERS), now + 0.09):
+                pass
+        assert caught.value.failure.reason is FailureReason.OVERLOADED
+
+        async def wait():
+            async with admission.admitted(DESK, policy(BROKERS), now + 0.5):
+                pass
+
+        waiting = asyncio.ensure_future(wait())
+        await let_tasks_run()
+        assert not waiting.done()
+        manual_clock.advance(0.41)
+        await let_tasks_run()
+        with pytest.raises(NotRunError):
+            await waiting
+    assert admission.waiting_count == 0
--- a/tests/node/test_explain.py
+++ b/tests/node/test_explain.py
@@ -8,7 +8,10 @@
 
 ROOT = Path(__file__).parents[2]
 PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
-PARTS = "crashes|relay|batches|node|store|presence|leases|fleet|orders|gateway"
+PARTS = (
+    "calls|crashes|relay|batches|node|store|presence|leases|fleet|orders|gateway"
+    "|overload"
+)
 EVENT = re.compile(f"`((?:{PARTS}): [a-z ]+)`")
 METRIC = re.compile(r"`(bankrudder_[a-z_]+)`")
 
--- a/tests/node/test_overload.py
+++ b/tests/node/test_overload.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import aiohttp
 import pytest
 
 from outside.site import Site
@@ -45,6 +46,14 @@
     return status, time.monotonic() - began_at, headers.get("Retry-After")
 
 
+async def metrics(host):
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(f"http://{host.metrics_address}/metrics") as response,
+    ):
+        return await response.text()
+
+
 def runs(site, request_id):
     return sum(each.run_counts[request_id] for each in site.scorers)
 
@@ -71,6 +80,9 @@
         if line["event"] == "overload: request rejected"
     ]
     assert {line["request"] for line in rejected} >= set(names)
+    text = await metrics(short_site.hosts[0])
+    for name in ("line_requests", "repeat_budget", "answer_estimate_seconds"):
+        assert f"bankrudder_{name}{{" in text
 
 
 async def test_none_of_the_rejected_requests_has_run(short_site):
--- a/tests/workspaces/test_admission.py
+++ b/tests/workspaces/test_admission.py
@@ -106,3 +106,11 @@
 def test_any_header_value_can_be_parsed_and_decided(value):
     key = parse_bearer([value])
     assert key is None or KEY_INDEX.admit(key, is_public=False) is not None
+
+
+def test_the_priority_of_a_workspace_goes_with_its_requests():
+    north = WorkspaceKeys("north", (ApiKey(SECRET).digest,), priority=1)
+    south = WorkspaceKeys("south", (ApiKey("third").digest,))
+    index = KeyIndex((north, south))
+    assert index.admit(ApiKey(SECRET), is_public=False) == Admitted("north", 1)
+    assert index.admit(ApiKey("third"), is_public=False).priority is None
