A busy host gets its part of the slots; old service times count for nothing

Causes: the pace of sends grew by the length of the line.

A service that had been slow was never tried again by callers with less time than its earlier answers took, as no new time could be learned: times count for nothing two seconds after the last answer (test_a_service_that_was_slow_is_tried_again). After the sixth refusal a request gives up at once rather than after another wait.

--- a/src/bankrudder/overload/_gate.py
+++ b/src/bankrudder/overload/_gate.py
@@ -33,9 +33,9 @@
 """Time between checks of all requests of a long line, well below the 50 ms within which
 a hopeless request is rejected."""
 
-ALWAYS_CHECKED_LENGTH = 32
+ALWAYS_CHECKED_LENGTH = 8
 """Length up to which a line is checked at each arrival: a check of this many requests
-takes less time than sending one."""
+takes little time beside sending one."""
 
 HOPELESS_SHARE = 0.1
 """Share of the answers that are as fast as a request needs if it is hopeless."""
@@ -46,6 +46,10 @@
 UNKNOWN_SERVICE_S = 0.0
 """Service time before the first answer: nothing is rejected for what is not known."""
 
+MAX_TIMES_AGE_S = 2.0
+"""Time after the last answer from which on earlier service times count for nothing:
+endpoints that were slow may be quick again."""
+
 ASSUMED_SERVICE_S = 0.05
 """Service time that is assumed after a refusal if there was no answer yet."""
 
@@ -76,6 +80,7 @@
         self._arrivals: dict[int, DecayingRate] = {}
         self._granted_count = 0
         self._checked_at = -math.inf
+        self._answered_at = -math.inf
         self._short_until = -math.inf
         self._refused_until = -math.inf
         self._is_behind = False
@@ -145,9 +150,10 @@
     def note_answer(self, seconds: float, now: float) -> None:
         """Record an answer and the time that it took."""
         self._times.note(seconds)
+        self._answered_at = now
         self._taken.note(now)
         if self.is_short(now):
-            self._pacer.note_taken(self.waiting_count)
+            self._pacer.note_taken(self._arriving_per_s(now))
 
     def note_full(self, now: float) -> None:
         """Record that an endpoint refused a request for being full."""
@@ -160,17 +166,19 @@
 
     def estimate(self, request: WaitingRequest, wait_s: float, now: float) -> Estimate:
         """Return the estimate for a request that is sent after a wait."""
-        return Estimate(wait_s, self._service_s(HOPELESS_SHARE), request.deadline - now)
+        return Estimate(
+            wait_s, self._service_s(HOPELESS_SHARE, now), request.deadline - now
+        )
 
     def longest_estimate_s(self, room: Room, now: float) -> float:
         """Return the expected time to an answer of a request that arrives now."""
         wait_s = self._wait_s(len(self._line), self._rate(room, now), room, now)
-        return wait_s + self._service_s(TYPICAL_SHARE)
+        return wait_s + self._service_s(TYPICAL_SHARE, now)
 
     def delay_s(self, room: Room, deadline: float, priority: int, now: float) -> float:
         """Return the time after which a caller that is refused may try again."""
         rate = self._rate(room, now)
-        arriving = sum(each.per_s(now) for each in self._arrivals.values())
+        arriving = self._arriving_per_s(now)
         length = len(self._line) + 1
         empty_after_s = length / (rate - arriving) if rate > arriving else math.inf
         return retry_after_s(empty_after_s, deadline - now, priority, self._rng)
@@ -183,6 +191,9 @@
             or self._pacer.may_send(now)
         )
 
+    def _arriving_per_s(self, now: float) -> float:
+        return sum(each.per_s(now) for each in self._arrivals.values())
+
     def _free_slots(self, room: Room) -> int:
         return room.free_slots - self._granted_count
 
@@ -219,11 +230,11 @@
 
     def _useful_due(self, now: float) -> float | None:
         """Return when an answer can come, None if each request can be answered then."""
-        return now + self._service_s(TYPICAL_SHARE) if self._is_behind else None
+        return now + self._service_s(TYPICAL_SHARE, now) if self._is_behind else None
 
     def _is_late(self, request: WaitingRequest, wait_s: float, now: float) -> bool:
         """Whether the answer is expected after the request is due."""
-        return now + wait_s + self._service_s(TYPICAL_SHARE) > request.due
+        return now + wait_s + self._service_s(TYPICAL_SHARE, now) > request.due
 
     def _late_wait_s(
         self, request: WaitingRequest, wait_s: float, rate: float, now: float
@@ -248,12 +259,18 @@
     def _rate(self, room: Room, now: float) -> float:
         """Return the requests per second that this host is expected to be granted."""
         own_slots = self._own_slots.value + max(room.free_slots, 0)
-        typical_s = self._service_s(TYPICAL_SHARE)
+        typical_s = self._service_s(TYPICAL_SHARE, now)
         if not typical_s and now >= self._refused_until:
             return math.inf
         by_slots = own_slots / (typical_s or ASSUMED_SERVICE_S)
         return max(self._taken.per_s(now), by_slots, MIN_RATE_PER_S)
 
-    def _service_s(self, share: float) -> float:
+    def _service_s(self, share: float, now: float) -> float:
+        """Return a quantile of the service time, `UNKNOWN_SERVICE_S` if it is old.
+
+        If no request could be sent because of old times, they would never change.
+        """
+        if now > self._answered_at + MAX_TIMES_AGE_S:
+            return UNKNOWN_SERVICE_S
         seconds = self._times.quantile_s(share)
         return UNKNOWN_SERVICE_S if seconds is None else seconds
--- a/src/bankrudder/overload/_pacing.py
+++ b/src/bankrudder/overload/_pacing.py
@@ -5,8 +5,8 @@
 leaves slots idle; hosts that all send at once are mostly refused. Each host sends at a
 pace that grows with each request that an endpoint takes and falls with each
 refusal, as congestion control does: endpoints are kept full, and the refused sends stay
-a bounded share of all. The pace grows by the length of the host's line, so that a host
-that receives half of the traffic gets its part of the slots.
+a bounded share of all. The pace grows by the number of requests that arrive, so that a
+host that receives half of the traffic gets its part of the slots.
 """
 
 import random
@@ -21,12 +21,17 @@
 MAX_PER_S = 2000.0
 """Fastest pace: more requests than a host can send."""
 
-GROWTH_PER_S = 2.0
-"""Growth of the pace with each request that is taken, for each request in line."""
+GROWTH_PER_S = 1.0
+"""Growth of the pace with each request that is taken, in sends per second."""
+
+DEMAND_GROWTH_SHARE = 0.1
+"""Further growth as a share of the requests that arrive per second, so that hosts get
+slots in proportion to what they are asked. The length of the line does not tell this,
+as most of a long line is rejected."""
 
 REFUSAL_FACTOR = 0.9
-"""Factor of the pace with each refused request. With `GROWTH_PER_S`, a host with a
-pace of 20 sends per second and one request in line is refused about once in two."""
+"""Factor of the pace with each refused request. A host that is asked 10 requests per
+second, and sends as many, is refused about twice in three times."""
 
 
 class SendPacer:
@@ -57,9 +62,10 @@
         # together again.
         self._next_at = now + self._rng.uniform(0.5, 1.5) / self._per_s
 
-    def note_taken(self, waiting: int) -> None:
-        """Record that an endpoint took a request while others wait."""
-        self._per_s = min(self._per_s + GROWTH_PER_S * max(waiting, 1), MAX_PER_S)
+    def note_taken(self, arriving_per_s: float) -> None:
+        """Record that an endpoint took a request while slots are short."""
+        growth = GROWTH_PER_S + DEMAND_GROWTH_SHARE * arriving_per_s
+        self._per_s = min(self._per_s + growth, MAX_PER_S)
 
     def note_refused(self) -> None:
         """Record that an endpoint refused a request for being full."""
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -100,7 +100,7 @@
         """Send the request until it is answered or no further attempt is allowed."""
         try:
             while True:
-                if not self._sent_count:
+                if not self._sent_count and self._refusal_count < MAX_REFUSALS:
                     rejection = await self._turn.wait()
                     if rejection is not None:
                         return NotRun(RejectReason.OVERLOADED, rejection.retry_after_s)
--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -77,6 +77,15 @@
     assert not gate.decide(Room(2, 0, 0), 0.0).rejected
 
 
+def test_a_service_that_was_slow_is_tried_again(gate):
+    for _ in range(200):
+        gate.note_answer(2.0, 0.0)
+    gate.arrive(request(1), 0.0)
+    assert len(gate.decide(FULL, 0.0).rejected) == 1
+    gate.arrive(request(2, due=3.2, deadline=4.0), 3.0)
+    assert len(gate.decide(FULL, 3.0).granted) == 1
+
+
 def test_without_endpoints_no_request_waits(gate):
     gate.arrive(request(1), 0.0)
     assert len(gate.decide(Room(0, 0, 0), 0.0).granted) == 1
