Tests of call records make their keys when they start

Cause: the key was made when the module was imported, and two tests compare its time with the present one: they failed when they ran over a minute after collection (259 s, once).

Change: a fixture makes the key. The bounds stay.

--- a/tests/calls/test_records.py
+++ b/tests/calls/test_records.py
@@ -12,62 +12,69 @@
 from bankrudder.world import SystemClock
 
 RECORD = CallRecord(b"f" * 16, "host", "life", "attempt-1")
-NAME = record_name("broker", new_key())
 
 
 class ValidLease:
     is_valid = True
 
 
-async def test_only_one_of_two_attempts_creates_the_record(records):
-    first = await records.begin(NAME, RECORD, 1.0)
+@pytest.fixture
+def name():
+    """Return the name of a record whose key is made when the test starts."""
+    return record_name("broker", new_key())
+
+
+async def test_only_one_of_two_attempts_creates_the_record(records, name):
+    first = await records.begin(name, RECORD, 1.0)
     other = msgspec.structs.replace(RECORD, attempt="attempt-2")
-    second = await records.begin(NAME, other, 1.0)
+    second = await records.begin(name, other, 1.0)
     assert (first.is_ours, second.is_ours) == (True, False)
     assert second.record == RECORD
 
 
 @pytest.mark.parametrize("attribute", ["lose_replies", "delay_commits"])
 async def test_a_record_is_ours_if_the_reply_to_its_creation_is_lost(
-    records, gate, attribute
+    records, gate, attribute, name
 ):
     setattr(gate, attribute, 1)
-    assert (await records.begin(NAME, RECORD, 2.0)).is_ours
+    assert (await records.begin(name, RECORD, 2.0)).is_ours
 
 
 async def test_finishing_a_withdrawn_record_does_not_change_its_successor(
-    records, rows
+    records, rows, name
 ):
-    stored = await records.begin(NAME, RECORD, 1.0)
-    await records.withdraw(NAME, stored.version)
+    stored = await records.begin(name, RECORD, 1.0)
+    await records.withdraw(name, stored.version)
     again = msgspec.structs.replace(RECORD, attempt="attempt-2")
-    await records.begin(NAME, again, 1.0)
+    await records.begin(name, again, 1.0)
     answered = msgspec.structs.replace(RECORD, state=RecordState.ANSWERED)
-    await records.finish(NAME, stored.version, answered)
-    assert (await records.read(NAME)).record == again
+    await records.finish(name, stored.version, answered)
+    assert (await records.read(name)).record == again
 
 
-async def test_a_long_answer_is_stored_and_deleted_with_its_record(records, rows):
-    stored = await records.begin(NAME, RECORD, 1.0)
+async def test_a_long_answer_is_stored_and_deleted_with_its_record(records, rows, name):
+    stored = await records.begin(name, RECORD, 1.0)
     long = msgspec.structs.replace(
         RECORD, state=RecordState.ANSWERED, body=bytes(50_000)
     )
-    await records.finish(NAME, stored.version, long)
-    record = (await records.read(NAME)).record
+    await records.finish(name, stored.version, long)
+    record = (await records.read(name)).record
     assert record.body == b""
     assert await records.body_of(record) == bytes(50_000)
-    await records.delete(NAME)
+    await records.delete(name)
     assert (rows.rows, rows.objects) == ({}, {})
 
 
-async def test_only_records_older_than_the_retry_window_are_removed(records, rows):
+async def test_only_records_older_than_the_retry_window_are_removed(
+    records, rows, name
+):
     old = record_name("broker", "00000001-0000-7000-8000-000000000000")
-    for name in (old, NAME):
-        await records.begin(name, RECORD, 1.0)
+    for each in (old, name):
+        await records.begin(each, RECORD, 1.0)
     cleaner = CallRecordCleaner(records, ValidLease(), lambda: 60.0, SystemClock())
     await cleaner.clean()
-    assert await records.names() == (NAME,)
+    assert await records.names() == (name,)
 
 
-def test_a_record_name_contains_the_timestamp_of_its_key():
-    assert abs(record_timestamp(NAME) - time.time()) < 60.0
+def test_a_record_name_contains_the_timestamp_of_its_key(name):
+    assert abs(record_timestamp(name) - time.time()) < 60.0
