--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -14,6 +14,7 @@
 
 from bankrudder.batches._carried import CarriedSamples
 from bankrudder.batches._dispatcher import Dispatcher
+from bankrudder.batches._load_following import LoadFollowing
 from bankrudder.batches._loading import BatchLoader
 from bankrudder.batches._moving import MovePlanner
 from bankrudder.batches._ownership import OwnerRegistry
@@ -90,8 +91,7 @@
         plans_steps: bool = False,
     ):
         self._tracer = tracer
-        self._loaded_follower = loaded
-        self._load_following: asyncio.Task[None] | None = None
+        self._load_following = LoadFollowing(loaded)
         self._repository = repository
         self._progress_store = progress
         self._loader = BatchLoader(repository, progress, routes)
@@ -245,7 +245,7 @@
         work = self._work(batch_id, fence, batch, submitted_at)
         task = asyncio.ensure_future(work)
         self._tasks[batch_id] = task
-        self._update_load_following()
+        self._load_following.set_active(bool(self._tasks))
         self._presence.set_busy(True)
         task.add_done_callback(lambda done: self._on_work_done(batch_id, done))
 
@@ -366,32 +366,13 @@
     async def _take_over_ownerless(self) -> None:
         while True:
             await asyncio.sleep(TAKEOVER_CHECK_INTERVAL_S)
-            self._update_load_following()
+            self._load_following.set_active(bool(self._tasks))
             self._presence.set_busy(bool(self._tasks))
             if self._is_leaving or self._follower.failing_since is not None:
                 continue
             for batch_id, owner, version in self._owners.takeover_candidates():
                 await self._take_over(batch_id, owner, version)
 
-    def _update_load_following(self) -> None:
-        """Follow loaded versions only while there is work: each change costs a read."""
-        if self._loaded_follower is None:
-            return
-        if self._tasks and self._load_following is None:
-            self._load_following = asyncio.ensure_future(self._follow_loaded_versions())
-        elif not self._tasks and self._load_following is not None:
-            self._load_following.cancel()
-            self._load_following = None
-
-    async def _follow_loaded_versions(self) -> None:
-        assert self._loaded_follower is not None
-        while True:
-            try:
-                await self._loaded_follower.run()
-            except Exception:
-                _log.exception("batches: loaded versions not followed, trying again")
-            await asyncio.sleep(TAKEOVER_CHECK_INTERVAL_S)
-
     async def _take_over(
         self, batch_id: BatchId, before: Owner, version: RowVersion
     ) -> None:
