--- a/src/bankrudder/batches/_step_planning.py
+++ b/src/bankrudder/batches/_step_planning.py
@@ -185,10 +185,10 @@
         self, kind: StepKind, steps: Collection[OpenStep], now: float
     ) -> StepPlan:
         remaining = [work for step in steps if (work := step.remaining_work())]
-        slot_count = self._slot_count(kind, min(step.min_version for step in steps))
-        plan = plan_steps(remaining, slot_count, now)
+        slots = self._slot_count(kind, min(step.min_version for step in steps))
+        plan = plan_steps(remaining, slots, now)
         if plan.is_scarce:
-            self._log_scarcity(kind, plan, remaining, slot_count, now)
+            self._log_scarcity(kind, plan, remaining, slots, now)
         return plan
 
     def _slot_count(self, kind: StepKind, min_version: ModelVersion) -> int:
@@ -206,7 +206,7 @@
         kind: StepKind,
         plan: StepPlan,
         steps: Collection[StepWork],
-        slot_count: int,
+        slots: int,
         now: float,
     ) -> None:
         if now - self._logged_at.get(kind, -LOG_INTERVAL_S) < LOG_INTERVAL_S:
@@ -220,7 +220,7 @@
             in_time=len(plan.in_time),
             late=len(plan.late),
             given_up=len(plan.given_up),
-            slots=slot_count,
+            slots=slots,
             needed_s=round(plan.needed_s, 1),
             due_in_s=[round(step.due_at - now, 1) for step in steps],
         )
