--- a/src/bankrudder/overload/_pacing.py
+++ b/src/bankrudder/overload/_pacing.py
@@ -42,11 +42,6 @@
         self._per_s = FIRST_PER_S
         self._next_at = 0.0
 
-    @property
-    def per_s(self) -> float:
-        """The pace in sends per second."""
-        return self._per_s
-
     @property
     def next_at(self) -> float:
         """Monotonic time of the next send."""
--- a/src/bankrudder/overload/_service_line.py
+++ b/src/bankrudder/overload/_service_line.py
@@ -151,6 +151,8 @@
             case Refused(reason=RefusalReason.FULL, load=load):
                 if load is not None:
                     self._reported_at[endpoint] = now
+                else:
+                    self._reported_at.pop(endpoint, None)
                 self._refused_at[endpoint] = now
                 self.gate.note_full(now)
         self._forget_old(now)
