--- a/tests/overload/test_loads.py
+++ b/tests/overload/test_loads.py
@@ -60,8 +60,8 @@
     loop = Loop(HOSTS)
     calls = loop.play(drawn_calls(load, busy_share=busy_share), END_S + 2.0)
     assert len(in_time(calls, SHORTEST_PATIENCE_S)) >= 0.95 * bound(load)
-    # Requests that are sent at once and again 40 ms after a refusal: 0.43 to 0.55 from
-    # twice the capacity on, and 14 to 100 refusals for each answer.
+    # Requests that are sent at once and again 40 ms after a refusal: 0.43 to 0.58 from
+    # twice the capacity on, and 13 to 96 refusals for each answer.
     assert len(in_time(calls)) >= 0.75 * bound(load)
     assert loop.refused_sends <= 3 * (loop.sends - loop.refused_sends)
 
@@ -84,7 +84,9 @@
     assert held[int(0.99 * len(held))] <= TARGET_S
 
 
-def test_an_endpoint_lost_and_the_others_slow_leave_a_working_service():
+@pytest.fixture(scope="module")
+def calls_at_the_endpoint_left():
+    """Calls at the capacity of three endpoints; one is left, at half its speed."""
     loop = Loop(HOSTS)
     for endpoint in loop.endpoints:
         endpoint.slowness = 2.0
@@ -93,12 +95,20 @@
     loop.endpoints = loop.endpoints[:1]
     for host in loop.hosts:
         del host.in_flight[1:], host.others[1:]
-    calls = loop.play(drawn_calls(1), END_S + 2.0)
+    return loop.play(drawn_calls(1), END_S + 2.0)
+
+
+def test_an_endpoint_that_is_left_answers_what_it_can(calls_at_the_endpoint_left):
     left = bound(1) / 6  # a third of the endpoints at half their speed
+    answered = in_time(calls_at_the_endpoint_left, SHORTEST_PATIENCE_S)
+    assert len(answered) >= 0.95 * left
+
+
+def test_an_endpoint_that_is_left_answers_half_in_time(calls_at_the_endpoint_left):
+    left = bound(1) / 6
     # Sent at once and again 40 ms after a refusal: 0.16, with 47 refusals an answer. An
     # answer takes up to two thirds of the target at this speed.
-    assert len(in_time(calls)) >= 0.4 * left
-    assert len(in_time(calls, SHORTEST_PATIENCE_S)) >= 0.95 * left
+    assert len(in_time(calls_at_the_endpoint_left)) >= 0.5 * left
 
 
 def test_one_large_and_many_small_workspaces_have_fair_shares():
