Reserved slots: the first goes to the sample that saves most, none stays idle

Cause: each reservation of an engine's slot counted for all samples but its own. Two samples with reservations on one engine kept each other from the first slot that became free there, and both renewed: it stayed idle until a second one was free. A reservation whose sample saves less than before was not renewed where half of the slots are reserved, and that of a sample that ended or was given up lasted on. A move whose destination failed counted as proof that no other move finds its slot, so that these waited behind it until their reservations ended.

Change: for reservations with an estimated saving, only those that save more, or have begun, count for the others; a sample renews its own, and gives it up when it ends. Moves to different engines are matched separately. Reservations of engines that report no slowdown have no saving, and stay as they were.

The new tests of test_moving.py failed on the code before.

--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -183,6 +183,11 @@
             self._reserved.reserve_next(fastest, demand.sample, target.event_gap_s)
         return False
 
+    def forget(self, sample: SampleId) -> None:
+        """Remove the moves of a sample that ended or was given up."""
+        self._moves.forget(sample)
+        self._reserved.release_planned(sample)
+
     async def run(self) -> None:
         """Match waiting samples with the engines periodically, until cancelled."""
         while True:
@@ -216,6 +221,7 @@
                 demand.min_version,
                 demand.data_centres,
                 demand.sample in self._reserved,
+                self._reserved.destination(demand.sample),
                 demand.is_suspect,
             )
             target = None if demand_kind in full_kinds else self._choose_engine(demand)
--- a/src/bankrudder/batches/_reservations.py
+++ b/src/bankrudder/batches/_reservations.py
@@ -32,6 +32,11 @@
     saving_s: float
     has_begun: bool = False
 
+    @property
+    def priority(self) -> tuple[bool, float]:
+        """Of two reservations, the one with the higher priority goes first."""
+        return self.has_begun, self.saving_s
+
 
 class Reservations:
     """The slots that are reserved for this host's running samples, one for each."""
@@ -44,10 +49,20 @@
         return sample in self._held
 
     def count_for_others(self, engine: TrackedEndpoint, sample: SampleId) -> int:
-        """Return the slots of an engine that are reserved for other samples."""
+        """Return the slots of an engine that are reserved for other samples.
+
+        Among samples with reservations there, only those count that go first. If each
+        counted for the others, none could take the first slot that becomes free.
+        """
         now = self._clock.monotonic()
+        own = self._held.get(sample)
+        if own is not None and (own.run != engine.run or now >= own.until):
+            own = None
         return sum(
-            held.run == engine.run and now < held.until and other != sample
+            held.run == engine.run
+            and now < held.until
+            and other != sample
+            and (own is None or _goes_first(other, held, sample, own))
             for other, held in self._held.items()
         )
 
@@ -65,7 +80,8 @@
     ) -> None:
         """Reserve the next slot of a full engine for a sample.
 
-        If as many are reserved as may be, the sample that saves least gives way.
+        If as many are reserved as may be, the sample that saves least gives way. With
+        an estimated saving, a reservation that the sample has there is renewed.
 
         Parameters
         ----------
@@ -79,7 +95,7 @@
         there = [
             (held.saving_s, other)
             for other, held in self._held.items()
-            if held.run == engine.run
+            if held.run == engine.run and not (saving_s and other == sample)
         ]
         if len(there) >= MAX_RESERVED_SHARE * engine.endpoint.slots:
             least_saving_s, least = min(there)
@@ -97,3 +113,24 @@
     def release(self, sample: SampleId) -> None:
         """End the reservation for a sample, if there is one."""
         self._held.pop(sample, None)
+
+    def release_planned(self, sample: SampleId) -> None:
+        """End the reservation for a planned move of a sample, if there is one.
+
+        Reservations without an estimated saving end by themselves.
+        """
+        held = self._held.get(sample)
+        if held is not None and (held.has_begun or held.saving_s):
+            del self._held[sample]
+
+
+def _goes_first(
+    other: SampleId, held: _Reservation, sample: SampleId, own: _Reservation
+) -> bool:
+    """Whether a slot is kept for another sample that has a reservation there as well.
+
+    It is if no order is known, as without an estimated saving.
+    """
+    if held.priority != own.priority:
+        return held.priority > own.priority
+    return not own.saving_s or other < sample
--- a/src/bankrudder/batches/_sample_moves.py
+++ b/src/bankrudder/batches/_sample_moves.py
@@ -149,7 +149,7 @@
 
     def end(self) -> None:
         """Record that the sample is complete or given up."""
-        self._dispatcher.moves.forget(self._sample.id)
+        self._dispatcher.forget(self._sample.id)
 
     def _running_sample(
         self, target: TrackedEndpoint, event_count: int, now: float
--- a/tests/batches/test_moving.py
+++ b/tests/batches/test_moving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -9,7 +10,7 @@
 from bankrudder.batches import Sample
 from bankrudder.batches._dispatcher import Dispatcher
 from bankrudder.batches._moving import AVOIDANCE_S
-from bankrudder.batches._reservations import MOVE_RESERVATION_S
+from bankrudder.batches._reservations import MOVE_RESERVATION_S, RESERVATION_EVENT_COUNT
 from bankrudder.batches._sample_moves import SampleMoves
 from bankrudder.batches._slot_queue import SlotDemand
 from bankrudder.fleet import Endpoint, EndpointDirectory, ModelState, ReportedLoad
@@ -109,6 +110,63 @@
     assert engines.find_move("slow", "long", 60)
 
 
+def test_the_first_reserved_slot_goes_to_the_sample_that_saves_most(engines):
+    engines.directory.put(msgspec.structs.replace(engines["fast"].endpoint, slots=4))
+    engines["fast"].in_flight = 4
+    for sample, events in (("long", 60), ("longest", 90)):
+        assert not engines.find_move("slow", sample, events)
+    engines["fast"].in_flight = 3
+    assert not engines.find_move("slow", "long", 62)
+    assert engines.find_move("slow", "longest", 92)
+
+
+@pytest.mark.parametrize("samples", [("x", "y"), ("y", "x")])
+def test_samples_that_save_as_much_do_not_keep_each_other_from_a_slot(engines, samples):
+    engines.directory.put(msgspec.structs.replace(engines["fast"].endpoint, slots=4))
+    engines["fast"].in_flight = 4
+    for sample in samples:
+        assert not engines.find_move("slow", sample)
+    engines["fast"].in_flight = 3
+    moves = [engines.find_move("slow", sample) for sample in samples]
+    assert sum(move is not None for move in moves) == 1
+
+
+async def test_a_reservation_is_renewed_while_the_sample_would_gain(engines):
+    engines["fast"].in_flight = 2
+    assert not engines.find_move("slow", "x", 60)
+    engines.clock.advance(0.9 * RESERVATION_EVENT_COUNT * SLOW_GAP_S)
+    assert not engines.find_move("slow", "x", 50)
+    engines.clock.advance(0.2 * RESERVATION_EVENT_COUNT * SLOW_GAP_S)
+    engines["fast"].in_flight = 1
+    assert await engines.arrive("waiting") != "fast"
+
+
+async def test_a_move_that_fails_keeps_no_other_from_its_slot(engines):
+    fast_2 = msgspec.structs.replace(engines["fast"].endpoint, id="fast-2")
+    engines.directory.put(fast_2)
+    engines["fast-2"].note_event_gap(FAST_GAP_S)
+    engines["fast-2"].in_flight = 2
+    assert engines.find_move("slow", "x")
+    engines["fast-2"].in_flight = 1
+    engines["fast"].in_flight = 2
+    assert engines.find_move("slow", "y")
+    for name in ("slow", "slow-2"):
+        engines[name].in_flight = 2
+    engines["fast"].note_failure(0.0)
+    failed = asyncio.ensure_future(engines.dispatcher.acquire(demand("x", 0.0)))
+    await asyncio.sleep(0)
+    assert await engines.arrive("y") == "fast-2"
+    failed.cancel()
+
+
+def test_a_sample_that_ends_leaves_no_slot_reserved(engines):
+    engines["fast"].in_flight = 2
+    assert not engines.find_move("slow", "x")
+    sample_moves(engines).end()
+    engines["fast"].in_flight = 1
+    assert engines.find_move("slow", "y")
+
+
 async def test_two_samples_never_swap_places(engines):
     assert engines.find_move("slow", "x")
     assert await engines.arrive("x") == "fast"
--- a/tests/batches/test_sample_speeds.py
+++ b/tests/batches/test_sample_speeds.py
@@ -44,6 +44,9 @@
     def find_move(self, demand, target, sample):
         return None
 
+    def forget(self, sample):
+        pass
+
     @asynccontextmanager
     async def open_stream(self, endpoint, request):
         yield OpenedStream(200, (), 1, self._events(), load=self._load)
@@ -63,9 +66,6 @@
     def note_end(self, sample, run):
         pass
 
-    def forget(self, sample):
-        pass
-
 
 class CalmGuard:
     """A crash guard that refuses nothing."""
