After a crash a request may be hedged up to the third endpoint

Cause: no attempt was made beside another one after a crash, so that a request whose other attempt hung was never repeated at the restarted endpoint and timed out (504): tests/node/test_restarts.py, test_a_repeatable_call_is_sent_to_another_endpoint_after_a_restart, failed each time.

Change: certain strikes, pending attempts and the next one are at most the number of crashes after which a content is refused.

--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -6,7 +6,14 @@
 
 import structlog
 
-from bankrudder.crashes import Admission, AdmissionDecision, ContentId, CrashGuard, Send
+from bankrudder.crashes import (
+    CRASH_LIMIT,
+    Admission,
+    AdmissionDecision,
+    ContentId,
+    CrashGuard,
+    Send,
+)
 from bankrudder.fleet import (
     Answered,
     EndpointClient,
@@ -177,8 +184,10 @@
         match self._decision():
             case AdmissionDecision(Admission.FREE, strikes=0):
                 return True
-            case AdmissionDecision(Admission.FREE | Admission.ALONE):
-                # After a crash a hedge could crash one endpoint more than is allowed.
+            case AdmissionDecision(Admission.FREE, strikes=strikes):
+                # Each pending attempt may crash its endpoint as well.
+                return strikes + len(self._sends) < CRASH_LIMIT
+            case AdmissionDecision(Admission.ALONE):
                 return not self._sends
             case _:
                 return False
