An answer ended for memory is no failure of its endpoint

Closing the connection of an answer that the budget ends raises an error of the connection in the read, which counted as NO_ANSWER: the sound endpoint was suspended, and the content got a strike as if the endpoint had crashed on it. It is NO_MEMORY now, as when the body does not fit in the first place. The test was seen to fail before the change (Lost(NO_ANSWER)).

--- a/src/bankrudder/memory/_budget.py
+++ b/src/bankrudder/memory/_budget.py
@@ -82,6 +82,12 @@
         self._end = end
         self._size_bytes = 0
         self._held_bytes = 0
+        self._is_ended = False
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether the transfer was ended for the memory that it held."""
+        return self._is_ended
 
     @property
     def kind(self) -> TransferKind:
@@ -120,6 +126,7 @@
 
     def end(self) -> None:
         """End the transfer and release its bytes."""
+        self._is_ended = True
         self.release()
         self._end()
 
--- a/src/bankrudder/platform/_transfers.py
+++ b/src/bankrudder/platform/_transfers.py
@@ -72,13 +72,19 @@
     Raises
     ------
     NoMemoryError
-        If the body does not fit into the budget. Its rest is not read.
+        If the body does not fit into the budget, or was ended for another transfer.
+        Its rest is not read.
     """
     holding = budget.hold(
         TransferKind.ANSWER, lambda: holding.size_bytes, response.close
     )
     try:
         return await _read_chunks(response.content.iter_any(), holding)
+    except aiohttp.ClientError:
+        if holding.is_ended:
+            # The endpoint did not break off its answer, and must not be suspended.
+            raise NoMemoryError from None
+        raise
     finally:
         holding.release()
 
--- a/tests/platform/test_endpoint_client.py
+++ b/tests/platform/test_endpoint_client.py
@@ -6,8 +6,17 @@
 import pytest
 from aiohttp import web
 
-from bankrudder.fleet import Answered, Endpoint, OutgoingRequest, ReportedLoad
+from bankrudder.fleet import (
+    Answered,
+    Endpoint,
+    LossReason,
+    Lost,
+    OutgoingRequest,
+    ReportedLoad,
+)
+from bankrudder.memory import MemoryBudget, TransferKind
 from bankrudder.platform._endpoint_client import HttpEndpointClient
+from outside.site import until
 
 CONNECTION_COUNT = 20
 
@@ -15,7 +24,8 @@
 class KeepAliveEndpoint:
     """Counts its connections and advertises an idle timeout for them.
 
-    It answers once ``expected_connections`` connections are open.
+    It answers once ``expected_connections`` connections are open. With ``first_part``
+    it stops in the middle of its answer until ``may_end`` is set.
     """
 
     def __init__(self, keep_alive_s):
@@ -24,6 +34,8 @@
         self.connections = set()
         self.expected_connections = 1
         self.all_connected = asyncio.Event()
+        self.first_part = None
+        self.may_end = asyncio.Event()
 
     async def answer(self, request):
         self.connections.add(request.transport)
@@ -36,11 +48,17 @@
             "Keep-Alive": f"timeout={self.keep_alive_s}",
             "X-Server-Load": self.load_report,
         }
-        return web.Response(body=b"answer", headers=headers)
+        if self.first_part is None:
+            return web.Response(body=b"answer", headers=headers)
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        await response.write(self.first_part)
+        await self.may_end.wait()
+        return response
 
 
 @asynccontextmanager
-async def serve_endpoint(keep_alive_s):
+async def serve_endpoint(keep_alive_s, budget=None):
     endpoint = KeepAliveEndpoint(keep_alive_s)
     app = web.Application()
     app.router.add_route("*", "/{tail:.*}", endpoint.answer)
@@ -49,7 +67,7 @@
     await web.TCPSite(runner, "127.0.0.1", 0).start()
     host, port = runner.addresses[0][:2]
     entry = Endpoint("e", "s", f"{host}:{port}", "north", 8)
-    client = HttpEndpointClient()
+    client = HttpEndpointClient(budget)
     try:
         yield endpoint, entry, client
     finally:
@@ -105,3 +123,16 @@
             await send_concurrently(client, entry, 1)
             await asyncio.sleep(0.5)
         assert len(endpoint.connections) == 1
+
+
+async def test_an_answer_that_the_host_ends_is_no_failure_of_the_endpoint(manual_clock):
+    budget = MemoryBudget(1000, manual_clock, uncounted_bytes=0)
+    async with serve_endpoint(10, budget) as (endpoint, entry, client):
+        endpoint.first_part = bytes(700)
+        sending = asyncio.ensure_future(client.send(entry, make_request(1)))
+        await until(lambda: budget.held_bytes == len(endpoint.first_part))
+        manual_clock.advance(2.0)
+        newer = budget.hold(TransferKind.ANSWER, lambda: 0, lambda: None)
+        assert newer.grow(700)
+        assert await sending == Lost(LossReason.NO_MEMORY)
+        endpoint.may_end.set()
