A request that was read is not ended for the memory of another one

The holding of a request lasts until its answer, so after a second any request or stream with a body over 16 KB counted as a slow transfer: its caller's connection was closed and its endpoint's work cancelled, though nothing was being transferred. Such a request still counts against the budget and a newer one is refused as not run.

--- a/src/bankrudder/memory/_budget.py
+++ b/src/bankrudder/memory/_budget.py
@@ -8,8 +8,9 @@
 of each transfer: callers of small requests must not fail because of large ones. Neither
 requests nor answers may use all of the budget, so that neither takes the room of the
 other. If data does not fit, the slowest transfers are ended until it
-does. A transfer younger than `MIN_ENDED_AGE_S` is never ended, and neither is one that
-is faster than the transfer that needs the memory.
+does. A transfer younger than `MIN_ENDED_AGE_S` is never ended, and an older one never
+ends one that is faster. A request that has been read may run and is not ended: it stays
+held until it is answered.
 """
 
 from collections.abc import Callable
@@ -83,12 +84,18 @@
         self._size_bytes = 0
         self._held_bytes = 0
         self._is_ended = False
+        self._is_received = False
 
     @property
     def is_ended(self) -> bool:
         """Whether the transfer was ended for the memory that it held."""
         return self._is_ended
 
+    @property
+    def is_received(self) -> bool:
+        """Whether all data is here, so that the other side cannot be too slow."""
+        return self._is_received
+
     @property
     def kind(self) -> TransferKind:
         """What is transferred."""
@@ -124,6 +131,10 @@
         self._held_bytes += added_bytes
         return True
 
+    def note_received(self) -> None:
+        """Record that all data is here; it stays held and is not ended any more."""
+        self._is_received = True
+
     def end(self) -> None:
         """End the transfer and release its bytes."""
         self._is_ended = True
@@ -242,6 +253,7 @@
                 for each in self._holdings
                 if each is not holding
                 and each.held_bytes
+                and not each.is_received
                 and each.age_s(now) >= MIN_ENDED_AGE_S
                 and (is_new or each.bytes_per_s(now) < own_rate)
             ),
--- a/src/bankrudder/platform/_transfers.py
+++ b/src/bankrudder/platform/_transfers.py
@@ -61,7 +61,9 @@
             raise BodyTooLargeError from None
     if not request.can_read_body:
         return b""
-    return await _read_chunks(request.content.iter_any(), holding, MAX_BODY_BYTES)
+    body = await _read_chunks(request.content.iter_any(), holding, MAX_BODY_BYTES)
+    holding.note_received()
+    return body
 
 
 async def read_answer_body(
--- a/tests/memory/test_budget.py
+++ b/tests/memory/test_budget.py
@@ -96,6 +96,18 @@
     assert (request.is_ended, slow.is_ended) == (False, True)
 
 
+def test_a_request_that_may_run_is_not_ended(budget, manual_clock):
+    running = Transfer(budget, manual_clock, TransferKind.REQUEST)
+    assert running.holding.grow(KIND_LIMIT)
+    running.holding.note_received()
+    manual_clock.advance(2 * MIN_ENDED_AGE_S)
+    newer = Transfer(budget, manual_clock, TransferKind.REQUEST)
+    assert not newer.holding.grow(1)
+    assert not running.is_ended
+    running.holding.release()
+    assert newer.holding.grow(1)
+
+
 def test_the_first_bytes_of_each_transfer_are_free(manual_clock):
     budget = MemoryBudget(LIMIT, manual_clock, uncounted_bytes=100)
     large = Transfer(budget, manual_clock)
