Quantiles of service times are computed once for each decision

A decision on a line asked for the same quantile up to three times for each request, and each answer sorted the buckets. Decisions are the same.

--- a/src/bankrudder/overload/_recent_times.py
+++ b/src/bankrudder/overload/_recent_times.py
@@ -29,6 +29,7 @@
     def __init__(self) -> None:
         self._counts: dict[int, float] = {}
         self._weight = 0.0
+        self._quantiles: dict[float, float] = {}
 
     @property
     def weight(self) -> float:
@@ -37,6 +38,7 @@
 
     def note(self, seconds: float) -> None:
         """Record a time."""
+        self._quantiles.clear()
         if self._weight >= MAX_WEIGHT:
             self._counts = {
                 each: count / 2 for each, count in self._counts.items() if count > 0.1
@@ -53,6 +55,12 @@
         """
         if not self._weight:
             return None
+        # A decision on a long line asks for the same quantile for each request.
+        if share not in self._quantiles:
+            self._quantiles[share] = self._computed_quantile_s(share)
+        return self._quantiles[share]
+
+    def _computed_quantile_s(self, share: float) -> float:
         left = share * self._weight
         for bucket in sorted(self._counts):
             left -= self._counts[bucket]
