Tests of attempts give them the turn that they take

Two tests of stalls and crashes, written before attempts had turns, failed with a TypeError since both were merged. They pass with the turn of a host without overload control; nothing of what they check is changed.

--- a/tests/relay/test_attempts.py
+++ b/tests/relay/test_attempts.py
@@ -19,6 +19,7 @@
     Refused,
 )
 from bankrudder.observe import NoTraceExport, Tracer
+from bankrudder.overload import FreeTurn
 from bankrudder.relay import IncomingRequest, Unanswered
 from bankrudder.relay._attempts import Attempts
 from bankrudder.relay._metering import NoMeter
@@ -118,6 +119,7 @@
             clock,
             Tracer("a", NoTraceExport()),
             NoMeter(),
+            FreeTurn(),
         )
 
     return make
