Hedges are sent once the shortage is over; crashing requests do not wait in line

Whether a hedge is allowed was asked once, after the send. A request sent while slots were short then waited for a silent endpoint until its deadline. The budget is asked again after each delay of a hedge. A content that the crash guard refuses waited for a turn, and took one from others, before it was refused; it is refused at once. Without overload control a repeat is always within the budget, and both paths decide as before.

--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -101,7 +101,7 @@
         """Send the request until it is answered or no further attempt is allowed."""
         try:
             while True:
-                if not self._sent_count and self._refusal_count < MAX_REFUSALS:
+                if self._must_take_turn():
                     rejection = await self._turn.wait()
                     if rejection is not None:
                         return NotRun(RejectReason.OVERLOADED, rejection.retry_after_s)
@@ -156,12 +156,21 @@
         now = self._clock.monotonic()
         self._sends[task] = Send(self._content, target, now, self._request.request_id)
 
+    def _must_take_turn(self) -> bool:
+        is_refused = self._decision().admission is Admission.REFUSED
+        did_run = self._sent_count > 0
+        return not (did_run or is_refused or self._refusal_count >= MAX_REFUSALS)
+
     def _may_send(self) -> bool:
+        return self._is_sendable() and (not self._sent_count or self._turn.may_repeat())
+
+    def _is_sendable(self) -> bool:
+        """Whether it may be sent, now or once repeats are in the budget again."""
         return (
             self._left_s() >= MIN_SEND_S
             and self._refusal_count < MAX_REFUSALS
             and self._sent_count < self._route.max_attempts
-            and (not self._sent_count or self._may_repeat())
+            and (not self._sent_count or self._is_idempotent())
             and self._is_admitted()
         )
 
@@ -170,9 +179,6 @@
         """Number of sends that ran, may have run or may run."""
         return self._run_count + len(self._sends)
 
-    def _may_repeat(self) -> bool:
-        return self._is_idempotent() and self._turn.may_repeat()
-
     def _is_admitted(self) -> bool:
         match self._decision():
             case AdmissionDecision(Admission.FREE, strikes=0):
@@ -231,7 +237,7 @@
         Returns None at the time for a hedged attempt and at the deadline.
         """
         wait_s = self._left_s()
-        if self._may_send():
+        if self._is_sendable():
             wait_s = min(wait_s, self._hedge_delay_s())
         done = await first_done(self._sends, wait_s, self._clock)
         if not done:
--- a/tests/overload/test_lines.py
+++ b/tests/overload/test_lines.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from bankrudder.crashes import FREE
+from bankrudder.crashes import FREE, Admission, AdmissionDecision
 from bankrudder.fleet import (
     Answered,
     Endpoint,
@@ -28,6 +28,7 @@
     Unanswered,
 )
 from bankrudder.routing import Route, RouteKind, WeightedService
+from outside.site import until
 
 FULL = Refused(RefusalReason.FULL, ReportedLoad(1, 1, 1))
 ANSWER = Answered(200, (), b"answer", ReportedLoad(0, 0, 1))
@@ -35,10 +36,13 @@
 
 
 class FakeCrashGuard:
-    """A crash guard that refuses nothing."""
+    """A crash guard that refuses nothing unless ``verdict`` is changed."""
+
+    def __init__(self):
+        self.verdict = FREE
 
     def decision(self, content):
-        return FREE
+        return self.verdict
 
     def note_answer(self, content):
         pass
@@ -75,10 +79,11 @@
             self.directory.put(Endpoint(EndpointId(name), "s", "h:1", "north", 1))
         self.endpoints = ScriptedEndpoints()
         self.lines = RequestLines(self.directory, clock, random.Random(1))
+        self.crashes = FakeCrashGuard()
         self.forwarder = Forwarder(
             self.directory,
             self.endpoints,
-            FakeCrashGuard(),
+            self.crashes,
             clock,
             Tracer.from_config("host", NoTraceExport(), clock),
             lines=self.lines,
@@ -189,6 +194,36 @@
     assert isinstance(await host.start("next"), Relayed)
 
 
+async def test_a_silent_endpoint_is_hedged_once_the_shortage_is_over(
+    host, manual_clock
+):
+    host.endpoints.outcomes = [FULL]
+    task = host.start("q", patience_s=10.0)
+    await settle()
+    while len(host.endpoints.sent) < 2:
+        manual_clock.advance(0.01)
+        await asyncio.sleep(0.002)
+    manual_clock.advance(1.2)  # beyond `SHORTAGE_S`
+    await until(lambda: len(host.endpoints.sent) == 3, limit_s=1.0)
+    host.endpoints.released.set()
+    assert isinstance(await task, Relayed)
+
+
+async def test_a_crashing_request_is_refused_without_waiting_in_line(
+    host, manual_clock
+):
+    tasks = await filled(host)
+    host.endpoints.outcomes = [FULL] * 2
+    waiting = host.start("waits")
+    await settle()
+    assert host.waiting == 1
+    host.crashes.verdict = AdmissionDecision(Admission.REFUSED, 2, 1.0)
+    reply = await asyncio.wait_for(host.start("crashes"), 0.015)
+    assert reply == NotRun(RejectReason.CRASHES_ENDPOINTS, 1.0)
+    for task in (*tasks, waiting):
+        task.cancel()
+
+
 async def test_a_lost_request_is_repeated_within_the_budget_only(host):
     host.endpoints.released.set()
     host.endpoints.outcomes = [Lost(LossReason.NO_ANSWER)] * 5
