--- a/src/bankrudder/platform/_transfers.py
+++ b/src/bankrudder/platform/_transfers.py
@@ -61,7 +61,9 @@
             raise BodyTooLargeError from None
     if not request.can_read_body:
         return b""
-    return await _read_chunks(request.content.iter_any(), holding, MAX_BODY_BYTES)
+    body = await _read_chunks(request.content.iter_any(), holding, MAX_BODY_BYTES)
+    holding.note_received()
+    return body
 
 
 async def read_answer_body(
@@ -72,13 +74,19 @@
     Raises
     ------
     NoMemoryError
-        If the body does not fit into the budget. Its rest is not read.
+        If the body does not fit into the budget, or was ended for another transfer.
+        Its rest is not read.
     """
     holding = budget.hold(
         TransferKind.ANSWER, lambda: holding.size_bytes, response.close
     )
     try:
         return await _read_chunks(response.content.iter_any(), holding)
+    except aiohttp.ClientError:
+        if holding.is_ended:
+            # The endpoint did not break off its answer, and must not be suspended.
+            raise NoMemoryError from None
+        raise
     finally:
         holding.release()
 
--- a/tests/relay/test_attempts.py
+++ b/tests/relay/test_attempts.py
@@ -18,6 +18,7 @@
     Lost,
 )
 from bankrudder.observe import NoTraceExport, Tracer
+from bankrudder.overload import FreeTurn
 from bankrudder.relay import IncomingRequest, Unanswered
 from bankrudder.relay._attempts import Attempts
 from bankrudder.relay._metering import NoMeter
@@ -114,6 +115,7 @@
             clock,
             Tracer("a", NoTraceExport()),
             NoMeter(),
+            FreeTurn(),
         )
 
     return make
