Moves take length hints as tokens, of which an event carries several

Cause: the decision on moves takes a sample's expected length in events; the hint, which counts tokens, was passed as it is.

Change: the hint is converted by the mean events of a hinted token of complete samples. It counts as unknown before the first one.

--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -129,6 +129,7 @@
                 tracer,
                 progress.get(sample.id),
                 times.due_at if times is not None else None,
+                pace.expected_events,
             )
             for sample in batch.samples
             if sample.id not in done
--- a/src/bankrudder/batches/_sample_moves.py
+++ b/src/bankrudder/batches/_sample_moves.py
@@ -1,5 +1,6 @@
 """Moves of one sample: when they are checked, how many there were, what they saved."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import structlog
@@ -56,6 +57,9 @@
     ----------
     due_at : float or None
         Monotonic time at which the results of the batch are due, None if unknown.
+    expected_events : callable
+        Returns the expected number of events for a hinted number of tokens, 0 if it is
+        not known. An event carries several tokens.
     """
 
     def __init__(
@@ -65,7 +69,9 @@
         dispatcher: Dispatcher,
         clock: Clock,
         due_at: float | None,
+        expected_events: Callable[[int], int] = lambda tokens: tokens,
     ):
+        self._expected_events = expected_events
         self._batch = batch
         self._sample = sample
         self._dispatcher = dispatcher
@@ -156,7 +162,7 @@
     ) -> RunningSample:
         return RunningSample(
             event_count=event_count,
-            length_hint=self._sample.length_hint,
+            length_hint=self._expected_events(self._sample.length_hint),
             move_count=self._count,
             gap_s=target.lasting_gap_s,
             sustained_gap_s=self._run.sustained_gap.value_s(now),
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -67,6 +67,8 @@
         Monotonic time at which the sample is given up.
     due_at : float, optional
         Monotonic time at which the results of the batch are due, None if unknown.
+    expected_events : callable
+        Returns the expected number of events for a hinted number of tokens.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         tracer: Tracer,
         progress: Progress | None = None,
         due_at: float | None = None,
+        expected_events: Callable[[int], int] = lambda tokens: tokens,
     ):
         self._tracer = tracer
         self._batch = batch
@@ -105,7 +108,9 @@
         )
         self._clock = clock
         self._deadline = deadline
-        self._moves = SampleMoves(batch.id, sample, dispatcher, clock, due_at)
+        self._moves = SampleMoves(
+            batch.id, sample, dispatcher, clock, due_at, expected_events
+        )
         self._text = SampleText()
         self._error_answer_count = 0
         self._run_count = 0
--- a/src/bankrudder/scheduling/_ranking.py
+++ b/src/bankrudder/scheduling/_ranking.py
@@ -73,6 +73,12 @@
         """Return the mean time in which engines generate a number of events."""
         return event_count * self._seconds / self._events if self._events else 0.0
 
+    def expected_events(self, hinted_tokens: int) -> int:
+        """Return the expected number of events of a sample, 0 if it is not known."""
+        if not self._tokens or not hinted_tokens:
+            return 0
+        return max(round(hinted_tokens * self._events / self._tokens), 1)
+
     def note(
         self, hinted_tokens: int, duration: timedelta, event_count: int = 0
     ) -> None:
