Answers that were read from their endpoint are delivered beyond the memory budget

Cause: an answer's bytes were released when it had been read and held anew when it was sent. In between another transfer could take the room, and a ready answer became a 502.

Change: such an answer is held and sent in any case. Only results of batches, which other hosts have as well, are refused.

--- a/src/bankrudder/memory/_budget.py
+++ b/src/bankrudder/memory/_budget.py
@@ -7,10 +7,12 @@
 All data that is being transferred counts against one budget, apart from the first bytes
 of each transfer: callers of small requests must not fail because of large ones. Neither
 requests nor answers may use all of the budget, so that neither takes the room of the
-other. If data does not fit, the slowest transfers are ended until it
-does. A transfer younger than `MIN_ENDED_AGE_S` is never ended, and an older one never
-ends one that is faster. A request that has been read may run and is not ended: it stays
-held until it is answered.
+other. If data does not fit, the slowest transfers are ended until it does.
+
+A transfer younger than `MIN_ENDED_AGE_S` is never ended, and an older one never ends one
+that is faster. A request that has been read may run and is not ended: it stays held
+until it is answered. An answer that was read from its endpoint is delivered even if the
+budget is used up meanwhile.
 """
 
 from collections.abc import Callable
@@ -119,13 +121,20 @@
         """Return the mean rate of the transfer so far."""
         return self._transferred_bytes() / max(self.age_s(now), 0.001)
 
-    def grow(self, count: int) -> bool:
-        """Hold more bytes; return whether there is room for them."""
+    def grow(self, count: int, *, is_required: bool = False) -> bool:
+        """Hold more bytes; return whether there is room for them.
+
+        Parameters
+        ----------
+        is_required : bool
+            Whether the bytes are held even if there is no room, because they are in
+            memory already and must be delivered.
+        """
         size_bytes = self._size_bytes + count
         added_bytes = (
             max(size_bytes - self._budget.uncounted_bytes, 0) - self._held_bytes
         )
-        if not self._budget.take(self, added_bytes):
+        if not self._budget.take(self, added_bytes, is_required=is_required):
             return False
         self._size_bytes = size_bytes
         self._held_bytes += added_bytes
@@ -205,9 +214,11 @@
             self._holdings.remove(holding)
             self._held_bytes[holding.kind] -= holding.held_bytes
 
-    def take(self, holding: Holding, count: int) -> bool:
-        """Count more bytes of a transfer; return whether there is room for them."""
-        if holding not in self._holdings or not self._make_room(holding, count):
+    def take(self, holding: Holding, count: int, *, is_required: bool = False) -> bool:
+        """Count more bytes of a transfer; return whether they are counted."""
+        if holding not in self._holdings:
+            return False
+        if not self._make_room(holding, count) and not is_required:
             return False
         self._held_bytes[holding.kind] += count
         return True
--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -24,7 +24,6 @@
     api_key,
     incoming_request,
     response_to,
-    unsent_response,
     with_workspace,
 )
 from bankrudder.platform._transfers import (
@@ -144,17 +143,23 @@
     async def _send_within(
         self, budget: MemoryBudget, request: web.BaseRequest, response: web.Response
     ) -> web.Response:
-        """Send a response, whose body counts against the budget until it is sent."""
+        """Send a response, whose body counts against the budget until it is sent.
+
+        Results of a batch that do not fit are refused: other hosts have them, too.
+        """
+        is_repeatable = request.path.startswith(
+            (names.BATCH_PATH_PREFIX, names.SAMPLE_PATH_PREFIX)
+        )
         try:
-            await send_answer(request, response, budget)
+            await send_answer(request, response, budget, is_repeatable=is_repeatable)
         except NoMemoryError:
             _log.warning(
                 "front: no memory for an answer",
-                request=request.headers.get(names.REQUEST_ID, ""),
+                path=request.path,
                 held_bytes=budget.held_bytes,
                 budget_bytes=budget.limit_bytes,
             )
-            return unsent_response(request.path)
+            return response_to(NotRun(RejectReason.NO_MEMORY, MEMORY_RETRY_AFTER_S))
         return response
 
     def _no_memory_for_request(self, request: web.BaseRequest) -> web.Response:
--- a/src/bankrudder/platform/_requests.py
+++ b/src/bankrudder/platform/_requests.py
@@ -10,7 +10,6 @@
     Malformed,
     NotFound,
     NotRun,
-    RejectReason,
     Relayed,
     Reply,
     Unanswered,
@@ -107,13 +106,3 @@
             return web.Response(status=400, text=f"malformed: {field}\n")
         case Unanswered(is_timeout=is_timeout):
             return web.Response(status=504 if is_timeout else 502)
-
-
-def unsent_response(path: str) -> web.Response:
-    """Return the response to a request whose answer this host cannot hold.
-
-    Results of a batch can be read again. Any other request may have run.
-    """
-    if path.startswith((names.BATCH_PATH_PREFIX, names.SAMPLE_PATH_PREFIX)):
-        return response_to(NotRun(RejectReason.NO_MEMORY, MEMORY_RETRY_AFTER_S))
-    return response_to(Unanswered(RejectReason.NO_MEMORY, is_timeout=False))
--- a/src/bankrudder/platform/_transfers.py
+++ b/src/bankrudder/platform/_transfers.py
@@ -105,16 +105,26 @@
 
 
 async def send_answer(
-    request: web.BaseRequest, response: web.Response, budget: MemoryBudget
+    request: web.BaseRequest,
+    response: web.Response,
+    budget: MemoryBudget,
+    *,
+    is_repeatable: bool,
 ) -> None:
     """Send an answer, whose body counts against the budget until it is sent.
 
     A small answer does not count and is left to the server.
 
+    Parameters
+    ----------
+    is_repeatable : bool
+        Whether the caller can get the same answer from another host. Any other answer
+        is sent even if it does not fit into the budget.
+
     Raises
     ------
     NoMemoryError
-        If the body does not fit into the budget. Nothing is sent.
+        If the answer is repeatable and does not fit. Nothing is sent.
     """
     size = len(response.body) if isinstance(response.body, bytes) else 0
     if size <= budget.uncounted_bytes:
@@ -125,7 +135,7 @@
         lambda: _abort(request),
     )
     try:
-        if not holding.grow(size):
+        if not holding.grow(size, is_required=not is_repeatable):
             raise NoMemoryError
         await response.prepare(request)
         await response.write_eof()
--- a/tests/memory/test_budget.py
+++ b/tests/memory/test_budget.py
@@ -137,6 +137,18 @@
     assert budget.limit_bytes == budget_mb * BYTES_PER_MB
 
 
+def test_an_answer_that_must_be_delivered_is_held_beyond_the_budget(
+    budget, manual_clock
+):
+    others = Transfer(budget, manual_clock)
+    assert others.holding.grow(KIND_LIMIT)
+    ready = Transfer(budget, manual_clock)
+    assert not ready.holding.grow(KIND_LIMIT)
+    assert ready.holding.grow(KIND_LIMIT, is_required=True)
+    assert not others.is_ended
+    assert budget.held_bytes == 2 * KIND_LIMIT
+
+
 steps = st.tuples(
     st.integers(0, 4),  # which transfer grows
     st.integers(1, LIMIT),
