--- a/src/bankrudder/memory/_budget.py
+++ b/src/bankrudder/memory/_budget.py
@@ -9,8 +9,8 @@
 requests nor answers may use all of the budget, so that neither takes the room of the
 other. If data does not fit, the slowest transfers are ended until it does.
 
-A transfer younger than `MIN_ENDED_AGE_S` is never ended, and an older one never ends one
-that is faster. A request that has been read may run and is not ended: it stays held
+A transfer younger than `MIN_ENDED_AGE_S` is never ended, and an older one never ends
+one that is faster. A request that has been read may run and is not ended: it stays held
 until it is answered. An answer that was read from its endpoint is delivered even if the
 budget is used up meanwhile.
 """
