--- a/src/bankrudder/batches/_moving.py
+++ b/src/bankrudder/batches/_moving.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from bankrudder.batches._slot_queue import SlotDemand
 
-WISH_EVENT_COUNT = 8
+CLAIM_EVENT_COUNT = 8
 """Time for which a sample that would gain by moving goes before others after its last
 move check, in events of its engine. Two move checks fall into this time; a run that
 misses both has stalled, and must not keep others from a free slot."""
@@ -46,14 +46,14 @@
 
 
 @dataclass(frozen=True)
-class _Wish:
+class _PossibleMove:
     """A running sample that would gain by moving, and by how much at best."""
 
     view: RunView
     saving_s: float
     until: float
 
-    def is_rival_of(self, demand: "SlotDemand") -> bool:
+    def competes_with(self, demand: "SlotDemand") -> bool:
         """Whether the sample needs the same engines as one with a demand."""
         own = self.view.demand
         return (
@@ -98,7 +98,7 @@
         self._accepts = accepts
         self._free_slot_count = free_slot_count
         self._has_cached_prompt = has_cached_prompt
-        self._wishes: dict[SampleId, _Wish] = {}
+        self._possible_moves: dict[SampleId, _PossibleMove] = {}
         self._moved: dict[SampleId, tuple[EndpointRun, EndpointRun]] = {}
         self._avoided: dict[EndpointRun, float] = {}
         self._counts: Counter[MoveReason] = Counter()
@@ -143,17 +143,17 @@
             and (move := self._move_to(view, engine)) is not None
         ]
         if not options:
-            self._wishes.pop(view.demand.sample, None)
+            self._possible_moves.pop(view.demand.sample, None)
             return None
         options.sort(key=lambda option: -_saving_s(option[0]))
-        self._wish(view, options[0][0])
+        self._note_possible_move(view, options[0][0])
         sample = view.demand.sample
         free = [
             option
             for option in options
             for _ in range(self._free_slot_count(option[1], sample))
         ]
-        position = self._rival_count(view, free) if free else 0
+        position = self._competitor_count(view, free) if free else 0
         if position < len(free):
             return PlannedMove(*free[position], has_slot=True)
         return PlannedMove(*options[0], has_slot=False)
@@ -180,7 +180,7 @@
 
     def note_end(self, sample: SampleId, run: EndpointRun) -> None:
         """Record that a run of a sample ended."""
-        self._wishes.pop(sample, None)
+        self._possible_moves.pop(sample, None)
         if sample in self._moved and self._moved[sample][1] == run:
             del self._moved[sample]
 
@@ -191,7 +191,7 @@
 
     def forget(self, sample: SampleId) -> None:
         """Remove a sample that ended or was given up."""
-        self._wishes.pop(sample, None)
+        self._possible_moves.pop(sample, None)
         self._moved.pop(sample, None)
 
     def _move_to(self, view: RunView, engine: TrackedEndpoint) -> Move | None:
@@ -223,12 +223,14 @@
             for sample, moved in self._moved.items()
         )
 
-    def _wish(self, view: RunView, move: Move) -> None:
+    def _note_possible_move(self, view: RunView, move: Move) -> None:
         now = self._clock.monotonic()
-        until = now + WISH_EVENT_COUNT * view.sample.present_gap_s
-        self._wishes[view.demand.sample] = _Wish(view, _saving_s(move), until)
+        until = now + CLAIM_EVENT_COUNT * view.sample.present_gap_s
+        self._possible_moves[view.demand.sample] = _PossibleMove(
+            view, _saving_s(move), until
+        )
 
-    def _rival_count(
+    def _competitor_count(
         self, view: RunView, free: Sequence[tuple[Move, TrackedEndpoint]]
     ) -> int:
         """Return how many other samples save more and may take the best free slot.
@@ -236,17 +238,17 @@
         No more are counted than there are free slots.
         """
         now = self._clock.monotonic()
-        own_saving_s = self._wishes[view.demand.sample].saving_s
+        own_saving_s = self._possible_moves[view.demand.sample].saving_s
         _, best_engine = free[0]
-        rivals = (
-            wish
-            for wish in self._wishes.values()
-            if wish.saving_s > own_saving_s
-            and now < wish.until
-            and wish.is_rival_of(view.demand)
-            and self._move_to(wish.view, best_engine) is not None
+        competitors = (
+            possible
+            for possible in self._possible_moves.values()
+            if possible.saving_s > own_saving_s
+            and now < possible.until
+            and possible.competes_with(view.demand)
+            and self._move_to(possible.view, best_engine) is not None
         )
-        return sum(1 for _ in islice(rivals, len(free)))
+        return sum(1 for _ in islice(competitors, len(free)))
 
 
 def _saving_s(move: Move) -> float:
--- a/src/bankrudder/overload/_pacing.py
+++ b/src/bankrudder/overload/_pacing.py
@@ -30,8 +30,7 @@
 as most of a long line is rejected."""
 
 REFUSAL_FACTOR = 0.9
-"""Factor of the pace with each refused request. A host that is asked 10 requests per
-second, and sends as many, is refused about twice in three times."""
+"""Factor of the pace with each refused request: seven refusals halve it."""
 
 
 class SendPacer:
