--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -4,22 +4,24 @@
 engine fails or another one is faster, the next run resumes after the last event.
 """
 
-import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
 
 import structlog
 
-from bankrudder.batches._dispatcher import Dispatcher, SlotDemand
+from bankrudder.batches._admission import wait_for_admission
+from bankrudder.batches._dispatcher import Dispatcher
 from bankrudder.batches._event_timeout import (
     enter_stream,
     event_timeout_s,
     with_event_timeout,
 )
 from bankrudder.batches._failures import SampleFailedError, StaleWeightsError
+from bankrudder.batches._sample_moves import SampleMoves
+from bankrudder.batches._slot_queue import SlotDemand
 from bankrudder.batches._text import SampleText, can_resume
 from bankrudder.batches._values import Batch, Progress, Sample
-from bankrudder.crashes import Admission, CrashGuard, Send, content_id
+from bankrudder.crashes import CrashGuard, Send, content_id
 from bankrudder.fleet import (
     Answered,
     EndpointClient,
@@ -29,6 +31,7 @@
     OutgoingRequest,
     RefusalReason,
     Refused,
+    ReportedLoad,
     RunEndedError,
     StreamBrokenError,
     StreamEvent,
@@ -39,20 +42,12 @@
 from bankrudder.routing import Route
 from bankrudder.world import Clock, ModelVersion
 
-EVENTS_PER_MOVE_CHECK = 4
-"""Number of events between two checks whether a sample should move."""
-
 METHOD = "POST"
 """HTTP method of the requests to engines."""
 
 MIN_RUN_TIMEOUT_S = 0.5
 """Shortest timeout of a request, however near the deadline of the sample is."""
 
-MAX_HOLD_S = 1.0
-"""Longest pause before a sample under which engines crashed is checked again. An answer
-to the same request on any host, or another sample that explains the crashes, may clear
-it at any time."""
-
 STATUS_UNPROCESSABLE = 422
 """Status with which an engine refuses a sample that can never be generated."""
 
@@ -70,6 +65,8 @@
         Progress of an earlier owner or batch; ignored if its versions are unusable.
     deadline : float
         Monotonic time at which the sample is given up.
+    due_at : float, optional
+        Monotonic time at which the results of the batch are due, None if unknown.
     """
 
     def __init__(
@@ -85,6 +82,7 @@
         deadline: float,
         tracer: Tracer,
         progress: Progress | None = None,
+        due_at: float | None = None,
     ):
         self._tracer = tracer
         self._batch = batch
@@ -107,9 +105,11 @@
         )
         self._clock = clock
         self._deadline = deadline
+        self._moves = SampleMoves(batch.id, sample, dispatcher, clock, due_at)
         self._text = SampleText()
         self._error_answer_count = 0
         self._run_count = 0
+        self._is_running = False
         self._waited_s = 0.0
         self._longest_gap_s = 0.0
         self._run_started_at = 0.0
@@ -128,6 +128,16 @@
         """The text generated so far."""
         return self._text
 
+    @property
+    def rank(self) -> tuple[float, ...]:
+        """Rank of the sample in the usual order."""
+        return self._rank
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the sample has a slot."""
+        return self._is_running
+
     @property
     def run_count(self) -> int:
         """Number of runs on engines so far."""
@@ -159,17 +169,21 @@
         try:
             await self._generate(trace)
         finally:
+            self._moves.end()
             self._crashes.share_strikes(self._content_id)
 
     async def _generate(self, trace: str) -> None:
         while not self._text.is_whole:
-            is_suspect = await self._wait_for_admission()
+            is_suspect = await wait_for_admission(
+                self._crashes, self._content_id, self._batch.id, self._sample.id
+            )
             requested_at = self._clock.monotonic()
             route = self._current_route()
             demand = self._demand(route, is_suspect)
             target = await self._dispatcher.acquire(demand)
             self._waited_s += self._clock.monotonic() - requested_at
             self._run_count += 1
+            self._is_running = True
             span = self._tracer.span(
                 "batches.run",
                 trace,
@@ -179,31 +193,14 @@
             )
             try:
                 with span:
+                    self._moves.begin_run(target, len(self._text))
                     await self._run_on_engine(target, demand)
                     span.set(events=len(self._text), is_whole=self._text.is_whole)
             finally:
+                self._is_running = False
+                self._moves.end_run(target, len(self._text))
                 self._dispatcher.release(target, demand.group, demand.is_suspect)
 
-    async def _wait_for_admission(self) -> bool:
-        """Wait until the sample may run; return whether it is a suspect."""
-        is_logged = False
-        while True:
-            decision = self._crashes.decision(self._content_id)
-            if decision.admission is not Admission.REFUSED:
-                return decision.admission is Admission.ALONE
-            if not is_logged:
-                is_logged = True
-                _log.warning(
-                    "batches: sample held back",
-                    batch=self._batch.id,
-                    sample=self._sample.id,
-                    content=self._content_id,
-                    reason="crashes_endpoints",
-                    strikes=decision.strikes,
-                    retry_after_s=round(decision.retry_after_s, 1),
-                )
-            await asyncio.sleep(min(decision.retry_after_s, MAX_HOLD_S))
-
     def _demand(self, route: Route, is_suspect: bool) -> SlotDemand:
         return SlotDemand(
             self._sample.id,
@@ -230,13 +227,15 @@
             stream = self._client.open_stream(target.endpoint, self._outgoing_request())
             match await enter_stream(stack, stream):
                 case OpenedStream(
-                    version=version, events=events, keep_alive_s=keep_alive_s
+                    version=version, events=events, keep_alive_s=keep_alive_s, load=load
                 ):
+                    self._note_slowdown(target, load)
                     await self._consume_stream(target, demand, version, events)
                     if self._text.is_whole:
                         now = self._clock.monotonic()
                         target.note_connection(keep_alive_s, now)
-                case Refused(reason=RefusalReason.FULL):
+                case Refused(reason=RefusalReason.FULL, load=load):
+                    self._note_slowdown(target, load)
                     self._dispatcher.pause(target, self._batch.model)
                 case Refused(reason=reason):
                     self._record_failure(target, reason.value)
@@ -246,6 +245,14 @@
                 case Answered(status=status):
                     self._handle_error_status(target, status)
 
+    def _note_slowdown(
+        self, target: TrackedEndpoint, load: ReportedLoad | None
+    ) -> None:
+        # Without a slowdown, `running` would count this host's own samples as load of
+        # the engine for the choice of other requests.
+        if load is not None and load.slowdown is not None:
+            target.note_load(load, self._clock.monotonic())
+
     @property
     def _is_single_version(self) -> bool:
         return self._route is not None and self._route.is_single_version
@@ -281,8 +288,6 @@
     ) -> None:
         began = self._clock.monotonic()
         last_event_at = began
-        last_check_at: float | None = None
-        count = 0
         try:
             async for event in with_event_timeout(
                 events, lambda: event_timeout_s(target.event_gap_s)
@@ -292,17 +297,10 @@
                 last_event_at = now
                 self._add_event(target, event, version)
                 version = event.version or version
-                if last_check_at is None:
-                    target.note_alive()
-                    last_check_at = now
-                    continue
-                count += 1
-                if count % EVENTS_PER_MOVE_CHECK == 0:
-                    target.note_event_gap((now - last_check_at) / EVENTS_PER_MOVE_CHECK)
-                    last_check_at = now
-                    if self._dispatcher.should_move(demand, target, len(self._text)):
-                        self._log_run_end(target, "a faster engine has a free slot")
-                        return
+                move = self._moves.note_event(target, demand, now, len(self._text))
+                if move is not None:
+                    self._log_run_end(target, move.reason.value)
+                    return
         except StreamBrokenError as error:
             self._record_failure(target, str(error))
             await self._report_lost(target, LossReason.BROKEN_OFF)
@@ -316,7 +314,8 @@
             return
         self._text.is_whole = True
         self._crashes.note_answer(self._content_id)
-        target.note_answer(self._clock.monotonic() - began)
+        now = self._clock.monotonic()
+        target.note_answer(now - began, now)
 
     def _add_event(
         self, target: TrackedEndpoint, event: StreamEvent, version: ModelVersion | None
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -10,9 +10,12 @@
 from bankrudder.feeds import FeedRole
 from bankrudder.logs import LogRateLimiter
 from bankrudder.node._adapter import Adapter
+from bankrudder.node._background import background_tasks
 from bankrudder.node._components import NodeComponents
 from bankrudder.node._settings import NodeSettings
+from bankrudder.node._speed_samples import speed_samples
 from bankrudder.observe import MonitoringServer, Sample
+from bankrudder.scheduling import MoveReason
 from bankrudder.world import Clock
 
 if TYPE_CHECKING:
@@ -83,13 +86,15 @@
     def reload(self, settings: NodeSettings) -> None:
         """Apply the settings that may change while the node runs.
 
-        These are the grace period and the duration of leases. Changes of listeners,
-        names and the store take effect at the next start.
+        These are the grace period and the duration of leases; the level of the log is
+        applied by the caller. Changes of listeners, names and the store take effect at
+        the next start.
         """
         _log.info(
             "node: settings reloaded",
             grace_s=settings.grace_s,
             lease_ms=settings.lease_ms,
+            log_level=settings.log_level.value,
         )
         self._settings = msgspec.structs.replace(
             self._settings, grace_s=settings.grace_s, lease_ms=settings.lease_ms
@@ -125,11 +130,8 @@
         self._start_task("crashes", self._components.crashes.run)
         self._start_task("lease", self._components.lease.run)
         self._start_task("orders", self._components.switcher.run)
-        self._start_task("paces", self._components.share_paces)
-        for name, function in self._components.platform_duties().items():
+        for name, function in background_tasks(self._components).items():
             self._start_task(name, function)
-        for name, clean in self._components.cleaning_tasks().items():
-            self._start_task(f"cleaning {name}", clean)
         if self._settings.feeds is not None:
             election = self._components.make_election(self._settings.feeds)
             self._start_task("feeds", election.run)
@@ -166,6 +168,12 @@
             "bankrudder_samples_waiting": (
                 self._components.batches.waiting_sample_count
             ),
+            "bankrudder_groups_in_time": (
+                self._components.batches.step_planner.in_time_count
+            ),
+            "bankrudder_groups_deferred": (
+                self._components.batches.step_planner.deferred_count
+            ),
             "bankrudder_endpoints_listed": len(self._components.directory),
             "bankrudder_endpoints_unreadable": (
                 self._components.directory.unreadable_count
@@ -175,6 +183,7 @@
                 self._components.crashes.refused_count
             ),
             "bankrudder_requests_in_progress": self._callers.in_progress,
+            "bankrudder_held_bytes": self._callers.held_bytes,
             "bankrudder_orders_lease_held": int(self._components.lease.is_valid),
             "bankrudder_hosts_alive": len(self._components.presence.live_hosts()),
             "bankrudder_ready": int(self._components.gateway.is_ready),
@@ -189,6 +198,43 @@
             yield Sample.gauge(name, value)
         for table, age_s in self._components.platform_state.table_ages_s().items():
             yield Sample.gauge("bankrudder_table_age_seconds", age_s, table=table)
+        yield from self._line_samples()
+        yield from self._move_samples()
+        yield from speed_samples(
+            self._components.directory.all(), self._clock.monotonic()
+        )
+
+    def _move_samples(self) -> Iterable[Sample]:
+        """Yield the moves of running samples, and the time that these saved."""
+        moves = self._components.batches.moves
+        for reason in MoveReason:
+            yield Sample.counter(
+                "bankrudder_sample_moves_total",
+                moves.counts[reason],
+                reason=reason.name.lower(),
+            )
+        savings_s = {"expected": moves.expected_saving_s, "seen": moves.seen_saving_s}
+        for kind, seconds in savings_s.items():
+            yield Sample.gauge(
+                "bankrudder_sample_move_saving_seconds", seconds, kind=kind
+            )
+
+    def _line_samples(self) -> Iterable[Sample]:
+        """Yield the gauges of the lines in which requests wait for slots."""
+        lines = self._components.lines
+        for state in lines.states() if lines is not None else ():
+            gauges = {
+                "bankrudder_line_requests": state.waiting,
+                "bankrudder_repeat_budget": state.repeat_budget,
+                "bankrudder_answer_estimate_seconds": state.estimate_s,
+            }
+            for name, value in gauges.items():
+                yield Sample.gauge(
+                    name,
+                    value,
+                    service=state.key.service,
+                    data_centres=",".join(state.key.data_centres),
+                )
 
     def _start_task(self, name: str, function: Callable[[], Awaitable[None]]) -> None:
         self._tasks.append(
