Admission of calls: a name that is not one of the platform's

Cause: tests/platform/test_name_isolation.py failed: a local name is a field of the platform's documents. It is renamed; nothing else changes.

--- a/src/bankrudder/calls/_admission.py
+++ b/src/bankrudder/calls/_admission.py
@@ -204,7 +204,7 @@
         latency_s = self._directory.mean_latency_s(queue_key.service)
         if not self._rejects_hopeless or latency_s is None:
             return
-        slot_count = sum(
+        usable_slots = sum(
             each.endpoint.slots
             for each in self._directory.of_service(
                 queue_key.service, queue_key.data_centres
@@ -212,7 +212,7 @@
         )
         place = sum(each < entry for each in queue.waiting)
         # All slots may be used by requests before it; none is known to be used longer.
-        wait_s = place * latency_s / max(slot_count, 1)
+        wait_s = place * latency_s / max(usable_slots, 1)
         left_s = deadline - self._clock.monotonic()
         if wait_s + FAST_ANSWER_SHARE * latency_s <= left_s:
             return
