--- a/review/harness.py
+++ b/review/harness.py
@@ -240,7 +240,8 @@
 
     async def stop(self):
         """Stop listening."""
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
 
     def entry(self):
         """Return the entry of the list of servers, with the next sequence number."""
@@ -350,6 +351,10 @@
 
 
 async def _run_case(case, record):
+    # A terminated script ends its daemons, too.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, asyncio.current_task().cancel
+    )
     async with asyncio.timeout(110):
         with tempfile.TemporaryDirectory(prefix="review-") as folder:
             return await case(Path(folder), record, os.environ.get("TROUBLE") != "0")
@@ -369,7 +374,7 @@
     record = Record(folder / "record.txt")
     try:
         violations = asyncio.run(_run_case(case, record))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.note(f"NOT RUN: {type(error).__name__}: {error}")
         print(f"not run: {type(error).__name__}: {error}", file=sys.stderr)
         sys.exit(EXIT_NOT_RUN)
