--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,9 +21,9 @@
 WORK_S = 0.0375
 
 METHODS = ("POST", "PUT", "GET", "DELETE")
-REQUEST_COUNT = 400
+REQUEST_COUNT = 300
 REQUESTS_PER_S = 80.0
-"""400 requests in 5 s: the disruption is allowed to last for 5.5 s."""
+"""300 requests in 3.75 s: the disruption is allowed to last for 4.0 s."""
 
 TIME_BUDGET_MS = 1500
 
