Weigh crashes elsewhere and progress before a request is refused for crashes

What callers saw: after a series of crashes of engines, one down at a time, some samples of the running step were at no engine any more, for ten minutes, also in later steps and at other owners.

Cause: three crashes were taken as proof that a content crashes endpoints. A sample runs for seconds and goes on at the next engine at once, so that a series of crashes meets some of a hundred samples three times. That other engines crashed without it, and that its attempts ended at different points of its text, was not weighed.

Evidence: in a run of the case with the daemons' logs kept, exactly the five samples that were at no engine had three strikes and the line "sample held back" (600 s); samples with one or two strikes ran at once, as did all others of the next steps, so that neither the separation of suspects nor the restarted engines did it. The line of a crash now says at which events the attempt began and ended.

Why this works: a request that crashes endpoints does so at one point, by its position or by the work of the attempt. Where the points vary, crashes of the series without the request are subtracted from those with it. A request that got well past the first crash is allowed one more, alone and after three seconds, which is less than a step can wait. Requests that crash at one point, all plain ones among them, are limited as before, and those that vary no longer explain their crashes. Streams of callers had the same fault and take the same way.

--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -118,6 +118,7 @@
         self._waited_s = 0.0
         self._longest_gap_s = 0.0
         self._run_started_at = 0.0
+        self._first_event = 0
         if progress is not None and can_resume(
             progress, batch.min_version, needs_single_version=self._is_single_version
         ):
@@ -220,6 +221,7 @@
 
     async def _run_on_engine(self, target: TrackedEndpoint, demand: SlotDemand) -> None:
         self._run_started_at = self._clock.monotonic()
+        self._first_event = self._text.next_number
         try:
             async with within_run(target):
                 await self._generate_on(target, demand)
@@ -358,7 +360,13 @@
         self._log_run_end(target, reason)
 
     async def _report_lost(self, target: TrackedEndpoint, reason: LossReason) -> None:
-        send = Send(self._content_id, target, self._run_started_at)
+        send = Send(
+            self._content_id,
+            target,
+            self._run_started_at,
+            first_event=self._first_event,
+            next_event=self._text.next_number,
+        )
         await self._crashes.note_lost(send, reason)
 
     def _log_run_end(self, target: TrackedEndpoint, reason: str) -> None:
--- a/src/bankrudder/crashes/_admission.py
+++ b/src/bankrudder/crashes/_admission.py
@@ -24,6 +24,12 @@
 can only be distinguished by another attempt, so both are refused only for the shorter
 `AMBIGUOUS_PAUSES_S`, and the next crash or answer decides.
 
+A long request may be in progress at several of the endpoints that crash in a series
+which it did not cause. If the crashes came at different points of its work, those of
+the series without it are subtracted from those with it. If it also got well past the
+first of them, it is allowed one crash more, the last one after `SERIES_PAUSE_S`, and
+nothing limits it below that.
+
 A lost request whose endpoint may have restarted before it was probed is a doubtful
 strike for `RESTART_DETECTION_S`, within which the restart is learned. Doubtful strikes
 alone limit nothing, because lost answers are usually not crashes. They count in
@@ -33,12 +39,21 @@
 
 from collections.abc import Iterable, Mapping
 
+from bankrudder.crashes._attribution import (
+    MIN_PROGRESS_EVENTS,
+    StrikesByContent,
+    crashed_at_varying_points,
+    has_progressed,
+    progress,
+    unrelated_crash_count,
+)
 from bankrudder.crashes._content import ContentId
 from bankrudder.crashes._evidence import RESTART_DETECTION_S
 from bankrudder.crashes._values import (
     FREE,
     Admission,
     AdmissionDecision,
+    Crash,
     Strike,
     UnixTime,
 )
@@ -50,6 +65,11 @@
 not enough evidence. A small service has no more than three endpoints, so a higher limit
 would not protect it."""
 
+SERIES_PAUSE_S = 3.0
+"""Refusal period before the last attempt of a content whose attempts got further each
+time. A series of crashes may end meanwhile, and restarted endpoints are listed again.
+"""
+
 ALONE_THRESHOLD = CRASH_LIMIT - 1
 """Number of crashes from which a content is sent to one endpoint at a time, because two
 concurrent attempts could crash two more endpoints."""
@@ -76,7 +96,7 @@
 """Time after its last strike for which the strikes of a content are kept if there are
 `CRASH_LIMIT` or more."""
 
-StrikesByContent = Mapping[ContentId, Mapping[EndpointRun, Strike]]
+NO_CRASHES: Mapping[EndpointRun, Crash] = {}
 
 
 def decide_admission(
@@ -84,6 +104,7 @@
     strikes: StrikesByContent,
     now: UnixTime,
     doubts: Iterable[Strike] = (),
+    crashes: Mapping[EndpointRun, Crash] = NO_CRASHES,
 ) -> AdmissionDecision:
     """Return whether a request with this content may be sent now.
 
@@ -93,17 +114,20 @@
         The certain strikes of all contents.
     doubts : iterable of Strike
         The doubtful strikes of this content.
+    crashes : mapping
+        The recent crashes that are known, by run.
     """
-    certain = _decide_by_certain(content, strikes, now)
+    if not strikes.get(content):
+        return FREE
     recent = [each for each in doubts if doubt_left_s(each, now) > 0]
+    certain = _decide_by_certain(content, strikes, now, crashes)
     if not recent or not certain.strikes or certain.admission is Admission.REFUSED:
         return certain
-    own_strikes = strikes[content]
-    counted = [own_strikes[run] for run in _unexplained_runs(content, strikes)]
-    count = _sequential_count([*counted, *recent])
-    if count < ALONE_THRESHOLD:
+    limit = _limit(content, strikes)
+    count = _crash_count(content, strikes, crashes, recent)
+    if count < limit - 1:
         return certain
-    if count < CRASH_LIMIT:
+    if count < limit:
         return AdmissionDecision(Admission.ALONE, count)
     left_s = max(doubt_left_s(each, now) for each in recent)
     return AdmissionDecision(Admission.REFUSED, count, left_s)
@@ -116,19 +140,26 @@
 
 
 def _decide_by_certain(
-    content: ContentId, strikes: StrikesByContent, now: UnixTime
+    content: ContentId,
+    strikes: StrikesByContent,
+    now: UnixTime,
+    crashes: Mapping[EndpointRun, Crash],
 ) -> AdmissionDecision:
-    own_strikes = strikes.get(content)
-    if not own_strikes:
-        return FREE
+    own_strikes = strikes[content]
     counted = _unexplained_runs(content, strikes)
     if len(counted) < ALONE_THRESHOLD:
         return AdmissionDecision(Admission.FREE, len(counted))
-    count = _sequential_count(own_strikes[run] for run in counted)
-    if count < CRASH_LIMIT:
-        return AdmissionDecision(Admission.ALONE, count)
+    count = _crash_count(content, strikes, crashes)
+    limit = _limit(content, strikes)
+    if count < limit - 1 and crashed_at_varying_points(own_strikes.values()):
+        return AdmissionDecision(Admission.FREE, count)
+    pause_s = 0.0
+    if count >= limit:
+        is_unambiguous = _is_unambiguous(content, counted, strikes)
+        pause_s = _pause_s(count - limit, is_unambiguous)
+    elif has_progressed(own_strikes.values()):
+        pause_s = SERIES_PAUSE_S
     last = max(own_strikes[run].lost_at for run in counted)
-    pause_s = _pause_s(count - CRASH_LIMIT, _is_unambiguous(content, counted, strikes))
     # A clock that is set back must not extend the refusal period.
     left_s = min(last + pause_s - now, pause_s)
     if left_s <= 0:
@@ -136,6 +167,26 @@
     return AdmissionDecision(Admission.REFUSED, count, left_s)
 
 
+def _limit(content: ContentId, strikes: StrikesByContent) -> int:
+    """Return the number of crashes after which a content is refused."""
+    return CRASH_LIMIT + has_progressed(strikes[content].values())
+
+
+def _crash_count(
+    content: ContentId,
+    strikes: StrikesByContent,
+    crashes: Mapping[EndpointRun, Crash],
+    doubts: Iterable[Strike] = (),
+) -> int:
+    """Count the crashes that are attributed to a content, with its doubtful strikes."""
+    own_strikes = strikes[content]
+    counted = [own_strikes[run] for run in _unexplained_runs(content, strikes)]
+    count = _sequential_count([*counted, *doubts])
+    if crashed_at_varying_points(own_strikes.values()):
+        count -= unrelated_crash_count(content, strikes, crashes, CRASH_LIMIT)
+    return max(count, 0)
+
+
 def is_outdated(runs: Mapping[EndpointRun, Strike], now: UnixTime) -> bool:
     """Whether the strikes of a content are too old to be kept."""
     keep_s = RETENTION_S if len(runs) >= CRASH_LIMIT else RETENTION_BELOW_LIMIT_S
@@ -167,15 +218,18 @@
     """Return the runs whose crash no other content explains.
 
     A content explains the crashes that it shares with `content` if it has more strikes
-    than `content`, and at least `CRASH_LIMIT`.
+    than `content`, and at least `CRASH_LIMIT`. A content whose crashes came at varying
+    points explains only those of other such contents.
     """
     own_strikes = strikes[content]
+    is_varying = crashed_at_varying_points(own_strikes.values())
     left = set(own_strikes)
     for other, runs in strikes.items():
         if (
             other != content
             and len(runs) >= CRASH_LIMIT
             and len(runs) > len(own_strikes)
+            and is_varying >= crashed_at_varying_points(runs.values())
         ):
             left -= runs.keys()
     return frozenset(left)
@@ -184,9 +238,18 @@
 def _is_unambiguous(
     content: ContentId, counted: frozenset[EndpointRun], strikes: StrikesByContent
 ) -> bool:
-    """Whether no other content has strikes for all of the counted runs."""
+    """Whether no other content has strikes for all of the counted runs.
+
+    Of contents that did not get further each time, one that made more progress than
+    another is less likely to have caused their crashes.
+    """
+    own_progress = progress(strikes[content].values())
+    has_excuse = own_progress >= MIN_PROGRESS_EVENTS
     return not any(
-        other != content and counted <= runs.keys() for other, runs in strikes.items()
+        other != content
+        and counted <= runs.keys()
+        and (has_excuse or progress(runs.values()) <= own_progress)
+        for other, runs in strikes.items()
     )
 
 
--- a/src/bankrudder/crashes/_guard.py
+++ b/src/bankrudder/crashes/_guard.py
@@ -7,7 +7,7 @@
 import msgspec
 import structlog
 
-from bankrudder.crashes._admission import doubt_left_s
+from bankrudder.crashes._admission import ALONE_THRESHOLD, doubt_left_s
 from bankrudder.crashes._content import ContentId
 from bankrudder.crashes._evidence import (
     LISTED_ALIVE_S,
@@ -289,15 +289,20 @@
         if self._shared.has(strike):
             self._shared.put(strike)
         decision = self.decision(loss.content)
+        strike_count = sum(1 for _ in self._registry.strikes(loss.content))
         _log.warning(
             "crashes: endpoint ended under a request",
             content=loss.content,
             endpoint=loss.target.endpoint.id,
+            first_event=loss.send.first_event,
+            next_event=loss.send.next_event,
             strikes=decision.strikes,
+            all_strikes=strike_count,
             admission=decision.admission.value,
             retry_after_s=round(decision.retry_after_s, 1),
         )
-        if decision.admission is not Admission.FREE:
+        is_limited = decision.admission is not Admission.FREE
+        if is_limited or strike_count >= ALONE_THRESHOLD:
             self.share_strikes(loss.content)
 
     def _strike_for(self, loss: Loss, is_doubtful: bool = False) -> Strike:
@@ -309,10 +314,13 @@
             self._times.at(loss.lost_at),
             is_doubtful,
             loss.send.request,
+            loss.target.endpoint.service,
+            loss.send.first_event,
+            loss.send.next_event,
         )
 
     def _withdraw(self, loss: Loss) -> None:
-        if not self._registry.remove(loss.content, loss.target.run):
+        if not self._registry.withdraw(loss.content, loss.target.run):
             return
         self._shared.remove([self._strike_for(loss)])
         _log.info(
--- a/src/bankrudder/crashes/_records.py
+++ b/src/bankrudder/crashes/_records.py
@@ -13,6 +13,7 @@
 from bankrudder.crashes._content import ContentId
 from bankrudder.crashes._values import Strike, UnixTime
 from bankrudder.fleet import EndpointId, EndpointRun, StartTime
+from bankrudder.routing import ServiceName
 from bankrudder.store import Put, RowKey
 
 CRASHES_TABLE = "crashes"
@@ -35,6 +36,10 @@
         `Strike.is_doubtful`.
     request : str
         `Strike.request`.
+    service : ServiceName
+        `Strike.service`.
+    first, next : int
+        `Strike.first_event` and `Strike.next_event`.
     """
 
     content: ContentId
@@ -44,6 +49,9 @@
     born: StartTime | None = None
     doubt: bool = False
     request: str = ""
+    service: ServiceName = ServiceName("")
+    first: int = 0
+    next: int = 0
 
 
 def row_key(strike: Strike) -> RowKey:
@@ -64,6 +72,9 @@
         run.born,
         strike.is_doubtful,
         strike.request,
+        strike.service,
+        strike.first_event,
+        strike.next_event,
     )
     return Put(row_key(strike), msgspec.json.encode(row))
 
@@ -78,4 +89,14 @@
     """
     row = msgspec.json.decode(value, type=_CrashRow)
     run = EndpointRun(row.endpoint, row.born)
-    return Strike(row.content, run, row.began, row.at, row.doubt, row.request)
+    return Strike(
+        row.content,
+        run,
+        row.began,
+        row.at,
+        row.doubt,
+        row.request,
+        row.service,
+        row.first,
+        row.next,
+    )
--- a/src/bankrudder/crashes/_registry.py
+++ b/src/bankrudder/crashes/_registry.py
@@ -4,6 +4,7 @@
 
 from bankrudder.crashes._admission import decide_admission, is_outdated
 from bankrudder.crashes._content import ContentId
+from bankrudder.crashes._crash_log import CrashLog
 from bankrudder.crashes._values import FREE, AdmissionDecision, Strike, UnixTime
 from bankrudder.fleet import EndpointRun
 
@@ -21,6 +22,7 @@
 
     def __init__(self) -> None:
         self._strikes: dict[ContentId, dict[EndpointRun, Strike]] = {}
+        self._crash_log = CrashLog()
 
     def __len__(self) -> int:
         return len(self._strikes)
@@ -38,7 +40,9 @@
         """Return whether a request with this content may be sent now."""
         if content not in self._strikes:
             return FREE
-        return decide_admission(content, self._strikes, now, doubts)
+        return decide_admission(
+            content, self._strikes, now, doubts, self._crash_log.crashes
+        )
 
     def strikes(self, content: ContentId) -> Iterator[Strike]:
         """Yield the strikes of a content."""
@@ -52,6 +56,7 @@
         # Several requests with the content may have been in progress at this run: the
         # first strike is kept.
         runs.setdefault(strike.run, strike)
+        self._crash_log.note(strike)
         evicted = []
         if len(runs) > MAX_RUNS:
             oldest = min(runs, key=lambda run: runs[run].lost_at)
@@ -68,6 +73,11 @@
             del self._strikes[content]
         return was_present
 
+    def withdraw(self, content: ContentId, run: EndpointRun) -> bool:
+        """Remove a strike whose endpoint is alive; return whether it was present."""
+        self._crash_log.withdraw(run)
+        return self.remove(content, run)
+
     def clear(self, content: ContentId) -> list[Strike]:
         """Remove all strikes of a content and return them."""
         strikes = list(self.strikes(content))
@@ -86,6 +96,4 @@
 
     def decisions(self, now: UnixTime) -> Iterable[AdmissionDecision]:
         """Return the decision on each content."""
-        return (
-            decide_admission(content, self._strikes, now) for content in self._strikes
-        )
+        return (self.decision(content, now) for content in self._strikes)
--- a/src/bankrudder/crashes/_values.py
+++ b/src/bankrudder/crashes/_values.py
@@ -7,6 +7,7 @@
 
 from bankrudder.crashes._content import ContentId
 from bankrudder.fleet import EndpointRun, TrackedEndpoint
+from bankrudder.routing import ServiceName
 
 UnixTime = NewType("UnixTime", float)
 """Unix time in seconds, because strikes outlive the process that observed them."""
@@ -20,12 +21,19 @@
     request : str
         Identifier that is common to the attempts of a request that may be hedged, empty
         for other attempts.
+    first_event : int
+        Number of the event at which the attempt started or resumed the answer.
+    next_event : int
+        Number of the first event that was not received; `first_event` unless the answer
+        is a stream.
     """
 
     content: ContentId
     target: TrackedEndpoint
     sent_at: float
     request: str = ""
+    first_event: int = 0
+    next_event: int = 0
 
 
 class Strike(msgspec.Struct, frozen=True):
@@ -41,6 +49,10 @@
         Whether it is not known yet if the endpoint crashed.
     request : str
         `Send.request` of the lost attempt.
+    service : ServiceName
+        Service of the endpoint, empty if unknown.
+    first_event, next_event : int
+        `Send.first_event` and `Send.next_event` of the lost attempt.
     """
 
     content: ContentId
@@ -49,6 +61,21 @@
     lost_at: UnixTime
     is_doubtful: bool = False
     request: str = ""
+    service: ServiceName = ServiceName("")
+    first_event: int = 0
+    next_event: int = 0
+
+    @property
+    def event_count(self) -> int:
+        """Number of events that the attempt returned before it was lost."""
+        return self.next_event - self.first_event
+
+
+class Crash(msgspec.Struct, frozen=True):
+    """The crash of one run of an endpoint, whatever was in progress there."""
+
+    service: ServiceName
+    at: UnixTime
 
 
 class Admission(Enum):
--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 
+import msgspec
 import structlog
 
 from bankrudder.crashes import Admission, CrashGuard, Send
@@ -186,7 +187,7 @@
         """Close the open attempt, if any, and report the request to the crash guard."""
         self._crashes.share_strikes(self._content)
         if self._attempt is not None and not self._is_answered:
-            self._crashes.note_abandoned(self._attempt.send)
+            self._crashes.note_abandoned(self._lost_send(self._attempt))
         await self._close()
 
     async def _resume(self, reason: str) -> OpenedStream:
@@ -239,7 +240,14 @@
         if target is None or self._left_s() < MIN_SEND_S:
             return None
         self._tried.append(target.endpoint.id)
-        send = Send(self._content, target, self._clock.monotonic())
+        first_event = self._last_event_number + 1
+        send = Send(
+            self._content,
+            target,
+            self._clock.monotonic(),
+            first_event=first_event,
+            next_event=first_event,
+        )
         self._attempt = StreamAttempt(send, self._admission() is Admission.ALONE)
         outcome = await self._open_attempt(self._attempt)
         match outcome:
@@ -261,7 +269,11 @@
 
     async def _note_lost(self, reason: LossReason) -> None:
         if self._attempt is not None:
-            await self._crashes.note_lost(self._attempt.send, reason)
+            await self._crashes.note_lost(self._lost_send(self._attempt), reason)
+
+    def _lost_send(self, attempt: StreamAttempt) -> Send:
+        next_event = self._last_event_number + 1
+        return msgspec.structs.replace(attempt.send, next_event=next_event)
 
     async def _choose(self) -> TrackedEndpoint | None:
         """Return the next endpoint.
