Count the events of a sample's attempts from zero

Before its first event a sample's next number is -1, which an attempt without events reported as its first and next event, and the first attempt with events as one more than it had. The decision compares differences of three events and more; the log line was wrong. tests/crashes and tests/node/test_crash_series.py pass.

--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -221,7 +221,7 @@
 
     async def _run_on_engine(self, target: TrackedEndpoint, demand: SlotDemand) -> None:
         self._run_started_at = self._clock.monotonic()
-        self._first_event = self._text.next_number
+        self._first_event = len(self._text)
         try:
             async with within_run(target):
                 await self._generate_on(target, demand)
@@ -365,7 +365,7 @@
             target,
             self._run_started_at,
             first_event=self._first_event,
-            next_event=self._text.next_number,
+            next_event=len(self._text),
         )
         await self._crashes.note_lost(send, reason)
 
