Send each request to an endpoint once, whatever its HTTP method is

What callers saw: a PUT, GET or DELETE request of a route that allows one run ran twice at an endpoint that lost the answer (TWICE); the caller could get a 200 of the second.

Cause: the HTTP client repeats requests with these methods once if their connection ends without an answer, below the relay, which decides by the kind of the route. Where the first run had ended the endpoint, the repetition found the port closed and the outcome was "refused", so that the relay sent the request to the next endpoint, and the guard against requests that crash endpoints did not count it.

Evidence: both runs are at one endpoint, 2 to 3 ms after the loss, with one attempt in the relay; POST and PATCH are not affected; a call of the endpoint client alone runs a PUT request twice. That rules out the relay's repeats and hedges.

Why this works: a client middleware turns the errors that the HTTP client repeats into one that it does not repeat. The sessions for endpoints (requests, streams, samples, reward calls, orders) and for duty calls use it. The store's client repeats reads and calls for objects itself, so that a write of an object that may have been applied is reported as unknown rather than as not done; commits are not repeated, as before.

--- a/src/bankrudder/platform/_duty_api.py
+++ b/src/bankrudder/platform/_duty_api.py
@@ -19,6 +19,7 @@
     UsageReport,
 )
 from bankrudder.platform import _names as names
+from bankrudder.platform._single_sends import send_once
 from bankrudder.world import Address
 
 CONNECT_TIMEOUT_S = 0.4
@@ -83,7 +84,9 @@
                 socket_factory=_resetting_socket,
             )
             self._session = aiohttp.ClientSession(
-                connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+                connector=connector,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                middlewares=(send_once,),
             )
         return self._session
 
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -88,7 +88,7 @@
 
 
 class HttpEndpointClient:
-    """Sends requests and orders to endpoints.
+    """Sends requests and orders to endpoints, each of them once.
 
     Each request states the endpoint that it is meant for, so that another endpoint at
     the same address refuses it.
@@ -180,6 +180,8 @@
                 _url(endpoint, names.STATE_PATH),
                 headers={names.EXPECTED_ENDPOINT: endpoint.id},
                 timeout=aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S),
+                # The HTTP client may repeat a query.
+                middlewares=(),
             ) as response:
                 if response.status != 200:
                     return None
--- a/src/bankrudder/platform/_endpoint_sessions.py
+++ b/src/bankrudder/platform/_endpoint_sessions.py
@@ -11,6 +11,7 @@
 import structlog
 
 from bankrudder.fleet import Endpoint, EndpointRun, OutgoingRequest
+from bankrudder.platform._single_sends import send_once
 from bankrudder.routing import ServiceName
 from bankrudder.world import Address
 
@@ -159,4 +160,5 @@
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
+        middlewares=(send_once,),
     )
--- a/src/bankrudder/platform/_store.py
+++ b/src/bankrudder/platform/_store.py
@@ -1,9 +1,11 @@
 """HTTP client for the platform's store.
 
-It does not retry: a commit without a usable reply has an unknown outcome, unless no
-connection was made.
+A commit without a usable reply has an unknown outcome, unless no connection was made.
+It is never repeated here. Reads, and calls for objects, which are written only if
+absent, are repeated once if their connection ends without a reply.
 """
 
+import asyncio
 import base64
 from typing import Any, Self
 
@@ -12,6 +14,7 @@
 import structlog
 
 from bankrudder.platform import _names as names
+from bankrudder.platform._single_sends import ConnectionLostError, send_once
 from bankrudder.store import (
     Changes,
     CommitOutcome,
@@ -54,12 +57,18 @@
 CONNECT_TIMEOUT_S = 0.5
 """Timeout of a connection attempt: a hundred times the usual round-trip time."""
 
+MIN_TIMEOUT_S = 0.01
+"""Shortest timeout of a request; the HTTP client takes zero for no timeout."""
+
 MAX_CONNECTIONS = 24
 """Maximum number of connections to the store; further calls wait for a free one."""
 
 IDLE_TIMEOUT_S = 10.0
 """Time after which idle connections are closed, before they can fail unnoticed."""
 
+REPEATABLE_METHODS = frozenset({"GET", "PUT", "DELETE"})
+"""Methods of the calls that have the same effect if they are repeated."""
+
 _ERROR_KIND_OF_STATUS = {
     429: StoreErrorKind.RATE_LIMITED,
     503: StoreErrorKind.BUSY,
@@ -109,7 +118,8 @@
 class _NoReplyError(Exception):
     """There is no usable reply.
 
-    `may_be_applied` is false only if no connection was made, so that nothing was sent.
+    `may_be_applied` is false only if no connection was made, so that nothing was sent,
+    neither at the first time nor at a repetition.
     """
 
     def __init__(self, error_kind: StoreErrorKind, may_be_applied: bool):
@@ -257,21 +267,42 @@
         headers: dict[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> tuple[int, bytes]:
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
-        try:
-            async with self._open_session().request(
-                method,
-                self._base + path,
-                params=query,
-                data=body,
-                headers=headers,
-                timeout=timeout,
-            ) as response:
-                return response.status, await response.read()
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            raise _NoReplyError(StoreErrorKind.UNREACHABLE, False) from None
-        except (TimeoutError, aiohttp.ClientError, OSError):
-            raise _NoReplyError(StoreErrorKind.NO_REPLY, True) from None
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        may_be_applied = False
+        for _ in range(2 if method in REPEATABLE_METHODS else 1):
+            left_s = deadline - asyncio.get_running_loop().time()
+            try:
+                return await self._send(method, path, query, body, headers, left_s)
+            except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+                error_kind = StoreErrorKind.UNREACHABLE
+                raise _NoReplyError(error_kind, may_be_applied) from None
+            except ConnectionLostError:
+                may_be_applied = True
+            except (TimeoutError, aiohttp.ClientError, OSError):
+                break
+        raise _NoReplyError(StoreErrorKind.NO_REPLY, True)
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None,
+        body: bytes | None,
+        headers: dict[str, str] | None,
+        timeout_s: float,
+    ) -> tuple[int, bytes]:
+        timeout = aiohttp.ClientTimeout(
+            total=max(timeout_s, MIN_TIMEOUT_S), sock_connect=CONNECT_TIMEOUT_S
+        )
+        async with self._open_session().request(
+            method,
+            self._base + path,
+            params=query,
+            data=body,
+            headers=headers,
+            timeout=timeout,
+        ) as response:
+            return response.status, await response.read()
 
     def _open_session(self) -> aiohttp.ClientSession:
         # The session is created here because it needs the running event loop.
@@ -282,6 +313,7 @@
             self._session = aiohttp.ClientSession(
                 connector=connector,
                 cookie_jar=aiohttp.DummyCookieJar(),
+                middlewares=(send_once,),
                 headers={"Content-Type": "application/json"},
             )
         return self._session
--- a/tests/node/test_calls.py
+++ b/tests/node/test_calls.py
@@ -7,10 +7,17 @@
 from outside.site import configuration, until
 
 
-async def call(site, path="/score/1", request_id="q1", host=0, time_left_ms="1500"):
+async def call(
+    site,
+    path="/score/1",
+    request_id="q1",
+    host=0,
+    time_left_ms="1500",
+    method="POST",
+):
     headers = {"X-Request-Id": request_id, "X-Request-Deadline": time_left_ms}
     return await site.call(
-        site.hosts[host], "POST", path, body=b"body", headers=headers
+        site.hosts[host], method, path, body=b"body", headers=headers
     )
 
 
@@ -53,6 +60,16 @@
     assert runs(site) == 1
 
 
+@pytest.mark.parametrize("method", ["PUT", "GET", "DELETE"])
+async def test_so_is_one_with_another_method(site, method):
+    """Guards against the HTTP client, which repeats requests with these methods."""
+    for scorer in site.scorers:
+        scorer.fail_next = ["reset"] * 3
+    status, _, _ = await call(site, "/once/1", method=method)
+    assert status == 502
+    assert runs(site) == 1
+
+
 async def test_a_request_goes_to_another_endpoint_if_it_was_not_run(site):
     site.scorers[0].fail_next = ["full"]
     site.scorers[1].fail_next = ["full"]
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -62,12 +62,18 @@
 
 
 async def ask(
-    site, host=0, path="/score/1", body=CRASHING, time_left_ms="1500", **headers
+    site,
+    host=0,
+    path="/score/1",
+    body=CRASHING,
+    time_left_ms="1500",
+    method="POST",
+    **headers,
 ):
     name = f"q{next(request_numbers)}"
     return await site.call(
         site.hosts[host % len(site.hosts)],
-        "POST",
+        method,
         path,
         body=body,
         headers={"X-Request-Id": name, "X-Request-Deadline": time_left_ms, **headers},
@@ -155,6 +161,16 @@
     assert service.runs <= MAX_CRASH_COUNT
 
 
+@pytest.mark.parametrize("path", ["/score/1", "/once/1"])
+async def test_so_is_one_with_another_method(site, scorer_service, path):
+    """Guards against a repetition by the HTTP client, which hid the crash."""
+    for number in range(VISIT_COUNT):
+        await until(lambda: scorer_service.all_are_running)
+        await asyncio.sleep(0.5)
+        await ask(site, number, path, method="PUT")
+    assert scorer_service.runs <= MAX_CRASH_COUNT
+
+
 @pytest.mark.parametrize("events_before", [None, 1])
 async def test_so_is_a_sample(site, make_service, events_before):
     engines = make_service(site, ENGINES, site.engines)
--- a/tests/outside/store.py
+++ b/tests/outside/store.py
@@ -106,6 +106,8 @@
         Whether commits that are not delayed are rejected with status 400.
     garbled_reply : bytes
         Body of every reply, unless it is empty.
+    ends_after_object : bool
+        Whether the gate ends without a reply once it has written an object.
     late_share : float
         Share of commits that are delayed on a connection that stays open, without a
         reply.
@@ -119,6 +121,7 @@
         self.hang_replies = False
         self.rejects_after_delay = False
         self.garbled_reply = b""
+        self.ends_after_object = False
         self.late_share = 0.0
         self.refuses_table = ""
         self._blocked_table = ""
@@ -274,6 +277,10 @@
                 return web.Response(status=412)
             case "blob-put":
                 objects[name] = body
+                if self.ends_after_object:
+                    for site in list(self._runner.sites):
+                        site._server.close()
+                    request.transport.abort()
             case "blob-get" if name in objects:
                 return web.Response(body=objects[name])
             case "blob-get":
--- a/tests/store/test_platform_store.py
+++ b/tests/store/test_platform_store.py
@@ -86,6 +86,26 @@
     assert await store.get_object("a") is None
 
 
+async def test_an_object_that_may_be_written_is_not_reported_as_unwritten(store, gate):
+    """Guards against a repetition that finds no store and hides the first write."""
+    gate.ends_after_object = True
+    assert isinstance(await store.put_object("a", b"one"), CommitUnknown)
+    assert gate.rows.objects == {"a": b"one"}
+
+
+async def test_a_commit_whose_connection_ends_is_not_repeated(store, gate):
+    gate.mode = GateMode.RESET
+    assert await store.commit(PUT) == CommitUnknown(StoreErrorKind.NO_REPLY)
+    assert len(gate.calls) == 1
+
+
+async def test_a_read_whose_connection_ends_is_repeated_once(store, gate):
+    gate.mode = GateMode.RESET
+    with pytest.raises(StoreUnavailableError):
+        await store.read("my", "p")
+    assert len(gate.calls) == 2
+
+
 @pytest.mark.parametrize(
     "reply", [b"{", b'{"rows": 7}', b'{"rows":[{"table":"t","ver":1,"value":"?"}]}']
 )
