Allow a further attempt amid a series of crashes that mostly missed a request

Cause: its attempts were so short that each returned two or three events before the next crash. That looks like a request that crashes endpoints at one point.

Evidence: the lines of the crashes of these samples (events 2, 3 and 5 in both), and that of the 24 crashes of the series at least six were without them.

Why this works: where the crashes of the series without the request are twice as many as those with it, three crashes at one point may be by chance; it is allowed a fourth, alone and after three seconds. A request that got no event is limited as before.

Shown: the test fails before.

--- a/src/bankrudder/crashes/_admission.py
+++ b/src/bankrudder/crashes/_admission.py
@@ -27,8 +27,8 @@
 A long request may be in progress at several of the endpoints that crash in a series
 which it did not cause. If the crashes came at different points of its work, those of
 the series without it are subtracted from those with it. If it also got well past the
-first of them, it is allowed one crash more, the last one after `SERIES_PAUSE_S`, and
-nothing limits it below that.
+first of them, or if most crashes of the series were without it, it is allowed one crash
+more, the last one after `SERIES_PAUSE_S`.
 
 A lost request whose endpoint may have restarted before it was probed is a doubtful
 strike for `RESTART_DETECTION_S`, within which the restart is learned. Doubtful strikes
@@ -44,6 +44,7 @@
     StrikesByContent,
     crashed_at_varying_points,
     has_progressed,
+    is_amid_series,
     progress,
     unrelated_crash_count,
 )
@@ -66,8 +67,8 @@
 would not protect it."""
 
 SERIES_PAUSE_S = 3.0
-"""Refusal period before the last attempt of a content whose attempts got further each
-time. A series of crashes may end meanwhile, and restarted endpoints are listed again.
+"""Refusal period before the additional attempt of a content whose crashes may be by
+chance. A series of crashes may end meanwhile, and restarted endpoints are listed again.
 """
 
 ALONE_THRESHOLD = CRASH_LIMIT - 1
@@ -123,8 +124,9 @@
     certain = _decide_by_certain(content, strikes, now, crashes)
     if not recent or not certain.strikes or certain.admission is Admission.REFUSED:
         return certain
-    limit = _limit(content, strikes)
-    count = _crash_count(content, strikes, crashes, recent)
+    unrelated = unrelated_crash_count(content, strikes, crashes, CRASH_LIMIT)
+    limit = _limit(strikes[content], unrelated)
+    count = _crash_count(content, strikes, unrelated, recent)
     if count < limit - 1:
         return certain
     if count < limit:
@@ -149,15 +151,16 @@
     counted = _unexplained_runs(content, strikes)
     if len(counted) < ALONE_THRESHOLD:
         return AdmissionDecision(Admission.FREE, len(counted))
-    count = _crash_count(content, strikes, crashes)
-    limit = _limit(content, strikes)
+    unrelated = unrelated_crash_count(content, strikes, crashes, CRASH_LIMIT)
+    count = _crash_count(content, strikes, unrelated)
+    limit = _limit(own_strikes, unrelated)
     if count < limit - 1 and crashed_at_varying_points(own_strikes.values()):
         return AdmissionDecision(Admission.FREE, count)
     pause_s = 0.0
     if count >= limit:
         is_unambiguous = _is_unambiguous(content, counted, strikes)
         pause_s = _pause_s(count - limit, is_unambiguous)
-    elif has_progressed(own_strikes.values()):
+    elif count == CRASH_LIMIT:
         pause_s = SERIES_PAUSE_S
     last = max(own_strikes[run].lost_at for run in counted)
     # A clock that is set back must not extend the refusal period.
@@ -167,15 +170,17 @@
     return AdmissionDecision(Admission.REFUSED, count, left_s)
 
 
-def _limit(content: ContentId, strikes: StrikesByContent) -> int:
+def _limit(own_strikes: Mapping[EndpointRun, Strike], unrelated_count: int) -> int:
     """Return the number of crashes after which a content is refused."""
-    return CRASH_LIMIT + has_progressed(strikes[content].values())
+    strikes = own_strikes.values()
+    is_excused = has_progressed(strikes) or is_amid_series(strikes, unrelated_count)
+    return CRASH_LIMIT + is_excused
 
 
 def _crash_count(
     content: ContentId,
     strikes: StrikesByContent,
-    crashes: Mapping[EndpointRun, Crash],
+    unrelated_count: int,
     doubts: Iterable[Strike] = (),
 ) -> int:
     """Count the crashes that are attributed to a content, with its doubtful strikes."""
@@ -183,7 +188,7 @@
     counted = [own_strikes[run] for run in _unexplained_runs(content, strikes)]
     count = _sequential_count([*counted, *doubts])
     if crashed_at_varying_points(own_strikes.values()):
-        count -= unrelated_crash_count(content, strikes, crashes, CRASH_LIMIT)
+        count -= unrelated_count
     return max(count, 0)
 
 
@@ -240,15 +245,15 @@
 ) -> bool:
     """Whether no other content has strikes for all of the counted runs.
 
-    Of contents that did not get further each time, one that made more progress than
-    another is less likely to have caused their crashes.
+    Another content does not count if it made more progress, which makes it less likely
+    to be the cause, unless `content` itself got well past the first crash.
     """
     own_progress = progress(strikes[content].values())
-    has_excuse = own_progress >= MIN_PROGRESS_EVENTS
+    has_progressed_itself = own_progress >= MIN_PROGRESS_EVENTS
     return not any(
         other != content
         and counted <= runs.keys()
-        and (has_excuse or progress(runs.values()) <= own_progress)
+        and (has_progressed_itself or progress(runs.values()) <= own_progress)
         for other, runs in strikes.items()
     )
 
--- a/src/bankrudder/crashes/_attribution.py
+++ b/src/bankrudder/crashes/_attribution.py
@@ -21,6 +21,10 @@
 """Difference between the numbers of events of two attempts from which on the crashes
 did not come at the same point of an attempt."""
 
+MIN_UNRELATED_RATIO = 2
+"""Number of crashes without a request for each one with it from which on its crashes
+may be by chance although they came at the same point of its work."""
+
 SERIES_GAP_S = 10.0
 """Time before the first and after the last crash during a request in which other
 crashes of the service belong to the same series. Other hosts learn of a crash within
@@ -45,6 +49,15 @@
     return variation >= MIN_VARIATION_EVENTS or has_progressed(strikes)
 
 
+def is_amid_series(strikes: Collection[Strike], unrelated_count: int) -> bool:
+    """Whether crashes at the same point may be by chance among those of a series.
+
+    This is never assumed of a request that got no event.
+    """
+    has_begun = any(each.next_event for each in strikes)
+    return has_begun and unrelated_count >= MIN_UNRELATED_RATIO * len(strikes)
+
+
 def _spread(values: Iterable[int]) -> int:
     known = list(values)
     return max(known, default=0) - min(known, default=0)
--- a/tests/crashes/test_attribution.py
+++ b/tests/crashes/test_attribution.py
@@ -83,6 +83,20 @@
     assert decide(strikes, crashes_at(10, 11)).admission is Admission.FREE
 
 
+def test_regular_crashes_may_be_by_chance_if_most_of_a_series_were_elsewhere():
+    """Guards against samples of a long series that got few events in each attempt."""
+    strikes = strikes_of("a", 2, 3, 5)
+    few, many = crashes_at(*range(10, 15)), crashes_at(*range(10, 16))
+    assert decide(strikes, few).retry_after_s == BASE_PAUSE_S
+    assert decide(strikes, many).retry_after_s == SERIES_PAUSE_S
+    later = NOW + SERIES_PAUSE_S
+    assert decide(strikes, many, later).admission is Admission.ALONE
+    last = strikes_of("a", 2, 3, 5, 6)
+    assert decide(last, many).retry_after_s == 2 * BASE_PAUSE_S
+    without_events = strikes_of("a", 0, 0, 0)
+    assert decide(without_events, many).retry_after_s == BASE_PAUSE_S
+
+
 def test_stream_that_starts_anew_and_ends_at_one_point_is_refused():
     strikes = {
         key: msgspec.structs.replace(strike, first_event=0)
