--- a/tests/node/test_crash_series.py
+++ b/tests/node/test_crash_series.py
@@ -37,7 +37,7 @@
         for engine in site.engines:
             engine.event_gap_s = EVENT_GAP_S
         service = CrashingService(site, ENGINES, site.engines, keeps_names=True)
-        # The start times that are listed from now on look like restarts.
+        # Hosts take the first listing of a start time for a restart.
         await asyncio.sleep(1.0)
         yield site
         await service.stop()
