Batches: log lines tell where the runs of a sample began

A text with a piece at a wrong place cannot be traced: the logs name neither the event after which a run was asked to resume, nor the number of its first event, nor how much of the text came from saved progress.

--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -6,6 +6,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
+from dataclasses import dataclass
 
 import structlog
 
@@ -54,6 +55,22 @@
 _log = structlog.get_logger("batches")
 
 
+@dataclass
+class RunStart:
+    """Where a run began.
+
+    Attributes
+    ----------
+    resume_after : int
+        Number of the event after which the engine was asked to resume, -1 for none.
+    first_number : int or None
+        Number of the first event that the engine sent, None if it sent none.
+    """
+
+    resume_after: int = -1
+    first_number: int | None = None
+
+
 class SampleGenerator:
     """Generates one sample and holds its text so far.
 
@@ -119,10 +136,13 @@
         self._longest_gap_s = 0.0
         self._run_started_at = 0.0
         self._first_event = 0
+        self._run_start = RunStart()
+        self._resumed_event_count = 0
         if progress is not None and can_resume(
             progress, batch.min_version, needs_single_version=self._is_single_version
         ):
             self._text.resume(progress)
+            self._resumed_event_count = len(self._text)
 
     @property
     def sample(self) -> Sample:
@@ -149,6 +169,16 @@
         """Number of runs on engines so far."""
         return self._run_count
 
+    @property
+    def resumed_event_count(self) -> int:
+        """Number of events that were resumed from saved progress."""
+        return self._resumed_event_count
+
+    @property
+    def run_start(self) -> RunStart:
+        """Where the latest run began."""
+        return self._run_start
+
     @property
     def waited_s(self) -> float:
         """Total time for which the sample has waited for slots, in seconds."""
@@ -222,6 +252,7 @@
     async def _run_on_engine(self, target: TrackedEndpoint, demand: SlotDemand) -> None:
         self._run_started_at = self._clock.monotonic()
         self._first_event = len(self._text)
+        self._run_start = RunStart(self._text.last_number)
         try:
             async with within_run(target):
                 await self._generate_on(target, demand)
@@ -302,6 +333,8 @@
                 now = self._clock.monotonic()
                 self._longest_gap_s = max(self._longest_gap_s, now - last_event_at)
                 last_event_at = now
+                if self._run_start.first_number is None:
+                    self._run_start.first_number = event.number
                 self._add_event(target, event, version)
                 version = event.version or version
                 move = self._moves.note_event(target, demand, now, len(self._text))
@@ -377,5 +410,7 @@
             content=self._content_id,
             endpoint=target.endpoint.id,
             events=len(self._text),
+            resume_after=self._run_start.resume_after,
+            first_number=self._run_start.first_number,
             reason=reason,
         )
