Second answers of an endpoint are not taken for the next request's

What callers saw: a text that begins in the middle ("piece 2 stands where 0 of 4 is due"). An endpoint in trouble may send a second answer to a request, on the same connection, later. The HTTP client reads whatever arrived on an idle connection as the answer to the next request on it. For another request the identifier that is echoed tells, and the attempt counts as lost. It does not tell where the same sample is sent again: a later step asks for the samples of incomplete groups under the same identifiers, so the second answer to the earlier run is taken for the stream of the new one, with whatever event it begins. The same holds for reward calls, which are repeated under one identifier.

Change: a connection on which something arrived while it was idle is closed instead of being used again, with a log line that says so. A second answer may also arrive after the next request was sent, so a request that was sent to the same run of an endpoint before goes on a connection of its own.

That this was what the users saw is not shown: their record does not tell how the run began.

tests/platform/test_endpoint_client.py sent requests with the same identifiers again and asked that they reuse connections. Each request now has its own identifier, as on the wire; the numbers of connections that are asked are the same.

--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -239,9 +239,7 @@
             return OrderOutcome.UNKNOWN
 
     def _request(self, endpoint: Endpoint, request: OutgoingRequest) -> Any:
-        return self._sessions.session_for(
-            endpoint, may_reuse=request.may_reuse_connection
-        ).request(
+        return self._sessions.session_for_request(endpoint, request).request(
             request.method,
             _url(endpoint, request.target),
             headers=request_headers(endpoint, request),
--- a/src/bankrudder/platform/_endpoint_sessions.py
+++ b/src/bankrudder/platform/_endpoint_sessions.py
@@ -2,19 +2,32 @@
 
 The endpoints of a service share a connection pool. An endpoint that has restarted at
 its address gets a pool of its own, so that no connection to its earlier run is reused.
+
+An endpoint may send more than one answer to a request. What arrives on an idle
+connection is never taken as the answer to a later request: the connection is closed. A
+second answer may also arrive after the next request was sent, and only its identifier
+tells it apart. A request that was sent to the endpoint before under its identifier is
+therefore sent on a new connection.
 """
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import aiohttp
 import msgspec
 import structlog
 
 from bankrudder.fleet import Endpoint, EndpointRun, OutgoingRequest
+from bankrudder.platform._sent_requests import SentRequests
 from bankrudder.platform._single_sends import send_once
 from bankrudder.routing import ServiceName
 from bankrudder.world import Address
 
+if TYPE_CHECKING:
+    from aiohttp.client_reqrep import ConnectionKey
+    from aiohttp.connector import Connection
+    from aiohttp.tracing import Trace
+
 IDLE_TIMEOUT_S = 3.0
 """Time after which an idle connection is closed if the endpoint states no limit."""
 
@@ -53,6 +66,24 @@
         """Set the time for which idle connections are kept open from now on."""
         self._keepalive_timeout = idle_s
 
+    async def _get(
+        self, key: "ConnectionKey", traces: "list[Trace]"
+    ) -> "Connection | None":
+        """Return an idle connection on which nothing has arrived, None if none is left.
+
+        The HTTP client would read what has arrived as the answer to the next request.
+        """
+        while (connection := await super()._get(key, traces)) is not None:
+            protocol = connection.protocol
+            if protocol is not None and not protocol.should_close:
+                return connection
+            _log.info(
+                "endpoints: connection closed, something arrived while it was idle",
+                address=f"{key.host}:{key.port}",
+            )
+            connection.close()
+        return None
+
 
 class EndpointSessions:
     """Sessions for requests to endpoints, created on first use."""
@@ -64,12 +95,21 @@
         self._runs: dict[Address, EndpointRun] = {}
         self._closing_tasks: set[asyncio.Task[None]] = set()
         self._idle_s: dict[ServiceName, float] = {}
+        self._sent = SentRequests()
 
     async def close(self) -> None:
         """Close all connections."""
         for session in self._sessions.values():
             await session.close()
 
+    def session_for_request(
+        self, endpoint: Endpoint, request: OutgoingRequest
+    ) -> aiohttp.ClientSession:
+        """Return the session for a request, and record that the request is sent."""
+        is_first = self._sent.note(endpoint.run, request.request_id)
+        may_reuse = request.may_reuse_connection and is_first
+        return self.session_for(endpoint, may_reuse=may_reuse)
+
     def session_for(
         self, endpoint: Endpoint, *, may_reuse: bool = True
     ) -> aiohttp.ClientSession:
--- a/tests/outside/endpoints.py
+++ b/tests/outside/endpoints.py
@@ -9,6 +9,15 @@
 from aiohttp import web
 
 
+def stream_answer(request_id, body):
+    """Return the text of an HTTP answer with a stream of events."""
+    return (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"X-Request-Id: {request_id}\r\nX-Response-Stamp: second\r\n"
+        f"X-Weight-Versions: 1\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+    )
+
+
 class EndpointStandIn:
     """Base of all endpoints: identity, HTTP server and records of requests.
 
@@ -151,7 +160,9 @@
     """An engine, which streams events and executes version orders.
 
     ``events`` is the number of events of each stream. ``reset_after`` holds, for each
-    of the next requests, the number of events after which the connection is reset.
+    of the next requests, the number of events after which the connection is reset. If
+    ``second_answer_after_s`` is set, a second answer follows each stream after that
+    time, on the same connection, with all events but the first two.
     """
 
     def __init__(self, endpoint_id, model, events=4):
@@ -161,6 +172,7 @@
         self.events = events
         self.event_gap_s = 0.002
         self.reset_after = []
+        self.second_answer_after_s = None
         self.resumed = []
         self.orders = []
         self.order_times = []
@@ -273,8 +285,24 @@
                 data += f"-v{version}"
             event = f"{prefix}id: {number}\ndata: {data}\n\n"
             await response.write(event.encode())
+        if self.second_answer_after_s is not None:
+            asyncio.get_running_loop().call_later(
+                self.second_answer_after_s,
+                self._answer_again,
+                request.transport,
+                request_id,
+            )
         return response
 
+    def _answer_again(self, transport, request_id):
+        if transport is None or transport.is_closing():
+            return
+        body = "".join(
+            f"id: {number}\ndata: {request_id}-{number}\n\n"
+            for number in range(2, self.events)
+        )
+        transport.write(stream_answer(request_id, body).encode())
+
 
 class ServiceStandIn(EndpointStandIn):
     """A plain service, which answers each request once."""
--- a/tests/platform/test_endpoint_client.py
+++ b/tests/platform/test_endpoint_client.py
@@ -1,6 +1,7 @@
 """Connections to endpoints are reused only within the advertised idle timeout."""
 
 import asyncio
+import itertools
 from contextlib import asynccontextmanager
 
 import pytest
@@ -20,6 +21,8 @@
 
 CONNECTION_COUNT = 20
 
+request_numbers = itertools.count()
+
 
 class KeepAliveEndpoint:
     """Counts its connections and advertises an idle timeout for them.
@@ -80,7 +83,10 @@
 
 
 async def send_concurrently(client, entry, count):
-    sends = [client.send(entry, make_request(number)) for number in range(count)]
+    # Each request has an identifier of its own: one that is sent again gets a new
+    # connection.
+    requests = [make_request(next(request_numbers)) for _ in range(count)]
+    sends = [client.send(entry, request) for request in requests]
     outcomes = await asyncio.gather(*sends)
     assert all(isinstance(each, Answered) for each in outcomes)
 
