Batches: a text begins with the first event of a stream

Trainers got texts whose first pieces were missing, as succeeded: piece 3 stood where piece 1 was due. An empty text took an event of any number as its first, and all later ones only had to follow it. On a kept connection the late second answer to an earlier run of the same sample, which had resumed, was the answer to its next run from the start: endpoints are told apart by the echoed identifier, which is the same. A first event with a wrong number was kept as well, and the next run resumed after that number.

A stream that was not resumed now has to begin with number 0 or 1, and of two events of one run that do not follow each other neither is kept, as either may have the wrong number. The test of an event out of order now has it in another run; in the same run the event before it goes too, which a test of its own checks.

--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -253,6 +253,7 @@
         self._run_started_at = self._clock.monotonic()
         self._first_event = len(self._text)
         self._run_start = RunStart(self._text.last_number)
+        self._text.begin_run()
         try:
             async with within_run(target):
                 await self._generate_on(target, demand)
--- a/src/bankrudder/batches/_text.py
+++ b/src/bankrudder/batches/_text.py
@@ -1,18 +1,19 @@
 """Text generated of one sample: its events, and the versions that generated them."""
 
 from bankrudder.batches._values import Progress
-from bankrudder.fleet import StreamBrokenError, StreamEvent
+from bankrudder.fleet import NO_EVENT, StreamBrokenError, StreamEvent, follows
 from bankrudder.world import ModelVersion
 
 
 class SampleText:
-    """The events of one sample, in order and without duplicates."""
+    """The events of one sample from the first one on, in order, without duplicates."""
 
     def __init__(self) -> None:
         self._events: list[str] = []
         self._versions: list[ModelVersion] = []
         self._version_events: list[int] = []
-        self._next_number = -1
+        self._last_number = NO_EVENT
+        self._run_versions: list[ModelVersion | None] = []
         self.is_whole = False
 
     def __len__(self) -> int:
@@ -36,12 +37,12 @@
     @property
     def next_number(self) -> int:
         """Number of the event expected next, -1 before the first one."""
-        return self._next_number
+        return self._last_number + 1 if self._events else NO_EVENT
 
     @property
     def last_number(self) -> int:
         """Number of the last event, -1 before the first one."""
-        return self._next_number - 1 if self._events else -1
+        return self._last_number
 
     @property
     def progress(self) -> Progress:
@@ -49,7 +50,7 @@
         return Progress(
             tuple(self._events),
             self.versions,
-            self._next_number,
+            self.next_number,
             self.is_whole,
             self.version_events,
         )
@@ -59,32 +60,55 @@
         self._events = list(progress.texts)
         self._versions = list(progress.versions)
         self._version_events = list(progress.version_events)
-        self._next_number = progress.next_number
+        self._last_number = progress.next_number - 1
+        self._run_versions = []
         self.is_whole = progress.is_whole
 
+    def begin_run(self) -> None:
+        """Record that the next events come from another run than the events so far."""
+        self._run_versions = []
+
     def add(self, event: StreamEvent, version: ModelVersion | None) -> None:
         """Add the next event.
 
         Raises
         ------
         StreamBrokenError
-            If it is not the event expected next.
+            If it is not the event expected next. If the same run made the last event,
+            either of the two may have the wrong number, so the last one is removed.
         """
-        if self._events and event.number != self._next_number:
-            raise StreamBrokenError(
-                f"got event {event.number}, expected {self._next_number}"
-            )
+        if not follows(event.number, self._last_number):
+            last_number = self._last_number
+            self._remove_last_of_run()
+            raise StreamBrokenError(f"got event {event.number} after {last_number}")
         if version is not None:
             self._count(version)
         self._events.append(event.data)
-        self._next_number = event.number + 1
+        self._run_versions.append(version)
+        self._last_number = event.number
 
     def clear(self) -> None:
         """Remove all events, so that generation starts again."""
         self._events = []
         self._versions = []
         self._version_events = []
-        self._next_number = -1
+        self._run_versions = []
+        self._last_number = NO_EVENT
+
+    def _remove_last_of_run(self) -> None:
+        if not self._run_versions:
+            return
+        version = self._run_versions.pop()
+        self._events.pop()
+        self._last_number = self._last_number - 1 if self._events else NO_EVENT
+        if version is not None:
+            self._uncount(version)
+
+    def _uncount(self, version: ModelVersion) -> None:
+        index = self._versions.index(version)
+        self._version_events[index] -= 1
+        if not self._version_events[index]:
+            del self._versions[index], self._version_events[index]
 
     def _count(self, version: ModelVersion) -> None:
         if version not in self._versions:
--- a/src/bankrudder/fleet/__init__.py
+++ b/src/bankrudder/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Endpoints: their tracked state, their selection, and the interface to call them."""
 
 from bankrudder.fleet._directory import RELISTING_WAIT_S, EndpointDirectory
+from bankrudder.fleet._numbering import FIRST_NUMBERS, NO_EVENT, follows
 from bankrudder.fleet._run_end import RunEndedError, within_run
 from bankrudder.fleet._sending import (
     Answered,
@@ -35,6 +36,8 @@
 )
 
 __all__ = [
+    "FIRST_NUMBERS",
+    "NO_EVENT",
     "RELISTING_WAIT_S",
     "Answered",
     "StartTime",
@@ -66,4 +69,5 @@
     "TrackedEndpoint",
     "VersionOrder",
     "within_run",
+    "follows",
 ]
--- a/tests/batches/test_sampling.py
+++ b/tests/batches/test_sampling.py
@@ -1,13 +1,14 @@
 """The runs of one sample: where each begins, and how their events become one text."""
 
-from contextlib import asynccontextmanager
+import asyncio
+from contextlib import asynccontextmanager, suppress
 from types import SimpleNamespace
 
 import pytest
 from structlog.testing import capture_logs
 
 from bankrudder.batches._sampling import SampleGenerator
-from bankrudder.batches._values import Batch, Sample
+from bankrudder.batches._values import Batch, Progress, Sample
 from bankrudder.crashes import Admission, AdmissionDecision
 from bankrudder.fleet import (
     Endpoint,
@@ -17,6 +18,7 @@
     TrackedEndpoint,
 )
 from bankrudder.observe import Tracer
+from bankrudder.platform._endpoint_client import HttpEndpointClient
 from bankrudder.routing import Route, RouteKind, WeightedService
 
 EVENT_COUNT = 4
@@ -30,17 +32,19 @@
 class ScriptedEngine:
     """A dispatcher with one engine, and the client that reaches it.
 
-    ``runs`` holds the event numbers of the next runs; a run that is not followed by the
-    last event breaks off. Later runs begin where they are asked to.
+    ``runs`` holds the event numbers of the next runs; a run without the last event
+    breaks off. Later runs begin where they are asked to. ``wrong_numbers`` holds the
+    numbers that are sent for events, each of them once.
     """
 
-    def __init__(self, runs):
+    def __init__(self, runs, wrong_numbers=None):
         self.engine = TrackedEndpoint(Endpoint("e", "engines", "a:1", "north", 6))
         self.moves = SimpleNamespace(
             note_start=lambda sample, run: None, note_end=lambda sample, run: None
         )
         self.resumed_after = []
         self._runs = list(runs)
+        self._wrong_numbers = dict(wrong_numbers or {})
 
     async def acquire(self, demand):
         return self.engine
@@ -64,11 +68,61 @@
 
     async def _events(self, numbers):
         for number in numbers:
-            yield StreamEvent(number, f"x{number}", None, b"")
+            sent_number = self._wrong_numbers.pop(number, number)
+            yield StreamEvent(sent_number, f"x{number}", None, b"")
         if EVENT_COUNT - 1 not in numbers:
             raise StreamBrokenError("broken off")
 
 
+class SecondAnswers:
+    """An engine that sends each complete answer again on its kept connection."""
+
+    def __init__(self):
+        self.address = ""
+        self.resumed_after = []
+        self.second_answer_sent = asyncio.Event()
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def stop(self):
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def _serve(self, reader, writer):
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await self._answer_next(reader, writer)
+
+    async def _answer_next(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        fields = dict(
+            line.lower().split(": ", 1)
+            for line in head.decode().split("\r\n")
+            if ": " in line
+        )
+        await reader.readexactly(int(fields.get("content-length", 0)))
+        resume_after = int(fields.get("last-event-id", -1))
+        self.resumed_after.append(resume_after)
+        writer.write(self._answer(fields["x-request-id"], resume_after + 1))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(self._answer(fields["x-request-id"], resume_after + 1))
+        await writer.drain()
+        self.second_answer_sent.set()
+
+    def _answer(self, request_id, first):
+        body = "".join(f"id: {n}\ndata: x{n}\n\n" for n in range(first, EVENT_COUNT))
+        return (
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            f"X-Request-Id: {request_id}\r\nX-Response-Stamp: s\r\n"
+            f"X-Weight-Versions: 1\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+        ).encode()
+
+
 async def note_lost(send, reason):
     """Record no crash."""
 
@@ -85,14 +139,14 @@
 def generator(manual_clock):
     """Return a function that makes the generator of a sample on an engine."""
 
-    def make(engine, progress=None, sample=SAMPLE):
+    def make(engine, progress=None, sample=SAMPLE, client=None):
         return SampleGenerator(
             Batch("b1", "r", "h", "m", 1, 0, (sample,)),
             sample,
             lambda host, target: ROUTE,
             (0.0,),
             engine,
-            engine,
+            client or engine,
             CALM_GUARD,
             manual_clock,
             deadline=60.0,
@@ -116,3 +170,68 @@
     ]
     assert (sample.run_start.resume_after, sample.run_start.first_number) == (2, 3)
     assert sample.resumed_event_count == 0
+
+
+@pytest.mark.parametrize("numbers", [(2, 3), (3,)])
+async def test_a_run_from_the_start_does_not_begin_in_the_middle(generator, numbers):
+    """A late second answer to a resumed run became the whole text of a later run."""
+    engine = ScriptedEngine([numbers])
+    sample = generator(engine)
+    await sample.run()
+    assert sample.text.text.split("\n") == list(WHOLE)
+    assert engine.resumed_after == [-1, -1]
+
+
+@pytest.mark.parametrize(
+    ("runs", "wrong_numbers", "resumed_after"),
+    [
+        ([], {0: 2}, [-1, -1]),
+        ([], {0: 1}, [-1, -1]),
+        ([], {2: 7}, [-1, 0]),
+        ([(0, 1)], {2: 7}, [-1, 1, 1]),
+    ],
+)
+async def test_an_event_with_a_wrong_number_is_generated_again(
+    generator, runs, wrong_numbers, resumed_after
+):
+    """A first event with a wrong number was kept, and the text went on after it."""
+    engine = ScriptedEngine(runs, wrong_numbers)
+    sample = generator(engine)
+    await sample.run()
+    assert sample.text.text.split("\n") == list(WHOLE)
+    assert engine.resumed_after == resumed_after
+
+
+@pytest.fixture
+async def second_answers():
+    engine = SecondAnswers()
+    await engine.start()
+    yield engine
+    await engine.stop()
+
+
+@pytest.fixture
+async def client():
+    client = HttpEndpointClient()
+    yield client
+    await client.close()
+
+
+async def test_a_late_second_answer_on_a_kept_connection_is_no_text(
+    generator, second_answers, client
+):
+    """The rest of a text, answered twice, became the whole text of a later batch."""
+    dispatcher = ScriptedEngine([])
+    endpoint = Endpoint("e", "engines", second_answers.address, "north", 6)
+    dispatcher.engine = TrackedEndpoint(endpoint)
+    first_batch = generator(
+        dispatcher, Progress(WHOLE[:2], (1,), 2, False, (2,)), client=client
+    )
+    await first_batch.run()
+    assert first_batch.text.text.split("\n") == list(WHOLE)
+    await second_answers.second_answer_sent.wait()
+    await asyncio.sleep(0.05)
+    later_batch = generator(dispatcher, client=client)
+    await later_batch.run()
+    assert later_batch.text.text.split("\n") == list(WHOLE)
+    assert (later_batch.run_count, second_answers.resumed_after) == (1, [1, -1])
--- a/tests/batches/test_text.py
+++ b/tests/batches/test_text.py
@@ -25,11 +25,43 @@
     text = SampleText()
     text.add(event(0), 1)
     text.add(event(1), 1)
+    text.begin_run()
     with pytest.raises(StreamBrokenError):
         text.add(event(number), 1)
     assert len(text) == 2
 
 
+@pytest.mark.parametrize("number", [-1, 2, 9])
+def test_a_text_begins_with_the_first_event_of_a_stream(number):
+    """A text that began later stood in the results without its first pieces."""
+    text = SampleText()
+    with pytest.raises(StreamBrokenError):
+        text.add(event(number), 1)
+    assert len(text) == 0
+    text.add(event(1), 1)
+    assert text.last_number == 1
+
+
+@pytest.mark.parametrize("number", [0, 1, 3])
+def test_of_two_events_of_a_run_out_of_order_neither_is_kept(number):
+    """The event before one out of order may be the one with the wrong number."""
+    text = SampleText()
+    text.add(event(0), 1)
+    text.add(event(1), 2)
+    with pytest.raises(StreamBrokenError):
+        text.add(event(number), 2)
+    assert (text.text, text.versions, text.version_events) == ("e0", (1,), (1,))
+    assert (text.last_number, text.next_number) == (0, 1)
+
+
+def test_a_text_without_events_left_begins_again():
+    text = SampleText()
+    text.add(event(1), 1)
+    with pytest.raises(StreamBrokenError):
+        text.add(event(1), 1)
+    assert (text.last_number, text.next_number, text.versions) == (-1, -1, ())
+
+
 def test_text_resumes_from_saved_progress():
     text = SampleText()
     text.add(event(0), 2)
