Relay: a stream with a missing event is resumed before the gap

Callers of streaming routes got streams from which a piece was missing and that ended as if they were complete, or that went on elsewhere than at their Last-Event-Id: the relay refused only an event whose number is not above the last one. It now asks for the next number, as texts of samples do, so that a gap is handled like any broken stream. The first event of a stream that does not resume may still have any number: callers see it.

--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -8,6 +8,7 @@
 
 from bankrudder.crashes import Admission, CrashGuard, Send
 from bankrudder.fleet import (
+    NO_EVENT,
     Answered,
     EndpointClient,
     EndpointDirectory,
@@ -22,6 +23,7 @@
     StreamEvent,
     StreamOutcome,
     TrackedEndpoint,
+    follows,
     within_run,
 )
 from bankrudder.relay._limits import (
@@ -157,11 +159,7 @@
             while True:
                 try:
                     async for event in self._events_with_timeout(opened, self._attempt):
-                        if event.number <= self._last_event_number:
-                            raise StreamBrokenError(
-                                f"event {event.number} arrived after event"
-                                f" {self._last_event_number}"
-                            )
+                        self._check_order(event)
                         self._last_event_number = event.number
                         self._note_begun()
                         self._deadline = self._request.deadline
@@ -177,6 +175,13 @@
         finally:
             await self.finish()
 
+    def _check_order(self, event: StreamEvent) -> None:
+        last_number = self._last_event_number
+        if last_number != NO_EVENT and not follows(event.number, last_number):
+            raise StreamBrokenError(
+                f"event {event.number} arrived after event {last_number}"
+            )
+
     def _note_begun(self) -> None:
         """Count the request as running, once, at its first event."""
         if not self._has_begun:
