Refuse entries of endpoints with numbers out of range

Another writer of the list of endpoints left entries whose number of slots, start time or weight version has 400 digits, or 65 bits. What followed, in daemons with stand-ins:

- The completion of every sample of a service that lists such an entry failed with OverflowError where the slots are summed (batches/_scoring.py): 0 of 8 results within 15 s, 'batches: sample failed'.
- The host that relays the list to others failed to encode the entry, and its follower of configuration and endpoints ended: 'node: part failed, starting it again', part 'view', once for each write of the entry.

The decoder had no upper bounds. Numbers are now bounded by their types: ModelVersion, StartTime, RowVersion, Revision, StepNumber and UsageWindow accept 0 to 2**63 - 1 wherever they are decoded, slots 1 to 100,000 as in load reports. So an entry is refused at the boundary, once, and no later code meets such a number. The decoding and its error move to one module, bankrudder.decoding, which maps all errors of the codecs.

Entries that are no documents (nested 100,000 deep, no UTF-8, empty, null, an array, 60 KB) were refused before as well.

--- a/src/bankrudder/config/_decode.py
+++ b/src/bankrudder/config/_decode.py
@@ -8,7 +8,8 @@
 import msgspec
 from msgspec import inspect
 
-from bankrudder.exceptions import DECODE_ERRORS, InvalidError
+from bankrudder.decoding import DECODE_ERRORS
+from bankrudder.exceptions import InvalidError
 from bankrudder.failures import FailureReason
 
 MAX_SHOWN_CHARS = 60
--- a/src/bankrudder/duties/_values.py
+++ b/src/bankrudder/duties/_values.py
@@ -4,10 +4,11 @@
 
 import msgspec
 
+from bankrudder.decoding import NonNegativeInt
 from bankrudder.routing import ServiceName
 from bankrudder.world import DataCentreName, WorkspaceName
 
-UsageWindow = NewType("UsageWindow", int)
+UsageWindow = NewType("UsageWindow", NonNegativeInt)
 """Number of a usage window, counted from the Unix epoch in the hosts' agreed time."""
 
 
--- a/src/bankrudder/exceptions.py
+++ b/src/bankrudder/exceptions.py
@@ -1,15 +1,7 @@
 """Exceptions that carry failures: one class for each kind of failure."""
 
-import msgspec
-
 from bankrudder.failures import Failure, FailureKind, FailureReason
 
-DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
-"""Exceptions of the decoder for invalid input.
-
-`RecursionError` is raised for documents with too many levels of nesting.
-"""
-
 
 class BankrudderError(Exception):
     """Base of all errors of this package.
--- a/src/bankrudder/fleet/_values.py
+++ b/src/bankrudder/fleet/_values.py
@@ -5,13 +5,14 @@
 
 import msgspec
 
+from bankrudder.decoding import NonNegativeInt
 from bankrudder.routing import ModelName, ServiceName
 from bankrudder.world import Address, DataCentreName, ModelVersion
 
 EndpointId = NewType("EndpointId", str)
 """Name of an endpoint. A restarted endpoint keeps its name; see `EndpointRun`."""
 
-StartTime = NewType("StartTime", int)
+StartTime = NewType("StartTime", NonNegativeInt)
 """Unix time in milliseconds at which a run of an endpoint started, by the clock of the
 endpoint. It is compared only with other start times of the same endpoint."""
 
--- a/src/bankrudder/node/__init__.py
+++ b/src/bankrudder/node/__init__.py
@@ -1,7 +1,7 @@
 """One node: the daemon that serves requests and batches on a host."""
 
 from bankrudder.node._adapter import Adapter, Listener, RequestListener
-from bankrudder.node._documents import Documents, UnreadableDocumentError
+from bankrudder.node._documents import Documents
 from bankrudder.node._gateway import Gateway
 from bankrudder.node._main import run_daemon
 from bankrudder.node._node import Node
@@ -32,7 +32,6 @@
     "RequestListener",
     "RpcSettings",
     "StoreSettings",
-    "UnreadableDocumentError",
     "UsageSettings",
     "load_settings",
     "parse_settings",
--- a/src/bankrudder/node/_documents.py
+++ b/src/bankrudder/node/_documents.py
@@ -5,18 +5,6 @@
 from bankrudder.fleet import Endpoint, ModelState
 from bankrudder.routing import RoutingConfiguration
 
-MAX_REASON_CHARS = 200
-"""Longest reason kept for an unreadable document: the reason is logged, and may quote
-text that any writer of the document chose."""
-
-
-class UnreadableDocumentError(Exception):
-    """A document cannot be decoded; ``reason`` gives the cause."""
-
-    def __init__(self, reason: str):
-        self.reason = reason[:MAX_REASON_CHARS]
-        super().__init__(self.reason)
-
 
 class Documents(Protocol):
     """Location and decoding of the platform's documents.
--- a/src/bankrudder/node/_feeds.py
+++ b/src/bankrudder/node/_feeds.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from bankrudder.node._documents import Documents, UnreadableDocumentError
+from bankrudder.decoding import UnreadableDocumentError, decode_json
+from bankrudder.node._documents import Documents
 from bankrudder.presence import HOSTS_TABLE, Heartbeat
 from bankrudder.store import Row
 
@@ -24,11 +25,11 @@
                 endpoint = self._documents.endpoint(row.key.key, row.value)
                 return msgspec.msgpack.encode(endpoint)
             if row.key.table == HOSTS_TABLE:
-                heartbeat = msgspec.json.decode(row.value, type=Heartbeat)
+                heartbeat = decode_json(row.value, Heartbeat)
                 return msgspec.msgpack.encode(
                     msgspec.structs.replace(heartbeat, count=0)
                 )
-        except (msgspec.DecodeError, UnreadableDocumentError):
+        except UnreadableDocumentError:
             return row.value  # the table's follower logs what is invalid
         return row.value
 
--- a/src/bankrudder/node/_platform_state.py
+++ b/src/bankrudder/node/_platform_state.py
@@ -5,13 +5,14 @@
 
 import structlog
 
+from bankrudder.decoding import UnreadableDocumentError
 from bankrudder.fleet import (
     RELISTING_WAIT_S,
     EndpointDirectory,
     EndpointId,
     ModelState,
 )
-from bankrudder.node._documents import Documents, UnreadableDocumentError
+from bankrudder.node._documents import Documents
 from bankrudder.routing import ModelName, Route, RoutingConfiguration, RoutingTable
 from bankrudder.store import ReadPace, Row, RowKey, Store, TableFollower
 from bankrudder.world import Clock, ModelVersion
--- a/src/bankrudder/platform/_documents.py
+++ b/src/bankrudder/platform/_documents.py
@@ -4,12 +4,18 @@
 valid documents of its type and raises `UnreadableDocumentError` for anything else.
 """
 
-from typing import Annotated, TypeVar
+from typing import Annotated
 
 import msgspec
 
+from bankrudder.decoding import (
+    MAX_INT,
+    NonNegativeInt,
+    UnreadableDocumentError,
+    decode_json,
+)
 from bankrudder.fleet import Endpoint, EndpointId, ModelState, Readiness, StartTime
-from bankrudder.node import UnreadableDocumentError
+from bankrudder.platform._load_reports import MAX_REQUEST_COUNT
 from bankrudder.routing import (
     CallerLimits,
     ModelName,
@@ -35,11 +41,8 @@
 
 _READINESS_STATES = {"ready": Readiness.READY, "draining": Readiness.DRAINING}
 
-_NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
 _NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
 
-_T = TypeVar("_T")
-
 
 class _WireBackend(msgspec.Struct):
     service: str
@@ -66,7 +69,7 @@
 
 class _WireModel(msgspec.Struct):
     name: str
-    version: _NonNegativeInt = 0
+    version: NonNegativeInt = 0
 
 
 class _WireEngine(msgspec.Struct):
@@ -74,8 +77,8 @@
 
 
 class _WireScaling(msgspec.Struct):
-    min: _NonNegativeInt
-    max: _NonNegativeInt
+    min: NonNegativeInt
+    max: NonNegativeInt
     zone_prices: dict[str, Annotated[float, msgspec.Meta(ge=0)]]
 
     def __post_init__(self) -> None:
@@ -123,10 +126,10 @@
     address: _NonEmptyText
     zone: _NonEmptyText
     version: str
-    slot_count: Annotated[int, msgspec.Meta(ge=1)]
+    slot_count: Annotated[int, msgspec.Meta(ge=1, le=MAX_REQUEST_COUNT)]
     state: str
     cold_ms: float
-    sequence: int
+    sequence: NonNegativeInt
     models: list[_WireModel] = []
     born: StartTime | msgspec.UnsetType = msgspec.UNSET
 
@@ -140,21 +143,7 @@
 
 class _WireNamedVersion(msgspec.Struct):
     model: _NonEmptyText
-    version: Annotated[int, msgspec.Meta(ge=1)]
-
-
-def _decode(body: bytes, document_type: type[_T]) -> _T:
-    """Decode a document of the given type.
-
-    Raises
-    ------
-    UnreadableDocumentError
-        If the body is not a valid document of the type, whatever bytes it holds.
-    """
-    try:
-        return msgspec.json.decode(body, type=document_type)
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
-        raise UnreadableDocumentError(str(error)) from None
+    version: Annotated[int, msgspec.Meta(ge=1, le=MAX_INT)]
 
 
 def decode_configuration(body: bytes) -> RoutingConfiguration:
@@ -165,7 +154,7 @@
     UnreadableDocumentError
         If the body is not a valid configuration.
     """
-    wire = _decode(body, _WireConfiguration)
+    wire = decode_json(body, _WireConfiguration)
     return RoutingConfiguration(
         revision=wire.version,
         routes=tuple(_route(each) for each in wire.routes if each.kind in _ROUTE_KINDS),
@@ -188,7 +177,7 @@
     UnreadableDocumentError
         If the body is not a valid entry.
     """
-    wire = _decode(body, _WireEndpoint)
+    wire = decode_json(body, _WireEndpoint)
     return Endpoint(
         id=EndpointId(endpoint_id),
         service=ServiceName(wire.service),
@@ -209,7 +198,7 @@
     UnreadableDocumentError
         If the body is not a valid document of a version.
     """
-    wire = _decode(body, _WireNamedVersion)
+    wire = decode_json(body, _WireNamedVersion)
     return ModelState(ModelName(wire.model), ModelVersion(wire.version))
 
 
--- a/src/bankrudder/store/_values.py
+++ b/src/bankrudder/store/_values.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
-RowVersion = NewType("RowVersion", int)
+from bankrudder.decoding import NonNegativeInt
+
+RowVersion = NewType("RowVersion", NonNegativeInt)
 """Number of the transaction that wrote a row; increases across the whole store."""
 
 ABSENT = RowVersion(0)
--- a/src/bankrudder/world/_ids.py
+++ b/src/bankrudder/world/_ids.py
@@ -2,6 +2,8 @@
 
 from typing import NewType
 
+from bankrudder.decoding import NonNegativeInt
+
 HostId = NewType("HostId", str)
 """Name of a host, unique across all data centres."""
 
@@ -19,10 +21,10 @@
 CallKey = NewType("CallKey", str)
 """Idempotency key that a caller generates: a UUID of version 7."""
 
-ModelVersion = NewType("ModelVersion", int)
+ModelVersion = NewType("ModelVersion", NonNegativeInt)
 """Number of a set of weights of one model, increasing with each publication."""
 
-Revision = NewType("Revision", int)
+Revision = NewType("Revision", NonNegativeInt)
 """Number of a configuration, increasing by one with each accepted change."""
 
 WorkspaceName = NewType("WorkspaceName", str)
@@ -38,4 +40,4 @@
 GroupId = NewType("GroupId", str)
 """Name of a group: the samples of one prompt, which a trainer uses together."""
 
-StepNumber = NewType("StepNumber", int)
+StepNumber = NewType("StepNumber", NonNegativeInt)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -7,8 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bankrudder.decoding import UnreadableDocumentError
 from bankrudder.fleet import Readiness
-from bankrudder.node import UnreadableDocumentError
 from bankrudder.platform._documents import (
     decode_configuration,
     decode_endpoint,
@@ -91,6 +91,17 @@
         {"state": "warming"},
         {"slot_count": 0},
         {"slot_count": "6"},
+        {"slot_count": 100_001},
+        {"slot_count": 2**63},
+        {"slot_count": 10**400},
+        {"sequence": 10**400},
+        {"sequence": -1},
+        {"born": 2**63},
+        {"born": 10**400},
+        {"born": -1},
+        {"cold_ms": 10**400},
+        {"models": [{"name": "m", "version": 2**63}]},
+        {"models": [{"name": "m", "version": 10**400}]},
         {"address": "nowhere"},
         {"address": ""},
         {"service": ""},
