Refuse entries of endpoints whose address is none

Another writer of the list of endpoints left entries with port 0, 99999 or one of 5000 digits, in digits of other scripts, with spaces or line breaks, half a bracket or a host name. Callers got status 500 when their request was sent there: the URL of the request raises ValueError, and a probe of the address OverflowError, which no one expects.

The decoder only looked for a colon with digits behind it. The check that settings go through, address_error, moves from config to world and is used for both. It is stricter than before: a port has at most five digits (more raised ValueError), brackets stand around an IPv6 address and nothing else, and an address has no scope. So the code behind the decoder only meets addresses that can be connected to. What splits an address is one function now; the listeners of callers and of readiness kept the brackets of IPv6, with which they cannot be bound, and probes kept them as well.

--- a/src/bankrudder/cli/_parser.py
+++ b/src/bankrudder/cli/_parser.py
@@ -7,8 +7,7 @@
 from bankrudder.cli._commands import Command
 from bankrudder.cli._exit import EXIT_CODES_HELP
 from bankrudder.client import TrainerSettings
-from bankrudder.config import address_error
-from bankrudder.world import Address
+from bankrudder.world import Address, address_error
 
 DEFAULT_TIMEOUT_S = 20.0
 
--- a/src/bankrudder/config/__init__.py
+++ b/src/bankrudder/config/__init__.py
@@ -1,7 +1,7 @@
 """Configuration: decoding, checks, look-ups, distribution to hosts, and routes."""
 
 from bankrudder.config._check import Finding, check, findings
-from bankrudder.config._decode import address_error, decode_document, json_excerpt
+from bankrudder.config._decode import decode_document, json_excerpt
 from bankrudder.config._difference import ConfigurationDifference, difference
 from bankrudder.config._index import ConfigurationIndex
 from bankrudder.config._placement import PlacementGuard
@@ -21,7 +21,6 @@
     "ConfigurationService",
     "Finding",
     "PlacementGuard",
-    "address_error",
     "check",
     "decode_document",
     "difference",
--- a/src/bankrudder/config/_decode.py
+++ b/src/bankrudder/config/_decode.py
@@ -2,7 +2,6 @@
 
 import re
 from collections.abc import Iterator
-from ipaddress import ip_address
 from typing import Any, TypeVar
 
 import msgspec
@@ -15,8 +14,6 @@
 MAX_SHOWN_CHARS = 60
 """Longest excerpt of a wrong value that an error quotes."""
 
-MAX_PORT = 65535
-
 _AT_PATH = re.compile(r"^(?P<what>.*) - at `\$(?P<path>.*)`$", re.DOTALL)
 _FIELD_NAME = re.compile(r"(?:unknown|required) field `(?P<name>[^`]*)`")
 _PATH_STEP = re.compile(r"\.(?P<name>[^.\[]+)|\[(?P<index>\d+)\]")
@@ -49,23 +46,6 @@
     return text[:MAX_SHOWN_CHARS] + "..."
 
 
-def address_error(address: str) -> str:
-    """Return why an address is not a valid ``ip:port``, empty if it is valid."""
-    allowed = "must be ip:port, such as 10.0.0.1:7000, without a host name"
-    host, separator, port = address.rpartition(":")
-    if not separator or not port.isascii() or not port.isdigit():
-        return allowed
-    if not 0 < int(port) <= MAX_PORT:
-        return f"the port must be from 1 to {MAX_PORT}"
-    if ":" in host and not (host.startswith("[") and host.endswith("]")):
-        return "must be [ip]:port for IP version 6"
-    try:
-        ip_address(host.strip("[]"))
-    except ValueError:
-        return allowed
-    return ""
-
-
 def _parsed(data: bytes) -> Any:
     """Decode the whole document without a schema.
 
--- a/src/bankrudder/node/_settings.py
+++ b/src/bankrudder/node/_settings.py
@@ -10,13 +10,19 @@
 
 import msgspec
 
-from bankrudder.config import address_error, decode_document, json_excerpt
+from bankrudder.config import decode_document, json_excerpt
 from bankrudder.exceptions import InvalidError
 from bankrudder.failures import FailureReason
 from bankrudder.logs import LogLevel
 from bankrudder.observe import NoTraceExport, OtlpTraceExport, TraceExport
 from bankrudder.tls import TlsSettings
-from bankrudder.world import Address, DataCentreName, HostId, RpcLimits
+from bankrudder.world import (
+    Address,
+    DataCentreName,
+    HostId,
+    RpcLimits,
+    address_error,
+)
 
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 
--- a/src/bankrudder/observe/_http.py
+++ b/src/bankrudder/observe/_http.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from bankrudder.observe._metrics import Metrics
-from bankrudder.world import Address
+from bankrudder.world import Address, host_and_port
 
 SHUTDOWN_TIMEOUT_S = 1.0
 """Time that responses in progress get when the server stops."""
@@ -83,10 +83,8 @@
             application, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
         await runner.setup()
-        host, _, port = self._address.rpartition(":")
-        site = web.TCPSite(
-            runner, host.strip("[]"), int(port), ssl_context=self._ssl_context
-        )
+        host, port = host_and_port(self._address)
+        site = web.TCPSite(runner, host, port, ssl_context=self._ssl_context)
         try:
             await site.start()
         except OSError:
--- a/src/bankrudder/platform/_documents.py
+++ b/src/bankrudder/platform/_documents.py
@@ -29,7 +29,13 @@
     WeightedService,
 )
 from bankrudder.workspaces import ApiKey, DuplicateKeyError, KeyIndex, WorkspaceKeys
-from bankrudder.world import Address, DataCentreName, ModelVersion, WorkspaceName
+from bankrudder.world import (
+    Address,
+    DataCentreName,
+    ModelVersion,
+    WorkspaceName,
+    address_error,
+)
 
 _ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -136,9 +142,8 @@
     def __post_init__(self) -> None:
         if self.state not in _READINESS_STATES:
             raise ValueError(f"unknown state {self.state!r}")
-        host, _, port = self.address.rpartition(":")
-        if not host or not port.isdecimal():
-            raise ValueError(f"address {self.address!r} is not IP:PORT")
+        if problem := address_error(self.address):
+            raise ValueError(f"address {self.address!r}: {problem}")
 
 
 class _WireNamedVersion(msgspec.Struct):
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -10,6 +10,11 @@
 import structlog
 from yarl import URL
 
+from bankrudder.decoding import (
+    NonNegativeInt,
+    UnreadableDocumentError,
+    decode_json,
+)
 from bankrudder.fleet import (
     Answered,
     Endpoint,
@@ -38,7 +43,7 @@
 )
 from bankrudder.platform._endpoint_sessions import EndpointSessions
 from bankrudder.routing import ModelName
-from bankrudder.world import ModelVersion
+from bankrudder.world import ModelVersion, host_and_port
 
 CONNECT_TIMEOUT_S = 0.4
 """Timeout of a connection attempt.
@@ -50,9 +55,6 @@
 CONTROL_TIMEOUT_S = 1.0
 """Timeout of orders and state queries."""
 
-MAX_REASON_CHARS = 200
-"""Maximum length of the reason in a log line that quotes an endpoint's answer."""
-
 _WIRE_MODES = {SwitchMode.FINISH_FIRST: "wait", SwitchMode.CONTINUE: "keep"}
 
 _ORDER_OUTCOMES = {
@@ -69,7 +71,7 @@
 
 class _WireModelState(msgspec.Struct):
     name: str
-    version: int = 0
+    version: NonNegativeInt = 0
 
 
 class _WireState(msgspec.Struct):
@@ -80,10 +82,10 @@
     Unix milliseconds.
     """
 
-    sequence: int
+    sequence: NonNegativeInt
     busy: bool = False
     models: list[_WireModelState] = []
-    num_running: int = 0
+    num_running: NonNegativeInt = 0
     born: StartTime | msgspec.UnsetType = msgspec.UNSET
 
 
@@ -162,10 +164,10 @@
 
     async def reach(self, endpoint: Endpoint) -> ProbeResult:
         """Check whether a process listens at an endpoint's address."""
-        host, _, port = endpoint.address.rpartition(":")
+        host, port = host_and_port(endpoint.address)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
+                _, writer = await asyncio.open_connection(host, port)
         except ConnectionRefusedError:
             return ProbeResult.NOT_LISTENING
         except (OSError, TimeoutError):
@@ -185,7 +187,7 @@
             ) as response:
                 if response.status != 200:
                     return None
-                wire = msgspec.json.decode(await response.read(), type=_WireState)
+                wire = decode_json(await response.read(), _WireState)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             _log.info(
                 "endpoints: state query failed",
@@ -193,11 +195,11 @@
                 reason=type(error).__name__,
             )
             return None
-        except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        except UnreadableDocumentError as error:
             _log.warning(
                 "endpoints: state not understood",
                 endpoint=endpoint.id,
-                reason=str(error)[:MAX_REASON_CHARS],
+                reason=error.reason,
             )
             return None
         versions = {
--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -44,7 +44,7 @@
 )
 from bankrudder.routing import Route, RouteKind
 from bankrudder.workspaces import Admitted
-from bankrudder.world import Address, Clock, SampleId
+from bankrudder.world import Address, Clock, SampleId, host_and_port
 
 KEEP_ALIVE_S = 20.0
 """Idle timeout of callers' connections.
@@ -118,8 +118,8 @@
         )
         self._runner = web.ServerRunner(server, shutdown_timeout=0.5)
         await self._runner.setup()
-        host, _, port = self._address.rpartition(":")
-        self._site = web.TCPSite(self._runner, host, int(port), backlog=1024)
+        host, port = host_and_port(self._address)
+        self._site = web.TCPSite(self._runner, host, port, backlog=1024)
         await self._site.start()
 
     async def stop(self) -> None:
--- a/src/bankrudder/platform/_readiness.py
+++ b/src/bankrudder/platform/_readiness.py
@@ -4,7 +4,7 @@
 
 from bankrudder.node import Gateway
 from bankrudder.platform import _names as names
-from bankrudder.world import Address
+from bankrudder.world import Address, host_and_port
 
 
 class ReadinessListener:
@@ -28,8 +28,8 @@
         """
         self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
         await self._runner.setup()
-        host, _, port = self._address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
+        host, port = host_and_port(self._address)
+        await web.TCPSite(self._runner, host, port).start()
 
     async def stop(self) -> None:
         """Stop listening."""
--- a/src/bankrudder/world/__init__.py
+++ b/src/bankrudder/world/__init__.py
@@ -1,5 +1,6 @@
 """Value types that the packages share: configuration, identifiers, steps and clock."""
 
+from bankrudder.world._addresses import address_error, host_and_port
 from bankrudder.world._callers import Caller, CallerClass, CallerRole, Job, Workspace
 from bankrudder.world._clock import Clock, SystemClock
 from bankrudder.world._configuration import Configuration
@@ -70,4 +71,6 @@
     "VersionSpan",
     "Workspace",
     "WorkspaceName",
+    "address_error",
+    "host_and_port",
 ]
--- a/tests/node/test_odd_entries.py
+++ b/tests/node/test_odd_entries.py
@@ -24,6 +24,20 @@
     "version-huge": {"models": [{"name": "m0", "version": HUGE}]},
     "version-of-65-bits": {"models": [{"name": "m0", "version": 2**64}]},
 }
+ODD_ADDRESSES = {
+    "port-zero": {"address": "127.0.0.1:0"},
+    "port-too-large": {"address": "127.0.0.1:99999"},
+    "port-of-5000-digits": {"address": "127.0.0.1:" + "9" * 5000},
+    "port-of-other-digits": {"address": "127.0.0.1:\u0663\u0663"},
+    "port-missing": {"address": "127.0.0.1"},
+    "host-with-spaces": {"address": "a b:80"},
+    "host-with-line-break": {"address": "127.0.0.1\r\nX-Y: 1:80"},
+    "host-without-brackets": {"address": "::1:80"},
+    "host-with-half-a-bracket": {"address": "[::1:80"},
+    "host-name": {"address": "odd.invalid:80"},
+    "host-with-user": {"address": "user@127.0.0.1:80"},
+    "host-too-long": {"address": "x" * 300 + ":80"},
+}
 ODD_BODIES = {
     "nested": NESTED.encode(),
     "no-text": b"\xff\xfe\x00",
@@ -151,6 +165,14 @@
     await check_all_else_goes_on(site)
 
 
+async def test_entries_with_odd_addresses_concern_only_themselves(site):
+    """Requests to an address that is none failed without an answer of this host."""
+    put_odd_entries(site, ODD_ADDRESSES)
+    await asyncio.sleep(0.7)
+    await check_all_else_goes_on(site)
+    check_logged_once(site, ODD_ADDRESSES)
+
+
 async def test_entries_that_are_no_documents_concern_only_themselves(site):
     put_bodies(site, ODD_BODIES)
     await asyncio.sleep(0.7)
