Bodies of answers: a limit on what is read of one

What callers saw: nothing at first; a host whose endpoint sent a body without end read it until the deadline of the request and was killed for its memory, with every request that it worked on. A refused request whose refusal had such a body, or a slow one, was lost at its deadline instead of being sent to another endpoint.

Cause: only successful and failed answers of plain requests were held within the memory budget, and only where the contract limits memory. Refusals, answers of streams other than 200, states of engines and replies of the store were read with no limit, and so was every answer at a host without one. Within the budget, an answer without end was taken for a lack of memory here, which leaves the endpoint in use.

Now all bodies are read by one function up to a limit for what they are: 64 MB for an answer, as for a request, 64 KB for a refusal, 1 MB for a state, 32 MB for a reply of the store, whose objects have 8 MB. Beyond it, or at once if the head states more, the connection is closed, a log line has the figures and the outcome is `too_long`, which counts as a failure of the endpoint but not as a crash. A host with a budget takes an answer of no stated length that is larger than all that it can hold for one without end; one of a stated length remains `no_memory`. A refusal counts from its head: its body is given 0.1 s.

--- a/src/bankrudder/fleet/_sending.py
+++ b/src/bankrudder/fleet/_sending.py
@@ -94,6 +94,9 @@
     ENDPOINT_RESTARTED = "endpoint_restarted"
     """The endpoint restarted before it answered."""
 
+    TOO_LONG = "too_long"
+    """The answer was longer than any that is accepted."""
+
     NO_MEMORY = "no_memory"
     """This host has no memory for the answer."""
 
--- a/src/bankrudder/memory/_budget.py
+++ b/src/bankrudder/memory/_budget.py
@@ -192,6 +192,11 @@
         """Bytes of each transfer that do not count."""
         return self._uncounted_bytes
 
+    @property
+    def max_transfer_bytes(self) -> int:
+        """Size of the largest transfer that fits while there is no other one."""
+        return int(MAX_KIND_SHARE * self._limit_bytes) + self._uncounted_bytes
+
     @property
     def held_bytes(self) -> int:
         """Counted bytes that are held at present."""
--- a/src/bankrudder/platform/_answers.py
+++ b/src/bankrudder/platform/_answers.py
@@ -22,6 +22,7 @@
 )
 from bankrudder.memory import MemoryBudget
 from bankrudder.platform import _names as names
+from bankrudder.platform._bounded_answers import read_body
 from bankrudder.platform._events import read_events
 from bankrudder.platform._load_reports import reported_load
 from bankrudder.platform._transfers import NoMemoryError, read_answer_body
@@ -56,6 +57,13 @@
 """
 
 
+MAX_REFUSAL_BYTES = 64 << 10
+"""Maximum size of the body of a refusal, which is not used."""
+
+REFUSAL_BODY_TIMEOUT_S = 0.1
+"""Time after which the body of a refusal is given up. It usually comes with the head,
+and a new connection costs less than a longer wait of the request."""
+
 LOWEST_PRIORITY = 9
 """The least urgent priority that engines accept; 0 is the most urgent."""
 
@@ -103,10 +111,15 @@
     """Read a complete answer, or return why there is none.
 
     An answer that does not fit into the budget is broken off.
+
+    Raises
+    ------
+    AnswerTooLongError
+        If the body is longer than any answer may be.
     """
     load = reported_load(response)
     if _is_refusal(response):
-        await response.read()
+        await _skip_refusal_body(response)
         return Refused(_refusal_reason(response.status), load)
     if "Content-Encoding" in response.headers:
         response.close()
@@ -122,13 +135,15 @@
 
 
 async def stream_outcome(
-    response: aiohttp.ClientResponse, request: OutgoingRequest
+    response: aiohttp.ClientResponse,
+    request: OutgoingRequest,
+    budget: MemoryBudget | None = None,
 ) -> StreamOutcome:
     """Return the event stream of a response, or its answer if it is not a stream."""
     if not is_answer_to(response, request):
         return Lost(LossReason.FOREIGN_ANSWER)
     if response.status != 200:
-        return await read_answer(response)
+        return await read_answer(response, budget)
     version = response.headers.get(names.WEIGHT_VERSION, "")
     return OpenedStream(
         response.status,
@@ -139,12 +154,25 @@
     )
 
 
+async def _skip_refusal_body(response: aiohttp.ClientResponse) -> None:
+    """Read the body of a refusal, so that its connection can be used again.
+
+    The head alone states that the request did not run. A body that is broken, late or
+    long only costs the connection.
+    """
+    try:
+        async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
+            await read_body(response, MAX_REFUSAL_BYTES)
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        response.close()
+
+
 async def _read_body(
     response: aiohttp.ClientResponse, budget: MemoryBudget | None
 ) -> bytes | None:
     """Return the body of an answer, None if there is no memory for it."""
     if budget is None:
-        return await response.read()
+        return await read_body(response)
     try:
         return await read_answer_body(response, budget)
     except NoMemoryError:
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -41,6 +41,7 @@
     request_headers,
     stream_outcome,
 )
+from bankrudder.platform._bounded_answers import AnswerTooLongError, read_body
 from bankrudder.platform._endpoint_sessions import EndpointSessions
 from bankrudder.routing import ModelName
 from bankrudder.world import ModelVersion, host_and_port
@@ -55,6 +56,9 @@
 CONTROL_TIMEOUT_S = 1.0
 """Timeout of orders and state queries."""
 
+MAX_STATE_BYTES = 1 << 20
+"""Maximum size of the state that an engine reports: thousands of models."""
+
 _WIRE_MODES = {SwitchMode.FINISH_FIRST: "wait", SwitchMode.CONTINUE: "keep"}
 
 _ORDER_OUTCOMES = {
@@ -130,6 +134,8 @@
             return Refused(_connect_refusal(error))
         except TimeoutError:
             return Lost(LossReason.TIMEOUT)
+        except AnswerTooLongError:
+            return Lost(LossReason.TOO_LONG)
         except (aiohttp.ClientPayloadError, aiohttp.ClientResponseError):
             return Lost(LossReason.BROKEN_OFF)
         except (aiohttp.ClientError, OSError):
@@ -145,7 +151,7 @@
         try:
             response = await self._request(endpoint, request)
             self._sessions.learn_idle_time(endpoint, response)
-            outcome = await stream_outcome(response, request)
+            outcome = await stream_outcome(response, request, self._budget)
             if isinstance(outcome, OpenedStream):
                 keep_alive_s = self._sessions.keep_alive_s(endpoint, request, response)
                 outcome = msgspec.structs.replace(outcome, keep_alive_s=keep_alive_s)
@@ -153,6 +159,8 @@
             outcome = Refused(_connect_refusal(error))
         except TimeoutError:
             outcome = Lost(LossReason.TIMEOUT)
+        except AnswerTooLongError:
+            outcome = Lost(LossReason.TOO_LONG)
         except (aiohttp.ClientError, OSError):
             outcome = Lost(LossReason.NO_ANSWER)
         try:
@@ -187,7 +195,9 @@
             ) as response:
                 if response.status != 200:
                     return None
-                wire = decode_json(await response.read(), _WireState)
+                wire = decode_json(
+                    await read_body(response, MAX_STATE_BYTES), _WireState
+                )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             _log.info(
                 "endpoints: state query failed",
--- a/src/bankrudder/platform/_store.py
+++ b/src/bankrudder/platform/_store.py
@@ -14,6 +14,7 @@
 import structlog
 
 from bankrudder.platform import _names as names
+from bankrudder.platform._bounded_answers import read_body
 from bankrudder.platform._single_sends import ConnectionLostError, send_once
 from bankrudder.store import (
     Changes,
@@ -66,6 +67,10 @@
 IDLE_TIMEOUT_S = 10.0
 """Time after which idle connections are closed, before they can fail unnoticed."""
 
+MAX_REPLY_BYTES = 32 << 20
+"""Maximum size of a reply: four times the largest object, and thirty times the largest
+page of rows. Only changes have no stated limit."""
+
 REPEATABLE_METHODS = frozenset({"GET", "PUT", "DELETE"})
 """Methods of the calls that have the same effect if they are repeated."""
 
@@ -302,7 +307,7 @@
             headers=headers,
             timeout=timeout,
         ) as response:
-            return response.status, await response.read()
+            return response.status, await read_body(response, MAX_REPLY_BYTES)
 
     def _open_session(self) -> aiohttp.ClientSession:
         # The session is created here because it needs the running event loop.
--- a/src/bankrudder/platform/_transfers.py
+++ b/src/bankrudder/platform/_transfers.py
@@ -9,6 +9,11 @@
 from aiohttp import web
 
 from bankrudder.memory import Holding, MemoryBudget, TransferKind
+from bankrudder.platform._bounded_answers import (
+    MAX_ANSWER_BYTES,
+    check_stated_length,
+    too_long,
+)
 
 MAX_BODY_BYTES = 64 << 20
 """Maximum size of a request body; a larger one is answered with status 413."""
@@ -20,7 +25,7 @@
 
 
 class BodyTooLargeError(Exception):
-    """A request body is larger than `MAX_BODY_BYTES`."""
+    """A body is larger than its limit."""
 
 
 class NoMemoryError(Exception):
@@ -76,12 +81,22 @@
     NoMemoryError
         If the body does not fit into the budget, or was ended for another transfer.
         Its rest is not read.
+    AnswerTooLongError
+        If the body is longer than any answer may be, or states no length and is longer
+        than the budget can ever hold. Its rest is not read.
     """
+    check_stated_length(response, MAX_ANSWER_BYTES)
+    max_bytes = MAX_ANSWER_BYTES
+    if response.content_length is None:
+        # Such an answer may have no end, which is a failure of the endpoint.
+        max_bytes = min(max_bytes, budget.max_transfer_bytes)
     holding = budget.hold(
         TransferKind.ANSWER, lambda: holding.size_bytes, response.close
     )
     try:
-        return await _read_chunks(response.content.iter_any(), holding)
+        return await _read_chunks(response.content.iter_any(), holding, max_bytes)
+    except BodyTooLargeError:
+        raise too_long(response, holding.size_bytes, max_bytes) from None
     except aiohttp.ClientError:
         if holding.is_ended:
             # The endpoint did not break off its answer, and must not be suspended.
@@ -96,10 +111,10 @@
 ) -> bytes:
     parts: list[bytes] = []
     async for chunk in chunks:
+        if holding.size_bytes + len(chunk) > max_bytes:
+            raise BodyTooLargeError
         if not holding.grow(len(chunk)):
             raise NoMemoryError
-        if holding.size_bytes > max_bytes:
-            raise BodyTooLargeError
         parts.append(chunk)
     return b"".join(parts)
 
