Refuse odd numbers in the headers and queries of callers

Callers got status 500 for X-Request-Deadline, Last-Event-Id, X-Max-Wait or the query 'after' in digits that str.isdigit accepts and int() doesn't (superscripts), or of 5000 digits; a stream with a time limit of 400 digits failed with OverflowError. Digits of other scripts were read as numbers, and a Last-Event-Id that is no number was taken for none: the caller that asked to go on got the stream from its start, and so events twice.

All of them go through decode_decimal, which takes ASCII digits up to 2**63 - 1. An odd time limit or wait is ignored, as letters were before; an odd position or last event is malformed. -1 stays the same as no last event.

--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict
 
 from bankrudder.batches import BatchId
+from bankrudder.decoding import decode_decimal
 from bankrudder.fleet import StreamBrokenError
 from bankrudder.memory import Holding, MemoryBudget
 from bankrudder.node import Gateway
@@ -188,6 +189,8 @@
         if path.startswith(names.SAMPLE_PATH_PREFIX):
             return await self._sample_body(request, path)
         incoming = incoming_request(request, body, received_at)
+        if isinstance(incoming, Malformed):
+            return response_to(incoming)
         route = self._gateway.route(incoming.host, incoming.path)
         if not isinstance(route, Route):
             return response_to(route)
@@ -259,14 +262,14 @@
         if request.method == "DELETE":
             reply = await self._gateway.end(batch_id, admitted.workspace)
             return web.Response(status=200) if reply is None else response_to(reply)
-        after = request.query.get("after", "0")
-        if not after.isdigit():
+        after = decode_decimal(request.query.get("after", "0"))
+        if after is None:
             return response_to(Malformed("after"))
-        wait_ms = request.headers.get(names.MAX_WAIT_MS, "0")
-        wait_s = float(wait_ms) / 1000 if wait_ms.isdigit() else 0.0
+        wait_ms = decode_decimal(request.headers.get(names.MAX_WAIT_MS, "0"))
+        wait_s = 0.0 if wait_ms is None else wait_ms / 1000
         page = await self._gateway.results(
             batch_id,
-            int(after),
+            after,
             max(wait_s - LONG_POLL_MARGIN_S, 0.0),
             admitted.workspace,
         )
--- a/src/bankrudder/platform/_requests.py
+++ b/src/bankrudder/platform/_requests.py
@@ -4,6 +4,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from bankrudder.decoding import decode_decimal
 from bankrudder.platform import _names as names
 from bankrudder.relay import (
     IncomingRequest,
@@ -36,11 +37,18 @@
 
 def incoming_request(
     request: web.BaseRequest, body: bytes, received_at: float
-) -> IncomingRequest:
-    """Return a caller's HTTP request in the project's own form."""
-    timeout_ms = request.headers.get(names.REMAINING_TIME_MS, "")
-    timeout_s = float(timeout_ms) / 1000 if timeout_ms.isdigit() else DEFAULT_TIMEOUT_S
+) -> IncomingRequest | Malformed:
+    """Return a caller's HTTP request in the project's own form.
+
+    A request to resume a stream after no valid event is malformed: sent from the start,
+    the caller would get events twice.
+    """
+    timeout_ms = decode_decimal(request.headers.get(names.REMAINING_TIME_MS, ""))
+    timeout_s = DEFAULT_TIMEOUT_S if timeout_ms is None else timeout_ms / 1000
     last_event = request.headers.get(names.LAST_EVENT_ID, "")
+    resume_after = -1 if last_event in ("", "-1") else decode_decimal(last_event)
+    if resume_after is None:
+        return Malformed(names.LAST_EVENT_ID)
     target = request.message.path
     return IncomingRequest(
         request_id=request.headers.get(names.REQUEST_ID, ""),
@@ -52,7 +60,7 @@
         body=body,
         deadline=received_at + timeout_s,
         received_at=received_at,
-        resume_after=int(last_event) if last_event.isdigit() else -1,
+        resume_after=resume_after,
         trace=request.headers.get(TRACE_HEADER, ""),
         identity=tuple(request.headers.get(name, "") for name in IDENTITY_HEADERS),
     )
