Platform: numbers are ASCII digits, and an event has one

Events with an id of -1, +1 or 1_0, and two events that ran into one (the data of both under the later id), were taken as events: a text or a caller's stream would go on after the wrong number. Headers with other Unicode digits, such as a superscript two, pass str.isdigit and make int raise ValueError.

All numbers of the wire are read by decode_decimal, as those of callers, which takes ASCII digits up to 2^63 - 1, and a second id field breaks the stream.

--- a/src/bankrudder/decoding.py
+++ b/src/bankrudder/decoding.py
@@ -59,7 +59,7 @@
         raise UnreadableDocumentError(str(error)) from None
 
 
-def decode_decimal(text: str) -> int | None:
+def decode_decimal(text: str | bytes) -> int | None:
     """Return the integer from 0 to `MAX_INT` in a header or query, None if invalid.
 
     The digits of other scripts, which `str.isdigit` accepts, are invalid.
--- a/src/bankrudder/platform/_answers.py
+++ b/src/bankrudder/platform/_answers.py
@@ -6,6 +6,7 @@
 import aiohttp
 from multidict import CIMultiDict
 
+from bankrudder.decoding import decode_decimal
 from bankrudder.fleet import (
     Answered,
     Endpoint,
@@ -144,11 +145,11 @@
         return Lost(LossReason.FOREIGN_ANSWER)
     if response.status != 200:
         return await read_answer(response, budget)
-    version = response.headers.get(names.WEIGHT_VERSION, "")
+    version = decode_decimal(response.headers.get(names.WEIGHT_VERSION, ""))
     return OpenedStream(
         response.status,
         _answer_headers(response),
-        ModelVersion(int(version)) if version.isdigit() else None,
+        ModelVersion(version) if version is not None else None,
         read_events(response),
         load=reported_load(response),
     )
--- a/src/bankrudder/platform/_batch_documents.py
+++ b/src/bankrudder/platform/_batch_documents.py
@@ -13,6 +13,7 @@
     RewardCall,
     Sample,
 )
+from bankrudder.decoding import decode_decimal
 from bankrudder.platform import _names as names
 from bankrudder.routing import ModelName, Route
 from bankrudder.world import (
@@ -164,6 +165,6 @@
         body=base64.b64decode(wire.body),
         # A sample without a group forms a group of its own.
         group=GroupId(wire.group or wire.id),
-        length_hint=int(hint) if hint.isdigit() else 0,
+        length_hint=decode_decimal(hint) or 0,
         reward=reward,
     )
--- a/src/bankrudder/platform/_endpoint_sessions.py
+++ b/src/bankrudder/platform/_endpoint_sessions.py
@@ -17,6 +17,7 @@
 import msgspec
 import structlog
 
+from bankrudder.decoding import decode_decimal
 from bankrudder.fleet import Endpoint, EndpointRun, OutgoingRequest
 from bankrudder.platform._sent_requests import SentRequests
 from bankrudder.platform._single_sends import send_once
@@ -190,8 +191,9 @@
     """Return the usable part of the advertised idle timeout, None if there is none."""
     for part in response.headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return min(max(int(value) - IDLE_MARGIN_S, 0.0), MAX_IDLE_TIMEOUT_S)
+        seconds = decode_decimal(value)
+        if name.lower() == "timeout" and seconds is not None:
+            return min(max(seconds - IDLE_MARGIN_S, 0.0), MAX_IDLE_TIMEOUT_S)
     return None
 
 
--- a/src/bankrudder/platform/_events.py
+++ b/src/bankrudder/platform/_events.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from bankrudder.decoding import decode_decimal
 from bankrudder.fleet import StreamBrokenError, StreamEvent
 from bankrudder.platform import _names as names
 from bankrudder.world import ModelVersion
@@ -59,18 +60,25 @@
             match name:
                 case b"data":
                     data.append(value.decode("utf-8"))
+                case b"id" if number is not None:
+                    raise StreamBrokenError("event has two id fields")
                 case b"id":
-                    number = int(value)
+                    number = _number(value)
                 case _ if name.lower() == _VERSION_FIELD:
-                    version = ModelVersion(int(value))
+                    version = ModelVersion(_number(value))
                 case b"" | b"event" | b"retry":
                     pass
                 case _:
                     raise StreamBrokenError("event has an unknown field")
-    except ValueError as error:
-        raise StreamBrokenError(
-            "event has an invalid number, version or encoding"
-        ) from error
+    except UnicodeDecodeError as error:
+        raise StreamBrokenError("event has an invalid encoding") from error
     if number is None:
         raise StreamBrokenError("event has no id field")
     return StreamEvent(number, "\n".join(data), version, block + b"\n\n")
+
+
+def _number(value: bytes) -> int:
+    number = decode_decimal(value)
+    if number is None:
+        raise StreamBrokenError("event has an invalid number or version")
+    return number
