Platform: a stream without a length that is reset is not complete

was_cut_off tells the two apart by the error that the connection left, once the body was read; the readers of streams and of plain answers both use it. It also knows the end of a connection that was lost before it is asked.

--- a/src/bankrudder/platform/_answers.py
+++ b/src/bankrudder/platform/_answers.py
@@ -23,6 +23,7 @@
 )
 from bankrudder.memory import MemoryBudget
 from bankrudder.platform import _names as names
+from bankrudder.platform._body_end import was_cut_off
 from bankrudder.platform._bounded_answers import read_body
 from bankrudder.platform._events import read_events
 from bankrudder.platform._load_reports import reported_load
@@ -125,11 +126,10 @@
     if "Content-Encoding" in response.headers:
         response.close()
         return Lost(LossReason.BROKEN_OFF)
-    closed = _body_end_of_close_delimited(response)
     body = await _read_body(response, budget)
     if body is None:
         return Lost(LossReason.NO_MEMORY)
-    if closed is not None and not await _was_closed_cleanly(closed):
+    if was_cut_off(response):
         return Lost(LossReason.BROKEN_OFF)
     proof = response.headers.get(names.ANSWER_PROOF, "")
     return Answered(response.status, _answer_headers(response), body, load, proof)
@@ -181,27 +181,6 @@
         return None
 
 
-def _body_end_of_close_delimited(
-    response: aiohttp.ClientResponse,
-) -> "asyncio.Future[None] | None":
-    """Return the future of the connection's close if only that ends the body."""
-    headers = response.headers
-    if "Content-Length" in headers or "Transfer-Encoding" in headers:
-        return None
-    connection = response.connection
-    if connection is None or connection.protocol is None:
-        return None
-    return connection.protocol.closed
-
-
-async def _was_closed_cleanly(closed: "asyncio.Future[None]") -> bool:
-    try:
-        await closed
-    except (aiohttp.ClientError, OSError):
-        return False
-    return True
-
-
 def _is_refusal(response: aiohttp.ClientResponse) -> bool:
     return response.status == 421 or names.NOT_RUN in response.headers
 
--- /dev/null
+++ b/src/bankrudder/platform/_body_end.py
@@ -0,0 +1,17 @@
+"""How the body of an answer ended.
+
+A body without a length ends with its connection. The HTTP client ends it in the same
+way whether the connection was closed or reset.
+"""
+
+import aiohttp
+
+
+def was_cut_off(response: aiohttp.ClientResponse) -> bool:
+    """Whether the end of a body that was read is not the end of the answer."""
+    headers = response.headers
+    if "Content-Length" in headers or "Transfer-Encoding" in headers:
+        return False  # the HTTP client checks these
+    protocol = response._protocol
+    # A connection that was closed in order leaves another error here.
+    return protocol is not None and isinstance(protocol.exception(), OSError)
--- a/src/bankrudder/platform/_events.py
+++ b/src/bankrudder/platform/_events.py
@@ -7,6 +7,7 @@
 from bankrudder.decoding import decode_decimal
 from bankrudder.fleet import StreamBrokenError, StreamEvent
 from bankrudder.platform import _names as names
+from bankrudder.platform._body_end import was_cut_off
 from bankrudder.world import ModelVersion
 
 MAX_EVENT_BYTES = 1 << 20
@@ -40,6 +41,8 @@
         raise StreamBrokenError(
             f"stream ended inside an event, after {len(buffer)} bytes of it"
         )
+    if was_cut_off(response):
+        raise StreamBrokenError("connection reset at the end of a stream")
 
 
 def parse_event(block: bytes) -> StreamEvent:
