Connections: a limit on bytes that are not the body of an answer

What callers saw: late answers from a host whose endpoint sends informational answers without end. Blank lines, spaces before a value, zeros of a chunk size, extensions of chunks and chunks of one byte were read as fast as they came until the deadline of the request, and answers that came on an idle connection piled up in it.

Cause: the HTTP client limits lines, names, values and the number of fields, but not what it skips, and parses all that was received at once. Nothing counted the bytes of a connection that are not the body of the answer.

Evidence, with the sessions' connector as before: 26 of 65 tests fail, with up to 821 MB of one answer read in 3 s, and other endpoints not answered in 1 s. What held before, and now has a test: a status line, name, value, or folded value that is too long, too many fields, bytes that are no HTTP. All slow ones end at the deadline.

Connections to endpoints, to the store and to the platform's duties now count what they receive for an answer. What is not its body may have 64 KB and as much as the body; a head is parsed in parts, with the limit checked after each. Beyond the limit the connection is closed and the outcome is `too_long`. A connection that gets bytes after its answer is closed at once; the answer that came before is complete.

With it all 65 hold, among them a large head, 50,000 chunks of ten bytes and a stream of 100,000 events that is read slowly. Tests of platform, store, relay, orders, duties, tls, docs and style, and of streams and memory of whole hosts: 1395 passed.

Since a connection is closed at once when something arrives on it while it is idle, the connector no longer looks for that before it uses the connection again.

--- a/src/bankrudder/platform/_duty_api.py
+++ b/src/bankrudder/platform/_duty_api.py
@@ -19,6 +19,7 @@
     UsageReport,
 )
 from bankrudder.platform import _names as names
+from bankrudder.platform._bounded_connections import BoundedConnector
 from bankrudder.platform._single_sends import send_once
 from bankrudder.world import Address
 
@@ -78,7 +79,7 @@
     def _open_session(self) -> aiohttp.ClientSession:
         # The session is created here because it needs the running event loop.
         if self._session is None:
-            connector = aiohttp.TCPConnector(
+            connector = BoundedConnector(
                 limit=1,
                 keepalive_timeout=IDLE_TIMEOUT_S,
                 socket_factory=_resetting_socket,
--- a/src/bankrudder/platform/_endpoint_sessions.py
+++ b/src/bankrudder/platform/_endpoint_sessions.py
@@ -3,15 +3,13 @@
 The endpoints of a service share a connection pool. An endpoint that has restarted at
 its address gets a pool of its own, so that no connection to its earlier run is reused.
 
-An endpoint may send more than one answer to a request. What arrives on an idle
-connection is never taken as the answer to a later request: the connection is closed. A
-second answer may also arrive after the next request was sent, and only its identifier
-tells it apart. A request that was sent to the endpoint before under its identifier is
-therefore sent on a new connection.
+An endpoint may send more than one answer to a request. A connection is closed when
+something arrives on it while it is idle. A second answer may also arrive after the next
+request was sent, and only its identifier tells it apart, so a request whose identifier
+was sent to the endpoint before goes on a new connection.
 """
 
 import asyncio
-from typing import TYPE_CHECKING
 
 import aiohttp
 import msgspec
@@ -19,16 +17,12 @@
 
 from bankrudder.decoding import decode_decimal
 from bankrudder.fleet import Endpoint, EndpointRun, OutgoingRequest
+from bankrudder.platform._bounded_connections import BoundedConnector
 from bankrudder.platform._sent_requests import SentRequests
 from bankrudder.platform._single_sends import send_once
 from bankrudder.routing import ServiceName
 from bankrudder.world import Address
 
-if TYPE_CHECKING:
-    from aiohttp.client_reqrep import ConnectionKey
-    from aiohttp.connector import Connection
-    from aiohttp.tracing import Trace
-
 IDLE_TIMEOUT_S = 3.0
 """Time after which an idle connection is closed if the endpoint states no limit."""
 
@@ -55,7 +49,7 @@
     restarted_run: EndpointRun | None
 
 
-class _Connector(aiohttp.TCPConnector):
+class _Connector(BoundedConnector):
     """Connector whose idle timeout can change after connections were opened.
 
     The idle timeout is known from the first answer on. A training step opens a hundred
@@ -67,24 +61,6 @@
         """Set the time for which idle connections are kept open from now on."""
         self._keepalive_timeout = idle_s
 
-    async def _get(
-        self, key: "ConnectionKey", traces: "list[Trace]"
-    ) -> "Connection | None":
-        """Return an idle connection on which nothing has arrived, None if none is left.
-
-        The HTTP client would read what has arrived as the answer to the next request.
-        """
-        while (connection := await super()._get(key, traces)) is not None:
-            protocol = connection.protocol
-            if protocol is not None and not protocol.should_close:
-                return connection
-            _log.info(
-                "endpoints: connection closed, something arrived while it was idle",
-                address=f"{key.host}:{key.port}",
-            )
-            connection.close()
-        return None
-
 
 class EndpointSessions:
     """Sessions for requests to endpoints, created on first use."""
--- a/src/bankrudder/platform/_store.py
+++ b/src/bankrudder/platform/_store.py
@@ -15,6 +15,7 @@
 
 from bankrudder.platform import _names as names
 from bankrudder.platform._bounded_answers import read_body
+from bankrudder.platform._bounded_connections import BoundedConnector
 from bankrudder.platform._single_sends import ConnectionLostError, send_once
 from bankrudder.store import (
     Changes,
@@ -312,7 +313,7 @@
     def _open_session(self) -> aiohttp.ClientSession:
         # The session is created here because it needs the running event loop.
         if self._session is None:
-            connector = aiohttp.TCPConnector(
+            connector = BoundedConnector(
                 limit=MAX_CONNECTIONS, keepalive_timeout=IDLE_TIMEOUT_S
             )
             self._session = aiohttp.ClientSession(
--- a/tests/outside/endless.py
+++ b/tests/outside/endless.py
@@ -87,9 +87,9 @@
         for part in self._parts():
             if self._stopped.is_set():
                 return
-            self._send(connection, part)
             if self._is_slow:
                 time.sleep(PAUSE_S)
+            self._send(connection, part)
 
     def _parts(self):
         count = 1 if self._is_slow else max(BLOCK_BYTES // len(self._unit), 1)
