Connections: an answer with malformed framing ends at once

What callers saw: an answer whose chunk size, chunk end or trailer is no HTTP was waited for until the deadline of the request, or until the next event was overdue, although the connection had been closed. A request that may be sent again was not, or late.

Cause: after bytes that it cannot parse, the HTTP client closes the connection and notes the error for the next head, but the reader of a body whose head came before is not told.

The connection now ends the body with the error, so that the outcome is `broken_off` as after any other broken answer.

--- a/src/bankrudder/platform/_bounded_connections.py
+++ b/src/bankrudder/platform/_bounded_connections.py
@@ -80,11 +80,22 @@
     def _parse(self, data: bytes) -> None:
         self._received_bytes += len(data)
         super().data_received(data)
+        error = self.exception()
+        if error is not None:
+            self._fail_body(error)
         # While the reader of the body is behind, received bytes wait to be parsed.
-        is_parsed = not self._reading_paused and self.exception() is None
-        if is_parsed and self.transport is not None:
+        elif self.transport is not None and not self._reading_paused:
             self._check_framing(self.transport)
 
+    def _fail_body(self, error: BaseException) -> None:
+        """End a body after bytes that cannot be parsed.
+
+        The HTTP client closes the connection, but does not tell the body's reader.
+        """
+        body = self._body
+        if body is not None and not body.is_eof() and body.exception() is None:
+            body.set_exception(aiohttp.ClientPayloadError(str(error)))
+
     def _check_framing(self, transport: Any) -> None:
         body_bytes = self._body.total_bytes if self._body is not None else 0
         framing_bytes = self._received_bytes - body_bytes
--- a/tests/outside/endless.py
+++ b/tests/outside/endless.py
@@ -84,12 +84,13 @@
 
     def _answer(self, connection):
         self._send(connection, self._head)
+        time.sleep(PAUSE_S)  # the head is to be read by itself
         for part in self._parts():
             if self._stopped.is_set():
                 return
+            self._send(connection, part)
             if self._is_slow:
                 time.sleep(PAUSE_S)
-            self._send(connection, part)
 
     def _parts(self):
         count = 1 if self._is_slow else max(BLOCK_BYTES // len(self._unit), 1)
--- a/tests/platform/test_bounded_connections.py
+++ b/tests/platform/test_bounded_connections.py
@@ -61,6 +61,15 @@
     "chunks of a byte": (CHUNKED, b"1\r\na\r\n"),
     "trailers": (CHUNKED + b"0\r\n", b"X-A: b\r\n"),
 }
+MALFORMED = {
+    "chunk size": (CHUNKED, b"1"),
+    "no chunk size": (CHUNKED, b"x"),
+    "no end of a chunk": (CHUNKED + b"1\r\n", b"a"),
+    "trailer": (CHUNKED + b"0\r\nX-A: ", b"a"),
+    "trailer name": (CHUNKED + b"0\r\n", b"a"),
+}
+"""The head arrives before the bytes that cannot be parsed."""
+
 BROKEN = {Lost(LossReason.TOO_LONG), Lost(LossReason.BROKEN_OFF)}
 
 
@@ -127,6 +136,24 @@
     await assert_closed(server)
 
 
+@pytest.mark.parametrize("framing", MALFORMED)
+async def test_malformed_framing_ends_an_answer_at_once(serve, client, framing):
+    """Guards against a request that waits for its deadline after a broken answer."""
+    server = serve(*MALFORMED[framing])
+    async with asyncio.timeout(BRIEF_S):
+        assert await send(client, server) == Lost(LossReason.BROKEN_OFF)
+    await assert_closed(server)
+
+
+@pytest.mark.parametrize("framing", MALFORMED)
+async def test_malformed_framing_ends_a_stream_at_once(serve, client, framing):
+    server = serve(*MALFORMED[framing])
+    with pytest.raises(StreamBrokenError):
+        async with asyncio.timeout(BRIEF_S):
+            await read_stream(client, server)
+    await assert_closed(server)
+
+
 @pytest.mark.parametrize("head", HEADS)
 async def test_a_stream_with_a_head_without_end_is_broken_off(serve, client, head):
     server = serve(*HEADS[head])
