Refuse batches that cannot be stored or sent

A caller's batch with a deeply nested value of an unknown field got status 500, since the decoder's RecursionError passed; so did versions and groups of 65 bits, which do not fit into MessagePack, and the name of a batch in no UTF-8. Others were accepted, and failed where it is too late: a line break in a path, name or header of a sample raises ValueError at each send ('batches: sample failed'); a sample's name of more than 200 bytes is no key, so that the store refuses its progress together with that of others; base64 with foreign characters was decoded without them, to other bytes.

The wire types now state what a value may be: numbers of 0 to 2**63 - 1, names of 1 to 200 visible ASCII characters, targets that begin with a slash, tokens and text of headers as in HTTP. Base64 is checked. An estimate of the length above ten million counts as none.

--- a/src/bankrudder/platform/_batch_documents.py
+++ b/src/bankrudder/platform/_batch_documents.py
@@ -1,7 +1,8 @@
 """Decoding of batches, and encoding of their results."""
 
 import base64
-import binascii
+import re
+from typing import Annotated
 
 import msgspec
 
@@ -13,7 +14,12 @@
     RewardCall,
     Sample,
 )
-from bankrudder.decoding import decode_decimal
+from bankrudder.decoding import (
+    NonNegativeInt,
+    UnreadableDocumentError,
+    decode_decimal,
+    decode_json,
+)
 from bankrudder.platform import _names as names
 from bankrudder.routing import ModelName, Route
 from bankrudder.world import (
@@ -31,6 +37,23 @@
 workspace that its request belongs to.
 """
 
+MAX_NAME_BYTES = 200
+"""Largest size of a name that becomes part of a row's key, as the store's limit."""
+
+MAX_LENGTH_HINT = 10_000_000
+"""Largest estimate of output tokens that is believed: it exceeds the memory of engines
+many times."""
+
+_NAME = rf"^[!-~]{{1,{MAX_NAME_BYTES}}}\Z"
+_HEADER_NAME = r"^[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z"
+_HEADER_VALUE = r"^[^\x00-\x08\x0a-\x1f\x7f]*\Z"
+_TARGET = r"^/[!-~]*\Z"
+
+_Name = Annotated[str, msgspec.Meta(pattern=_NAME)]
+_HeaderName = Annotated[str, msgspec.Meta(pattern=_HEADER_NAME)]
+_HeaderValue = Annotated[str, msgspec.Meta(pattern=_HEADER_VALUE)]
+_Target = Annotated[str, msgspec.Meta(pattern=_TARGET)]
+
 _WIRE_STATES = {ResultState.SUCCEEDED: "succeeded", ResultState.ABORTED: "aborted"}
 
 
@@ -45,9 +68,9 @@
 class _WireReward(msgspec.Struct):
     """The request that scores a sample; ``body`` is base64."""
 
-    id: str
-    host: str
-    path: str
+    id: _Name
+    host: _HeaderValue
+    path: _Target
     body: str = ""
 
 
@@ -57,21 +80,21 @@
     ``body`` is base64. ``tokens`` is the maximum number of prompt and generated tokens.
     """
 
-    id: str
-    path: str
-    headers: dict[str, str] = {}
+    id: _Name
+    path: _Target
+    headers: dict[_HeaderName, _HeaderValue] = {}
     body: str = ""
-    tokens: int = 0
+    tokens: NonNegativeInt = 0
     group: str = ""
     scorer: _WireReward | None = None
 
 
 class _WireBatch(msgspec.Struct):
     items: list[_WireSample]
-    step: int = 0
+    step: NonNegativeInt = 0
     model: str = ""
-    min_version: int = 0
-    target_groups: int = 0
+    min_version: NonNegativeInt = 0
+    target_groups: NonNegativeInt = 0
 
 
 class _WireResult(msgspec.Struct):
@@ -102,20 +125,25 @@
     MalformedBatchError
         If the body is not a valid batch.
     """
+    if not re.fullmatch(_NAME, batch_id):
+        raise MalformedBatchError(names.REQUEST_ID)
     try:
-        wire = msgspec.json.decode(body, type=_WireBatch)
+        wire = decode_json(body, _WireBatch)
         samples = tuple(_sample(each) for each in wire.items)
-    except (msgspec.DecodeError, binascii.Error, ValueError) as error:
+    except (UnreadableDocumentError, ValueError) as error:
         raise MalformedBatchError(str(error)) from None
     if not samples:
         raise MalformedBatchError("items")
     if len({each.id for each in samples}) != len(samples):
         raise MalformedBatchError("items: an id stands twice")
+    model = wire.model or _model_of(wire)
+    if len(model.encode()) > MAX_NAME_BYTES:
+        raise MalformedBatchError("model")
     return Batch(
         id=BatchId(batch_id),
         route=route.name,
         host=host,
-        model=ModelName(wire.model or _model_of(wire)),
+        model=ModelName(model),
         min_version=ModelVersion(wire.min_version),
         target_groups=wire.target_groups,
         samples=samples,
@@ -151,9 +179,9 @@
             wire.scorer.id,
             wire.scorer.host,
             wire.scorer.path,
-            base64.b64decode(wire.scorer.body),
+            _decode_base64(wire.scorer.body),
         )
-    hint = wire.headers.get(names.LENGTH_HINT, "")
+    hint = decode_decimal(wire.headers.get(names.LENGTH_HINT, "")) or 0
     return Sample(
         id=SampleId(wire.id),
         target=wire.path,
@@ -162,9 +190,13 @@
             for name, value in wire.headers.items()
             if name.lower() not in _DROPPED_HEADERS
         ),
-        body=base64.b64decode(wire.body),
+        body=_decode_base64(wire.body),
         # A sample without a group forms a group of its own.
         group=GroupId(wire.group or wire.id),
-        length_hint=decode_decimal(hint) or 0,
+        length_hint=hint if hint <= MAX_LENGTH_HINT else 0,
         reward=reward,
     )
+
+
+def _decode_base64(text: str) -> bytes:
+    return base64.b64decode(text, validate=True)
--- a/tests/node/test_odd_requests.py
+++ b/tests/node/test_odd_requests.py
@@ -1,11 +1,13 @@
 """Requests of callers with odd headers, queries and bodies get a definite answer."""
 
 import asyncio
+import json
 
 import pytest
 
-from outside.site import HOST_NAME, Site
+from outside.site import HOST_NAME, Site, batch, check_results
 
+NESTED = b"[" * 100_000 + b"]" * 100_000
 OTHER_DIGITS = "\u0663"
 SUPERSCRIPT = "\u00b2"
 DIGITS_400 = "9" * 400
@@ -88,3 +90,29 @@
         assert await send_raw(site.hosts[0], "GET", path + value) == 400
     found = await statuses_of(site, "GET", path + "1", "X-Max-Wait")
     assert set(found.values()) == {200}, found
+
+
+def odd_batches():
+    """Return the bodies of batches that cannot be stored, or not sent to engines."""
+    yield b'{"items": [], "more": ' + NESTED + b"}"
+    for field, value in (
+        ("min_version", -1),
+        ("min_version", 2**64),
+        ("step", 10**400),
+    ):
+        yield json.dumps({**batch("odd"), field: value}).encode()
+    for field, value in (("path", "/a\r\nB: c"), ("id", "a\r\nb"), ("body", "!!")):
+        document = batch("odd")
+        document["items"][0][field] = value
+        yield json.dumps(document).encode()
+
+
+async def test_odd_batches_are_malformed_and_leave_other_batches_alone(site):
+    """Some were answered with status 500; samples of others failed for ever."""
+    for number, body in enumerate(odd_batches()):
+        headers = [("X-Request-Id", f"odd-{number}")]
+        status = await send_raw(site.hosts[0], "POST", "/rollout/1", headers, body)
+        assert status == 400, body[:100]
+    await site.submit(site.hosts[0], "b1")
+    check_results(await site.read_all("b1", 8), "b1", 8)
+    assert not [line for line in site.hosts[0].log_lines() if line["level"] == "error"]
