Batches: saved text is used only for the request that it answers

A later batch with another request under the identifier of an earlier sample got a text that began with the other one's events, also one of another workspace; and of saved text whose next number does not fit its events the later events were put at wrong places. Progress is found by the model and the identifier of the sample alone, any host may write it without a condition, and nothing was checked when it was read.

Saved progress now has the digest of what determines the text (workspace, host, target, headers, body, model and length), and is used only if that and its own numbers agree; text that an earlier release saved, without a digest, is generated again. Two lines of the log tell how much was resumed, or why not. The cases of can_resume are kept as cases of resume_obstacle; two counted more events than the text had and now do not.

Before, a sample with saved text of another request gave ['y0', 'y1', 'x2', 'x3'], and one with one event saved under next_number 3 ['x0', 'x3'].

--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -177,7 +177,7 @@
             if each.sample.id not in self._listed_samples
         }
         return [
-            (each.sample.id, each.text.progress)
+            (each.sample.id, each.progress)
             for each in self._generators
             if each.sample.group in open_groups and len(each.text)
         ]
@@ -233,7 +233,7 @@
         while True:
             await asyncio.sleep(SAVE_INTERVAL_S)
             due = [
-                (each.sample.id, each.text.progress)
+                (each.sample.id, each.progress)
                 for each in self._generators
                 if self._needs_saving(each)
             ]
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -8,6 +8,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
+import msgspec
 import structlog
 
 from bankrudder.batches._admission import wait_for_admission
@@ -20,7 +21,7 @@
 from bankrudder.batches._failures import SampleFailedError, StaleWeightsError
 from bankrudder.batches._sample_moves import SampleMoves
 from bankrudder.batches._slot_queue import SlotDemand
-from bankrudder.batches._text import SampleText, can_resume
+from bankrudder.batches._text import SampleText, request_digest, resume_obstacle
 from bankrudder.batches._values import Batch, Progress, Sample
 from bankrudder.crashes import CrashGuard, Send, content_id
 from bankrudder.fleet import (
@@ -79,7 +80,8 @@
     find_route : callable
         Takes host name and target; returns the route that is configured for them.
     progress : Progress, optional
-        Progress of an earlier owner or batch; ignored if its versions are unusable.
+        Progress of an earlier owner or batch; ignored if it answers another request,
+        does not agree with itself, or has unusable versions.
     deadline : float
         Monotonic time at which the sample is given up.
     due_at : float, optional
@@ -138,11 +140,9 @@
         self._first_event = 0
         self._run_start = RunStart()
         self._resumed_event_count = 0
-        if progress is not None and can_resume(
-            progress, batch.min_version, needs_single_version=self._is_single_version
-        ):
-            self._text.resume(progress)
-            self._resumed_event_count = len(self._text)
+        self._request_digest = request_digest(batch, sample)
+        if progress is not None:
+            self._resume(progress)
 
     @property
     def sample(self) -> Sample:
@@ -154,6 +154,13 @@
         """The text generated so far."""
         return self._text
 
+    @property
+    def progress(self) -> Progress:
+        """The text as it is saved for a later owner or batch."""
+        return msgspec.structs.replace(
+            self._text.progress, content=self._request_digest
+        )
+
     @property
     def rank(self) -> tuple[float, ...]:
         """Rank of the sample in the usual order."""
@@ -189,6 +196,26 @@
         """Longest time between two events of a run so far, in seconds."""
         return self._longest_gap_s
 
+    def _resume(self, progress: Progress) -> None:
+        obstacle = resume_obstacle(
+            progress,
+            self._request_digest,
+            self._batch.min_version,
+            needs_single_version=self._is_single_version,
+        )
+        if not obstacle:
+            self._text.resume(progress)
+            self._resumed_event_count = len(self._text)
+        _log.info(
+            "batches: saved progress not used" if obstacle else "batches: resumed",
+            batch=self._batch.id,
+            sample=self._sample.id,
+            events=len(progress.texts),
+            next_number=progress.next_number,
+            is_whole=progress.is_whole,
+            reason=obstacle,
+        )
+
     async def run(self, trace: str = "") -> None:
         """Generate until the text is complete.
 
--- a/src/bankrudder/batches/_text.py
+++ b/src/bankrudder/batches/_text.py
@@ -1,7 +1,17 @@
 """Text generated of one sample: its events, and the versions that generated them."""
 
-from bankrudder.batches._values import Progress
-from bankrudder.fleet import NO_EVENT, StreamBrokenError, StreamEvent, follows
+import hashlib
+
+import msgspec
+
+from bankrudder.batches._values import Batch, Progress, Sample
+from bankrudder.fleet import (
+    FIRST_NUMBERS,
+    NO_EVENT,
+    StreamBrokenError,
+    StreamEvent,
+    follows,
+)
 from bankrudder.world import ModelVersion
 
 
@@ -46,7 +56,7 @@
 
     @property
     def progress(self) -> Progress:
-        """The text as it is saved for a later owner or batch."""
+        """The text as it is saved for a later owner or batch, without a digest."""
         return Progress(
             tuple(self._events),
             self.versions,
@@ -117,20 +127,52 @@
         self._version_events[self._versions.index(version)] += 1
 
 
-def can_resume(
-    progress: Progress, min_version: ModelVersion, *, needs_single_version: bool
-) -> bool:
-    """Whether a sample may resume from saved progress.
+def request_digest(batch: Batch, sample: Sample) -> str:
+    """Return the digest of all that determines a sample's text."""
+    generation = sample.generation
+    parts = (
+        batch.workspace,
+        batch.host.lower(),
+        sample.target,
+        sorted(sample.headers),
+        sample.body,
+        (generation.model, generation.max_tokens) if generation is not None else None,
+    )
+    return hashlib.sha256(msgspec.msgpack.encode(parts)).hexdigest()
+
+
+def resume_obstacle(
+    progress: Progress,
+    content: str,
+    min_version: ModelVersion,
+    *,
+    needs_single_version: bool,
+) -> str:
+    """Return why a sample may not resume from saved progress, empty if it may.
 
     Parameters
     ----------
+    content : str
+        Digest of the sample's request.
     min_version : ModelVersion
         Oldest version that may have generated any of the text.
     needs_single_version : bool
         Whether a single version must have generated all of the text.
     """
+    if progress.content != content:
+        return "another request"  # or of a release that did not save a digest
+    if not _is_consistent(progress):
+        return "inconsistent"
     if needs_single_version and len(progress.versions) > 1:
-        return False
-    if len(progress.version_events) != len(progress.versions):
-        return False  # saved by a release that did not count events by version
-    return bool(progress.versions) and min(progress.versions) >= min_version
+        return "several versions"
+    if not progress.versions or min(progress.versions) < min_version:
+        return "old version"
+    return ""
+
+
+def _is_consistent(progress: Progress) -> bool:
+    return (
+        progress.next_number - len(progress.texts) in FIRST_NUMBERS
+        and len(progress.version_events) == len(progress.versions)
+        and sum(progress.version_events) <= len(progress.texts)
+    )
--- a/src/bankrudder/batches/_values.py
+++ b/src/bankrudder/batches/_values.py
@@ -161,6 +161,9 @@
         Number of the event expected next, -1 before the first one.
     version_events : tuple of int
         Number of events that each of ``versions`` generated.
+    content : str
+        Digest of the request that the events answer. Another batch may have another
+        request under the same identifier.
     """
 
     texts: tuple[str, ...] = ()
@@ -168,6 +171,7 @@
     next_number: int = -1
     is_whole: bool = False
     version_events: tuple[int, ...] = ()
+    content: str = ""
 
 
 class ResultPage(msgspec.Struct, frozen=True):
--- a/tests/batches/test_sampling.py
+++ b/tests/batches/test_sampling.py
@@ -4,10 +4,12 @@
 from contextlib import asynccontextmanager, suppress
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 from structlog.testing import capture_logs
 
 from bankrudder.batches._sampling import SampleGenerator
+from bankrudder.batches._text import request_digest
 from bankrudder.batches._values import Batch, Progress, Sample
 from bankrudder.crashes import Admission, AdmissionDecision
 from bankrudder.fleet import (
@@ -26,6 +28,7 @@
     "r", "h", "/", RouteKind.ROLLOUT, (WeightedService("engines", 1.0),), 5.0, 0.4
 )
 SAMPLE = Sample("s1", "/generate", (), b"prompt", "g1")
+BATCH = Batch("b1", "r", "h", "m", 1, 0, ())
 WHOLE = tuple(f"x{number}" for number in range(EVENT_COUNT))
 
 
@@ -123,6 +126,13 @@
         ).encode()
 
 
+def saved(texts, next_number=None, sample=SAMPLE, **fields):
+    """Return the saved progress of a sample."""
+    next_number = len(texts) if next_number is None else next_number
+    content = request_digest(BATCH, sample)
+    return Progress(texts, (1,), next_number, False, (len(texts),), content, **fields)
+
+
 async def note_lost(send, reason):
     """Record no crash."""
 
@@ -141,7 +151,7 @@
 
     def make(engine, progress=None, sample=SAMPLE, client=None):
         return SampleGenerator(
-            Batch("b1", "r", "h", "m", 1, 0, (sample,)),
+            msgspec.structs.replace(BATCH, samples=(sample,)),
             sample,
             lambda host, target: ROUTE,
             (0.0,),
@@ -224,9 +234,7 @@
     dispatcher = ScriptedEngine([])
     endpoint = Endpoint("e", "engines", second_answers.address, "north", 6)
     dispatcher.engine = TrackedEndpoint(endpoint)
-    first_batch = generator(
-        dispatcher, Progress(WHOLE[:2], (1,), 2, False, (2,)), client=client
-    )
+    first_batch = generator(dispatcher, saved(WHOLE[:2]), client=client)
     await first_batch.run()
     assert first_batch.text.text.split("\n") == list(WHOLE)
     await second_answers.second_answer_sent.wait()
@@ -235,3 +243,32 @@
     await later_batch.run()
     assert later_batch.text.text.split("\n") == list(WHOLE)
     assert (later_batch.run_count, second_answers.resumed_after) == (1, [1, -1])
+
+
+async def test_a_sample_resumes_from_its_saved_progress(generator):
+    engine = ScriptedEngine([])
+    sample = generator(engine, saved(WHOLE[:3]))
+    assert sample.progress == saved(WHOLE[:3])
+    await sample.run()
+    assert sample.text.text.split("\n") == list(WHOLE)
+    assert engine.resumed_after == [2]
+
+
+@pytest.mark.parametrize(
+    "progress",
+    [
+        saved(("y0", "y1"), sample=msgspec.structs.replace(SAMPLE, body=b"other")),
+        saved(WHOLE[:1], next_number=3),
+        Progress(WHOLE[:2], (1,), 2, False, (2,)),
+    ],
+    ids=["another-request", "other-numbers", "no-digest"],
+)
+async def test_a_sample_does_not_resume_from_text_of_another_request(
+    generator, progress
+):
+    """Text saved under the same identifier became the beginning of other texts."""
+    engine = ScriptedEngine([])
+    sample = generator(engine, progress)
+    await sample.run()
+    assert sample.text.text.split("\n") == list(WHOLE)
+    assert engine.resumed_after == [-1]
--- a/tests/batches/test_text.py
+++ b/tests/batches/test_text.py
@@ -1,10 +1,13 @@
 """Texts of samples: the order of events, and resumption from saved progress."""
 
+import msgspec
 import pytest
 
-from bankrudder.batches._text import SampleText, can_resume
-from bankrudder.batches._values import Progress
-from bankrudder.fleet import StreamBrokenError, StreamEvent
+from bankrudder.batches._text import SampleText, request_digest, resume_obstacle
+from bankrudder.batches._values import Batch, Progress, Sample
+from bankrudder.fleet import Generation, StreamBrokenError, StreamEvent
+
+BATCH = Batch("b1", "r", "h", "m", 1, 0, ())
 
 
 def event(number):
@@ -72,20 +75,61 @@
 
 
 @pytest.mark.parametrize(
-    ("versions", "events", "needs_single_version", "expected"),
+    ("versions", "events", "needs_single_version", "obstacle"),
     [
-        ((3,), (1,), False, True),
-        ((2, 3), (1, 1), False, False),
-        ((3, 4), (1, 1), False, True),
-        ((3, 4), (1, 1), True, False),
-        ((3,), (), False, False),
-        ((), (), False, False),
+        ((3,), (1,), False, ""),
+        ((2, 3), (1, 0), False, "old version"),
+        ((3, 4), (1, 0), False, ""),
+        ((3, 4), (1, 0), True, "several versions"),
+        ((3,), (), False, "inconsistent"),
+        ((3, 4), (1, 1), False, "inconsistent"),
+        ((), (), False, "old version"),
     ],
 )
 def test_saved_text_can_resume_depending_on_its_versions(
-    versions, events, needs_single_version, expected
+    versions, events, needs_single_version, obstacle
 ):
-    progress = Progress(("e0",), versions, 1, False, events)
-    assert (
-        can_resume(progress, 3, needs_single_version=needs_single_version) is expected
+    progress = Progress(("e0",), versions, 1, False, events, "digest")
+    found = resume_obstacle(
+        progress, "digest", 3, needs_single_version=needs_single_version
     )
+    assert found == obstacle
+
+
+@pytest.mark.parametrize("next_number", [-1, 0, 1, 4, 9])
+def test_saved_text_whose_numbers_do_not_fit_its_events_is_not_used(next_number):
+    """The events of the next run were put behind a text of another length."""
+    progress = Progress(("e0", "e1"), (3,), next_number, False, (2,), "digest")
+    found = resume_obstacle(progress, "digest", 3, needs_single_version=False)
+    assert found == "inconsistent"
+
+
+@pytest.mark.parametrize("next_number", [2, 3])
+def test_saved_text_is_used_wherever_its_stream_is_numbered_from(next_number):
+    progress = Progress(("e0", "e1"), (3,), next_number, False, (2,), "digest")
+    assert not resume_obstacle(progress, "digest", 3, needs_single_version=False)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"target": "/other"},
+        {"body": b"other"},
+        {"headers": (("X-Model", "other"),)},
+        {"generation": Generation("m", 8)},
+    ],
+)
+def test_samples_with_another_request_have_another_digest(change):
+    sample = Sample("s", "/generate", (("X-Model", "m"),), b"prompt", "g")
+    other = msgspec.structs.replace(sample, **change)
+    assert request_digest(BATCH, sample) != request_digest(BATCH, other)
+
+
+def test_the_digest_of_a_request_is_the_same_in_a_later_batch():
+    headers = (("X-Model", "m"), ("X-Token-Counts", "1,2"))
+    sample = Sample("s", "/generate", headers, b"prompt", "g", 5)
+    later = msgspec.structs.replace(sample, headers=headers[::-1], group="g2")
+    later_batch = msgspec.structs.replace(BATCH, id="b2", min_version=4)
+    assert request_digest(BATCH, sample) == request_digest(later_batch, later)
+    other = msgspec.structs.replace(later_batch, workspace="w")
+    assert request_digest(BATCH, sample) != request_digest(other, sample)
