--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -286,7 +286,7 @@
                 batch=self._batch.id,
                 sample=sample.id,
                 group=sample.group,
-                events=generator.text.next_number,
+                events=len(generator.text),
                 runs=generator.run_count,
                 resumed_events=generator.resumed_event_count,
                 resume_after=generator.run_start.resume_after,
