Events: bytes between two events are bounded, and many leave turns to others

What callers saw: an engine that sends blank lines without end kept its stream until the deadline, or until the next event was overdue, and the host read them as fast as they came. Tiny events without end left other requests of the host without a turn while all of those received at once were worked on, and a long event in many parts cost seconds of processor time.

Cause: the limit on the size of an event looked at what remained after the last blank line, so that blank lines never counted; nothing between two events of one read gave way to other tasks; each part was joined to all earlier ones and searched again with them.

Evidence, on the code before: five of fifteen cases fail (blank lines are read to the end of 62 MB, no other task has a turn among 1000 events).

All bytes since the last event now count against the limit, every hundred events of one read other tasks have a turn, and the parts of an event are joined once.

--- a/src/bankrudder/platform/_events.py
+++ b/src/bankrudder/platform/_events.py
@@ -1,5 +1,6 @@
 """Parser for the event streams that engines send."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -11,7 +12,12 @@
 from bankrudder.world import ModelVersion
 
 MAX_EVENT_BYTES = 1 << 20
-"""Maximum size of an event: sixty times the size of the largest events of engines."""
+"""Maximum size of an event, and of all bytes between two of them: sixty times the size
+of the largest events of engines."""
+
+EVENTS_PER_TURN = 100
+"""Number of events that are read before other tasks have a turn. An engine sends one or
+two at a time; thousands of tiny ones may arrive at once."""
 
 _VERSION_FIELD = names.WEIGHT_VERSION.lower().encode("ascii")
 
@@ -26,25 +32,59 @@
     StreamBrokenError
         If the response fails or ends inside an event, or contains invalid data.
     """
-    buffer = b""
+    blocks = _EventBlocks()
+    unused_bytes = 0
     try:
         async for chunk in response.content.iter_any():
-            *events, buffer = (buffer + chunk).split(b"\n\n")
-            for event in events:
+            unused_bytes += len(chunk)
+            for number, event in enumerate(blocks.split(chunk), 1):
                 if event.strip():
+                    unused_bytes = 0
                     yield parse_event(event)
-            if len(buffer) > MAX_EVENT_BYTES:
-                raise StreamBrokenError(f"event is longer than {MAX_EVENT_BYTES} bytes")
+                if number % EVENTS_PER_TURN == 0:
+                    await asyncio.sleep(0)
+            if unused_bytes > MAX_EVENT_BYTES:
+                raise StreamBrokenError(
+                    f"event is longer than {MAX_EVENT_BYTES} bytes,"
+                    f" {unused_bytes} since the last one"
+                )
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         raise StreamBrokenError(type(error).__name__) from None
-    if buffer.strip():
+    rest = blocks.rest
+    if rest.strip():
         raise StreamBrokenError(
-            f"stream ended inside an event, after {len(buffer)} bytes of it"
+            f"stream ended inside an event, after {len(rest)} bytes of it"
         )
     if was_cut_off(response):
         raise StreamBrokenError("connection reset at the end of a stream")
 
 
+class _EventBlocks:
+    """Splits received bytes at the blank lines that end events.
+
+    The parts of an event are joined once, when it is complete. An event may arrive in
+    thousands of parts.
+    """
+
+    def __init__(self) -> None:
+        self._parts: list[bytes] = []
+
+    @property
+    def rest(self) -> bytes:
+        """The bytes after the last blank line."""
+        return b"".join(self._parts)
+
+    def split(self, chunk: bytes) -> list[bytes]:
+        """Return the blocks that a chunk completes."""
+        last_byte = self._parts[-1][-1:] if self._parts else b""
+        self._parts.append(chunk)
+        if b"\n\n" not in last_byte + chunk:
+            return []
+        *blocks, rest = self.rest.split(b"\n\n")
+        self._parts = [rest]
+        return blocks
+
+
 def parse_event(block: bytes) -> StreamEvent:
     """Parse one event without its terminating blank line.
 
