Pass over rows that another program has written

Another program wrote odd rows into the tables that hosts keep for themselves: nested 100,000 deep, no UTF-8, empty, null, with numbers of 400 digits.

- A lease whose row was overwritten was taken by nobody: engines got no new version within 10 s.

Each reader caught what its author had thought of: msgspec.DecodeError at best, which RecursionError is not. Now all decode by bankrudder.decoding. TableFollower passes over a row whose callback raises UnreadableDocumentError, logs it once for each reason and goes on; single reads raise UnreadableRowError, a StoreUnavailableError, which every caller already answers (503, or an unknown outcome). Where the row is the only copy, it is replaced: the owner row counts as without an owner and is taken over, the lease is taken when it has not changed for its duration, the unsent usage report, the first-seen time and the published version are written again. Rows that are found beside the expected one of a part are no longer taken for it: reads of owners, leases, records and the configuration ask for the key. Heartbeats state the range of their numbers, and their addresses are checked: a host that reads for others was subscribed to at any text.

--- a/src/bankrudder/batches/_cleaning.py
+++ b/src/bankrudder/batches/_cleaning.py
@@ -5,6 +5,7 @@
 so that the age survives a restart of the host.
 """
 
+from contextlib import suppress
 from enum import Enum
 
 import msgspec
@@ -17,6 +18,7 @@
     BatchRepository,
 )
 from bankrudder.batches._values import BatchId
+from bankrudder.decoding import decode_json
 from bankrudder.leases import Lease
 from bankrudder.store import (
     Committed,
@@ -26,6 +28,8 @@
     RowKey,
     Store,
     Transaction,
+    UnreadableRowError,
+    decoding_row,
     remove_all,
 )
 
@@ -134,12 +138,13 @@
     ) -> bool:
         """Whether something was first seen at least `min_age_s` ago.
 
-        What was not seen before is recorded.
+        What was not seen before, or whose row cannot be decoded, is recorded.
         """
         row = await self._first_seen(aging, name)
         if row is not None:
-            seen = msgspec.json.decode(row.value, type=FirstSeen)
-            return now_s - seen.store_time_s >= min_age_s
+            with suppress(UnreadableRowError), decoding_row(row.key):
+                seen = decode_json(row.value, FirstSeen)
+                return now_s - seen.store_time_s >= min_age_s
         value = msgspec.json.encode(FirstSeen(now_s))
         put = Put(_first_seen_key(aging, name), value)
         await self._store.commit(Transaction(puts=(put,)))
--- a/src/bankrudder/batches/_loading.py
+++ b/src/bankrudder/batches/_loading.py
@@ -23,7 +23,7 @@
     SampleResult,
 )
 from bankrudder.routing import Route, RouteKind, RoutingTable
-from bankrudder.store import StoreUnavailableError
+from bankrudder.store import StoreUnavailableError, UnreadableRowError
 from bankrudder.world import SampleId
 
 RELOAD_PAUSE_S = 0.2
@@ -76,7 +76,7 @@
                 listed = await self._repository.all_results(batch_id)
                 progress = await self._load_progress(loaded)
                 return LoadedBatch(loaded, listed, progress)
-            except UnknownBatchError:
+            except (UnknownBatchError, UnreadableRowError):
                 _log.error("batches: samples not found", batch=batch_id)
                 return None
             except StoreUnavailableError as error:
--- a/src/bankrudder/batches/_ownership.py
+++ b/src/bankrudder/batches/_ownership.py
@@ -80,6 +80,15 @@
         if owner.host:
             self._last_owner[owner.model] = HostId(owner.host)
 
+    def put_unreadable(self, batch_id: BatchId, version: RowVersion) -> None:
+        """Apply an owner row that cannot be decoded: nobody owns the batch.
+
+        The host that takes the batch over writes a complete row again.
+        """
+        before = self.get(batch_id) or Owner("", "", ModelName(""))
+        unowned = msgspec.structs.replace(before, host="", lifetime="")
+        self.put(batch_id, unowned, version)
+
     def remove(self, batch_id: BatchId) -> None:
         """Remove a batch that was ended."""
         known = self._owners.pop(batch_id, None)
--- a/src/bankrudder/batches/_progress.py
+++ b/src/bankrudder/batches/_progress.py
@@ -6,12 +6,14 @@
 """
 
 from collections.abc import Iterable, Sequence
+from contextlib import suppress
 
 import msgspec
 import structlog
 
 from bankrudder.batches._repository import MAX_TRANSACTION_BYTES, ROW_MARGIN_BYTES
 from bankrudder.batches._values import Progress
+from bankrudder.decoding import decode_msgpack
 from bankrudder.routing import ModelName
 from bankrudder.store import (
     MAX_TRANSACTION_ROWS,
@@ -20,6 +22,8 @@
     RowKey,
     Store,
     Transaction,
+    UnreadableRowError,
+    decoding_row,
     read_all,
 )
 from bankrudder.world import SampleId
@@ -67,11 +71,11 @@
 
     async def of_model(self, model: ModelName) -> dict[SampleId, Progress]:
         """Return all saved progress of a model."""
-        rows = await read_all(self._store, PROGRESS_TABLE, model)
-        return {
-            SampleId(row.key.key): msgspec.msgpack.decode(row.value, type=Progress)
-            for row in rows
-        }
+        progress: dict[SampleId, Progress] = {}
+        for row in await read_all(self._store, PROGRESS_TABLE, model):
+            with suppress(UnreadableRowError), decoding_row(row.key):
+                progress[SampleId(row.key.key)] = decode_msgpack(row.value, Progress)
+        return progress
 
     async def drop(self, model: ModelName, samples: Iterable[SampleId]) -> None:
         """Remove progress that is no longer needed, ignoring failures."""
--- a/src/bankrudder/batches/_repository.py
+++ b/src/bankrudder/batches/_repository.py
@@ -23,6 +23,7 @@
     Owner,
     SampleResult,
 )
+from bankrudder.decoding import decode_json, decode_msgpack
 from bankrudder.store import (
     ABSENT,
     Committed,
@@ -38,7 +39,9 @@
     StoreErrorKind,
     StoreUnavailableError,
     Transaction,
+    UnreadableRowError,
     commit_settled,
+    decoding_row,
     read_all,
     remove_all,
 )
@@ -142,7 +145,11 @@
             case Committed(version=version):
                 return AcceptOutcome(version)
             case Conflict(rows=(row, *_)):
-                stored_head = msgspec.json.decode(row.value, type=BatchHead)
+                try:
+                    with decoding_row(row.key):
+                        stored_head = decode_json(row.value, BatchHead)
+                except UnreadableRowError:
+                    raise NotSettledError from None
                 return AcceptOutcome(ABSENT, stored_head.digest == digest)
             case Conflict():
                 raise NotSettledError
@@ -156,7 +163,9 @@
         )
         if not page.rows:
             return None
-        return msgspec.json.decode(page.rows[0].value, type=BatchHead)
+        row = page.rows[0]
+        with decoding_row(row.key):
+            return decode_json(row.value, BatchHead)
 
     async def load(self, batch_id: BatchId) -> Batch:
         """Return a batch with its samples.
@@ -165,25 +174,33 @@
         ------
         UnknownBatchError
             If it or its samples are not stored.
+        UnreadableRowError
+            If one of its rows is not what was stored.
         """
         rows = await read_all(self._store, BATCHES_TABLE, batch_id)
         by_key = {row.key.key: row.value for row in rows}
         if _HEAD_KEY not in by_key:
             raise UnknownBatchError(batch_id)
-        head = msgspec.json.decode(by_key[_HEAD_KEY], type=BatchHead)
+        with decoding_row(_head_key(batch_id)):
+            head = decode_json(by_key[_HEAD_KEY], BatchHead)
         if head.chunks:
-            chunks = sorted(key for key in by_key if key.startswith("samples/"))
-            body = b"".join(by_key[key] for key in chunks)
+            keys = [f"samples/{number:04d}" for number in range(head.chunks)]
+            if not by_key.keys() >= set(keys):
+                raise UnknownBatchError(batch_id)
+            body = b"".join(by_key[key] for key in keys)
         else:
             found = await self._store.get_object(_object_name(batch_id, head.digest))
             if found is None:
                 raise UnknownBatchError(batch_id)
             body = found
-        return msgspec.msgpack.decode(body, type=Batch)
+        with decoding_row(RowKey(BATCHES_TABLE, batch_id, "samples")):
+            return decode_msgpack(body, Batch)
 
     async def owner(self, batch_id: BatchId) -> Row | None:
         """Return the owner row of a batch, None if the batch is not open."""
-        page = await self._store.read(OWNERS_TABLE, batch_id)
+        page = await self._store.read(
+            OWNERS_TABLE, batch_id, _OWNER_KEY, _OWNER_KEY + "\0"
+        )
         return page.rows[0] if page.rows else None
 
     async def set_owner(
@@ -298,7 +315,10 @@
 
     async def delete(self, batch_id: BatchId) -> None:
         """Remove the results, the samples and the head of an ended batch."""
-        head = await self.head(batch_id)
+        try:
+            head = await self.head(batch_id)
+        except UnreadableRowError:
+            head = None  # it names no object that could be removed
         if head is not None and not head.chunks:
             await self._store.drop_object(_object_name(batch_id, head.digest))
         for table in (RESULTS_TABLE, BATCHES_TABLE):
@@ -355,7 +375,8 @@
         chunks.append(row.value)
         if row.key.key.endswith("."):
             body = b"".join(chunks)
-            results.append(msgspec.msgpack.decode(body, type=SampleResult))
+            with decoding_row(row.key):
+                results.append(decode_msgpack(body, SampleResult))
             chunks = []
     return tuple(results)
 
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -22,6 +22,7 @@
 from bankrudder.batches._repository import (
     OWNERS_TABLE,
     BatchRepository,
+    owner_key,
     store_failure_reason,
 )
 from bankrudder.batches._run import BatchRun
@@ -29,6 +30,7 @@
 from bankrudder.batches._step_planning import StepPlanner, StepTimes
 from bankrudder.batches._values import Batch, BatchId, Owner
 from bankrudder.crashes import CrashGuard
+from bankrudder.decoding import UnreadableDocumentError, decode_json
 from bankrudder.fleet import EndpointClient, EndpointDirectory
 from bankrudder.observe import Tracer
 from bankrudder.presence import Presence
@@ -324,7 +326,15 @@
 
     def _on_owner_row(self, row: Row) -> None:
         batch_id = BatchId(row.key.part)
-        owner = msgspec.json.decode(row.value, type=Owner)
+        if row.key != owner_key(batch_id):
+            return
+        try:
+            owner = decode_json(row.value, Owner)
+        except UnreadableDocumentError:
+            self._owners.put_unreadable(batch_id, row.version)
+            if batch_id in self._tasks and row.version > self._fences[batch_id]:
+                self._tasks[batch_id].cancel()
+            raise
         self._owners.put(batch_id, owner, row.version)
         fence = self._fences.get(batch_id, ABSENT)
         is_mine = self._owners.is_mine(owner)
@@ -338,6 +348,8 @@
 
     def _on_owner_removed(self, key: RowKey) -> None:
         batch_id = BatchId(key.part)
+        if key != owner_key(batch_id):
+            return
         self._owners.remove(batch_id)
         self._fences.pop(batch_id, None)
         run = self._runs.get(batch_id)
--- a/src/bankrudder/batches/_values.py
+++ b/src/bankrudder/batches/_values.py
@@ -1,10 +1,11 @@
 """Values that describe batches, their samples, owners, progress and results."""
 
 from enum import Enum
-from typing import NewType
+from typing import Annotated, NewType
 
 import msgspec
 
+from bankrudder.decoding import NonNegativeInt
 from bankrudder.fleet import Generation, Headers
 from bankrudder.routing import ModelName, RouteName
 from bankrudder.world import (
@@ -18,6 +19,9 @@
 
 BatchId = NewType("BatchId", str)
 
+MAX_CHUNKS = 9999
+"""Largest number of rows that hold the samples of a batch: they have four digits."""
+
 
 class RewardCall(msgspec.Struct, frozen=True):
     """The request that scores a sample once its text is complete."""
@@ -95,8 +99,8 @@
     """
 
     digest: str
-    sample_count: int
-    chunks: int
+    sample_count: NonNegativeInt
+    chunks: Annotated[int, msgspec.Meta(ge=0, le=MAX_CHUNKS)]
     workspace: WorkspaceName = NO_WORKSPACE
 
 
@@ -122,10 +126,10 @@
     lifetime: str
     model: ModelName
     accepted_at: float = 0.0
-    work: int = 0
+    work: NonNegativeInt = 0
     min_version: ModelVersion = ModelVersion(0)
     data_centres: tuple[DataCentreName, ...] = ()
-    samples: int = 0
+    samples: NonNegativeInt = 0
 
 
 class ResultState(Enum):
--- a/src/bankrudder/calls/_cleaning.py
+++ b/src/bankrudder/calls/_cleaning.py
@@ -49,7 +49,8 @@
         expired_names = [
             name
             for name in await self._records.names()
-            if record_timestamp(name) < oldest_timestamp_s
+            if (timestamp_s := record_timestamp(name)) is not None
+            and timestamp_s < oldest_timestamp_s
         ]
         for name in expired_names:
             if not self._lease.is_valid:
--- a/src/bankrudder/calls/_keys.py
+++ b/src/bankrudder/calls/_keys.py
@@ -5,6 +5,7 @@
 import msgspec
 import xxhash
 
+from bankrudder.decoding import decode_decimal
 from bankrudder.exceptions import InvalidError, OutcomeUnknownError
 from bankrudder.failures import FailureReason
 from bankrudder.world import CallerName, CallKey, DataClassName, PoolName
@@ -85,9 +86,13 @@
     return f"{round(key_timestamp(key) * MS_PER_S):013d}.{scope}.{key}"
 
 
-def record_timestamp(name: str) -> float:
-    """Return the key's timestamp, in seconds, from the name of its record."""
-    return int(name.partition(".")[0]) / MS_PER_S
+def record_timestamp(name: str) -> float | None:
+    """Return the key's timestamp, in seconds, from the name of its record.
+
+    None if it is not the name of a record.
+    """
+    timestamp_ms = decode_decimal(name.partition(".")[0])
+    return None if timestamp_ms is None else timestamp_ms / MS_PER_S
 
 
 def _parse(key: CallKey) -> uuid.UUID:
--- a/src/bankrudder/calls/_records.py
+++ b/src/bankrudder/calls/_records.py
@@ -12,6 +12,7 @@
 import structlog
 
 from bankrudder.calls._values import CallRecord
+from bankrudder.decoding import decode_msgpack
 from bankrudder.store import (
     ABSENT,
     Committed,
@@ -24,7 +25,9 @@
     Store,
     StoreUnavailableError,
     Transaction,
+    UnreadableRowError,
     commit_settled,
+    decoding_row,
 )
 from bankrudder.world import Clock
 
@@ -90,7 +93,8 @@
             case Committed(version=version):
                 return StoredRecord(record, version, True)
             case Conflict(rows=(row, *_)):
-                stored = msgspec.msgpack.decode(row.value, type=CallRecord)
+                with decoding_row(row.key):
+                    stored = decode_msgpack(row.value, CallRecord)
                 return StoredRecord(stored, row.version, False)
             case Conflict():
                 # The existing record was withdrawn during this commit.
@@ -106,11 +110,14 @@
         StoreUnavailableError
             If the store cannot be read now.
         """
-        page = await self._store.read(CALLS_TABLE, name)
+        page = await self._store.read(
+            CALLS_TABLE, name, _RECORD_KEY, _RECORD_KEY + "\0"
+        )
         if not page.rows:
             return None
         row = page.rows[0]
-        record = msgspec.msgpack.decode(row.value, type=CallRecord)
+        with decoding_row(row.key):
+            record = decode_msgpack(row.value, CallRecord)
         return StoredRecord(record, row.version, False)
 
     async def finish(self, name: str, version: RowVersion, record: CallRecord) -> None:
@@ -168,10 +175,14 @@
 
     async def delete(self, name: str) -> None:
         """Remove a record and its answer unconditionally."""
-        stored = await self.read(name)
-        if stored is None:
-            return
-        if stored.record.object_name:
+        try:
+            stored = await self.read(name)
+        except UnreadableRowError:
+            stored = None  # it names no answer that could be removed
+        else:
+            if stored is None:
+                return
+        if stored is not None and stored.record.object_name:
             await self._store.drop_object(stored.record.object_name)
         await self._store.commit(Transaction(removals=(_key(name),)))
 
--- a/src/bankrudder/cli/_logs.py
+++ b/src/bankrudder/cli/_logs.py
@@ -5,12 +5,12 @@
 
 import argparse
 from collections.abc import Iterable, Mapping
-
-import msgspec
+from typing import Any
 
 from bankrudder.cli._exit import ExitCode
 from bankrudder.cli._files import read_file
 from bankrudder.cli._output import Output
+from bankrudder.decoding import UnreadableDocumentError, decode_json
 
 ID_FIELDS = ("request", "batch", "sample", "call", "content")
 """Fields of a log line whose identifiers can be searched for.
@@ -70,11 +70,9 @@
         if not brace:
             continue
         try:
-            line = msgspec.json.decode(brace + rest)
-        except msgspec.DecodeError:
+            yield decode_json(brace + rest, dict[str, Any])
+        except UnreadableDocumentError:
             continue  # a truncated line, or one of another program
-        if isinstance(line, dict):
-            yield line
 
 
 def _format_line(line: Line) -> str:
--- a/src/bankrudder/config/_service.py
+++ b/src/bankrudder/config/_service.py
@@ -15,6 +15,7 @@
 
 from bankrudder.config._check import check
 from bankrudder.config._index import ConfigurationIndex
+from bankrudder.decoding import decode_json
 from bankrudder.exceptions import InvalidError, NotRunError
 from bankrudder.failures import FailureReason
 from bankrudder.presence import Presence
@@ -33,6 +34,7 @@
     TableFollower,
     Transaction,
     commit_settled,
+    decoding_row,
     translate_store_errors,
 )
 from bankrudder.world import Clock, Configuration, HostId, Revision
@@ -220,11 +222,13 @@
                     raise _revision_conflict(base, after)
 
     async def _read(self) -> tuple[ConfigurationRow | None, RowVersion]:
-        page = await self._store.read(CONFIGURATION_TABLE, "")
+        key = _ROW_KEY
+        page = await self._store.read(key.table, key.part, key.key, key.key + "\0")
         if not page.rows:
             return None, ABSENT
         row = page.rows[0]
-        return msgspec.json.decode(row.value, type=ConfigurationRow), row.version
+        with decoding_row(row.key):
+            return decode_json(row.value, ConfigurationRow), row.version
 
     async def _wait_until_in_force(self, revision: Revision) -> ApplyOutcome:
         until = self._clock.monotonic() + IN_FORCE_WAIT_S
@@ -259,7 +263,9 @@
         )
 
     def _on_row(self, row: Row) -> None:
-        newest = msgspec.json.decode(row.value, type=ConfigurationRow)
+        if row.key != _ROW_KEY:
+            return
+        newest = decode_json(row.value, ConfigurationRow)
         if newest.revision > self._revision:
             self._newest = newest
             self._newest_changed.set()
--- a/src/bankrudder/crashes/_guard.py
+++ b/src/bankrudder/crashes/_guard.py
@@ -331,8 +331,6 @@
 
     def _on_row(self, row: Row) -> None:
         strike = self._shared.note_row(row)
-        if strike is None:
-            return
         if strike.is_doubtful:
             self._add_doubt(strike)
         else:
--- a/src/bankrudder/crashes/_records.py
+++ b/src/bankrudder/crashes/_records.py
@@ -12,6 +12,7 @@
 
 from bankrudder.crashes._content import ContentId
 from bankrudder.crashes._values import Strike, UnixTime
+from bankrudder.decoding import NonNegativeInt, decode_json
 from bankrudder.fleet import EndpointId, EndpointRun, StartTime
 from bankrudder.routing import ServiceName
 from bankrudder.store import Put, RowKey
@@ -50,8 +51,8 @@
     doubt: bool = False
     request: str = ""
     service: ServiceName = ServiceName("")
-    first: int = 0
-    next: int = 0
+    first: NonNegativeInt = 0
+    next: NonNegativeInt = 0
 
 
 def row_key(strike: Strike) -> RowKey:
@@ -84,10 +85,10 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    UnreadableDocumentError
         If the value is not a valid strike.
     """
-    row = msgspec.json.decode(value, type=_CrashRow)
+    row = decode_json(value, _CrashRow)
     run = EndpointRun(row.endpoint, row.born)
     return Strike(
         row.content,
--- a/src/bankrudder/crashes/_sharing.py
+++ b/src/bankrudder/crashes/_sharing.py
@@ -2,9 +2,6 @@
 
 from collections.abc import Iterable
 
-import msgspec
-import structlog
-
 from bankrudder.crashes._admission import doubt_left_s
 from bankrudder.crashes._records import decode_strike, row_key
 from bankrudder.crashes._values import Strike, UnixTime
@@ -15,8 +12,6 @@
 """Time after which a doubtful strike is removed whose host did not decide on it,
 because it stopped. It is far longer than a host or its clock may lag."""
 
-_log = structlog.get_logger("crashes")
-
 
 class SharedStrikes:
     """Keeps the rows of strikes up to date, without repeating writes."""
@@ -47,15 +42,15 @@
             if self._stored.pop(row_key(strike), None) is not None:
                 self._writer.remove(strike)
 
-    def note_row(self, row: Row) -> Strike | None:
-        """Record a row that was read; return its strike, None if not decodable."""
-        try:
-            strike = decode_strike(row.value)
-        except msgspec.DecodeError as error:
-            _log.warning(
-                "crashes: row not understood", row=row.key.key, reason=str(error)
-            )
-            return None
+    def note_row(self, row: Row) -> Strike:
+        """Record a row that was read; return its strike.
+
+        Raises
+        ------
+        UnreadableDocumentError
+            If the row is not a valid strike.
+        """
+        strike = decode_strike(row.value)
         self._stored[row.key] = strike
         return strike
 
--- a/src/bankrudder/decoding.py
+++ b/src/bankrudder/decoding.py
@@ -5,7 +5,8 @@
 other bytes. Other modules decode only through them.
 """
 
-from typing import Annotated, TypeVar
+from types import UnionType
+from typing import Annotated, Any, TypeVar, overload
 
 import msgspec
 
@@ -51,7 +52,15 @@
         raise UnreadableDocumentError(str(error)) from None
 
 
-def decode_msgpack(data: bytes, kind: type[_T]) -> _T:
+@overload
+def decode_msgpack(data: bytes, kind: type[_T]) -> _T: ...
+
+
+@overload
+def decode_msgpack(data: bytes, kind: UnionType) -> Any: ...
+
+
+def decode_msgpack(data: bytes, kind: Any) -> Any:
     """Decode a MessagePack document; raises the same error as `decode_json`."""
     try:
         return msgspec.msgpack.decode(data, type=kind)
--- a/src/bankrudder/feeds/_links.py
+++ b/src/bankrudder/feeds/_links.py
@@ -7,10 +7,10 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
 import pynng
 import structlog
 
+from bankrudder.decoding import UnreadableDocumentError
 from bankrudder.feeds._messages import FeedMessage, decode, encode
 from bankrudder.world import Address
 
@@ -63,8 +63,8 @@
         while True:
             try:
                 message = decode(await self._socket.arecv())
-            except msgspec.DecodeError as error:
-                _log.warning("feeds: message cannot be decoded", reason=str(error))
+            except UnreadableDocumentError as error:
+                _log.warning("feeds: message cannot be decoded", reason=error.reason)
                 continue
             except pynng.Closed:
                 return
--- a/src/bankrudder/feeds/_messages.py
+++ b/src/bankrudder/feeds/_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bankrudder.decoding import decode_msgpack
 from bankrudder.store import RowKey, RowVersion
 
 
@@ -56,5 +57,6 @@
 
 
 def decode(data: bytes) -> FeedMessage:
-    """Decode a message; raises `msgspec.DecodeError`."""
-    return msgspec.msgpack.decode(data, type=FeedMessage)
+    """Decode a message; raises `UnreadableDocumentError`."""
+    message: FeedMessage = decode_msgpack(data, FeedMessage)
+    return message
--- a/src/bankrudder/leases/_lease.py
+++ b/src/bankrudder/leases/_lease.py
@@ -17,6 +17,7 @@
 import msgspec
 import structlog
 
+from bankrudder.decoding import decode_json
 from bankrudder.presence import NO_ADDRESS, Lifetime
 from bankrudder.store import (
     ABSENT,
@@ -32,7 +33,9 @@
     Store,
     StoreUnavailableError,
     Transaction,
+    UnreadableRowError,
     commit_settled,
+    decoding_row,
 )
 from bankrudder.world import Address, Clock, HostId
 
@@ -176,7 +179,8 @@
         await self._store.commit(transaction)
 
     async def _watch(self) -> None:
-        page = await self._store.read(LEASES_TABLE, self._name)
+        key = self._key
+        page = await self._store.read(key.table, key.part, key.key, key.key + "\0")
         row: Row | None = page.rows[0] if page.rows else None
         now = self._clock.monotonic()
         if row is not None and self._is_own_row(row):
@@ -193,8 +197,16 @@
         await self._acquire(row)
 
     def _is_own_row(self, row: Row) -> bool:
-        """Whether a row names this machine as the holder."""
-        stored = msgspec.json.decode(row.value, type=LeaseRow)
+        """Whether a row names this machine as the holder.
+
+        A row that cannot be decoded is treated like that of another host: it may have
+        replaced one, so the lease is free when it has not changed for its duration.
+        """
+        try:
+            with decoding_row(row.key):
+                stored = decode_json(row.value, LeaseRow)
+        except UnreadableRowError:
+            return False
         if not stored.host or stored.host != self._host:
             return False
         is_same_run = stored.lifetime == self._lifetime
--- a/src/bankrudder/orders/_announcing.py
+++ b/src/bankrudder/orders/_announcing.py
@@ -11,6 +11,7 @@
 import msgspec
 import structlog
 
+from bankrudder.decoding import UnreadableDocumentError, decode_json
 from bankrudder.fleet import (
     EndpointDirectory,
     EndpointId,
@@ -61,10 +62,10 @@
     def apply_row(self, row: Row) -> None:
         """Apply a row that the host that gave the order has written."""
         try:
-            state = msgspec.json.decode(row.value, type=EngineVersion)
-        except msgspec.DecodeError as error:
+            state = decode_json(row.value, EngineVersion)
+        except UnreadableDocumentError as error:
             _log.warning(
-                "orders: load not understood", endpoint=row.key.key, reason=str(error)
+                "orders: load not understood", endpoint=row.key.key, reason=error.reason
             )
             return
         engine = self._engine_of(EndpointRun(EndpointId(row.key.key), state.born))
--- a/src/bankrudder/orders/_paces.py
+++ b/src/bankrudder/orders/_paces.py
@@ -12,6 +12,7 @@
 import msgspec
 import structlog
 
+from bankrudder.decoding import UnreadableDocumentError, decode_json
 from bankrudder.fleet import (
     EndpointDirectory,
     EndpointId,
@@ -158,10 +159,10 @@
 def _pace_in_row(row: Row, engine: TrackedEndpoint) -> EnginePace | None:
     """Return the pace in a row, None unless it is a valid pace of the latest run."""
     try:
-        pace = msgspec.json.decode(row.value, type=EnginePace)
-    except msgspec.DecodeError as error:
+        pace = decode_json(row.value, EnginePace)
+    except UnreadableDocumentError as error:
         _log.warning(
-            "orders: pace not understood", endpoint=row.key.key, reason=str(error)
+            "orders: pace not understood", endpoint=row.key.key, reason=error.reason
         )
         return None
     if pace.born == engine.run.born and pace.gap_s > 0:
--- a/src/bankrudder/presence/_seen.py
+++ b/src/bankrudder/presence/_seen.py
@@ -6,6 +6,7 @@
 import msgspec
 import structlog
 
+from bankrudder.decoding import decode_json
 from bankrudder.presence._values import Heartbeat, Lifetime
 from bankrudder.store import Row, RowKey, RowVersion
 from bankrudder.world import Clock, HostId
@@ -97,7 +98,7 @@
     def apply_row(self, row: Row) -> None:
         """Record the heartbeat in a new or changed row."""
         host = HostId(row.key.key)
-        heartbeat = msgspec.json.decode(row.value, type=Heartbeat)
+        heartbeat = decode_json(row.value, Heartbeat)
         if heartbeat.lifetime in self._ended_lifetimes:
             return  # written before that run ended and applied late by the store
         before = self._seen.get(host)
--- a/src/bankrudder/presence/_values.py
+++ b/src/bankrudder/presence/_values.py
@@ -1,10 +1,11 @@
 """Heartbeats in the form in which hosts write them to the store."""
 
-from typing import NewType
+from typing import Annotated, NewType
 
 import msgspec
 
-from bankrudder.world import Address, DataCentreName, Revision
+from bankrudder.decoding import NonNegativeInt
+from bankrudder.world import Address, DataCentreName, Revision, address_error
 
 Lifetime = NewType("Lifetime", str)
 """Identifier of one run of a daemon; a restart makes a new one."""
@@ -20,6 +21,10 @@
 HEARTBEAT_INTERVAL_S = 0.5
 """Shortest time between two heartbeats; that of a host that other hosts wait for."""
 
+MAX_INTERVAL_S = 3600.0
+"""Longest interval of heartbeats that is believed. A host is taken for dead only some
+intervals after its last heartbeat."""
+
 
 class Heartbeat(msgspec.Struct, frozen=True, omit_defaults=True):
     """Value of a host's row.
@@ -51,10 +56,12 @@
     """
 
     lifetime: Lifetime
-    count: int
+    count: NonNegativeInt
     is_leaving: bool = False
-    room: float = 1.0
-    interval_s: float = HEARTBEAT_INTERVAL_S
+    room: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    interval_s: Annotated[float, msgspec.Meta(gt=0, le=MAX_INTERVAL_S)] = (
+        HEARTBEAT_INTERVAL_S
+    )
     is_busy: bool = False
     holds_lease: bool = False
     data_centre: DataCentreName = NO_DATA_CENTRE
@@ -62,3 +69,8 @@
     revision: Revision = Revision(0)
     feed_address: Address = NO_ADDRESS
     wall_ahead_s: float | None = None
+
+    def __post_init__(self) -> None:
+        for address in (self.rpc_address, self.feed_address):
+            if address and (problem := address_error(address)):
+                raise ValueError(f"address {address!r}: {problem}")
--- a/src/bankrudder/steps/_publishing.py
+++ b/src/bankrudder/steps/_publishing.py
@@ -3,6 +3,7 @@
 import msgspec
 import structlog
 
+from bankrudder.decoding import decode_json
 from bankrudder.exceptions import InvalidError
 from bankrudder.failures import FailureReason
 from bankrudder.fleet import ModelState
@@ -18,7 +19,9 @@
     Store,
     StoreUnavailableError,
     Transaction,
+    UnreadableRowError,
     commit_settled,
+    decoding_row,
     translate_store_errors,
 )
 from bankrudder.world import Clock, ModelVersion
@@ -93,9 +96,19 @@
         if not page.rows:
             return ModelVersion(0), ABSENT
         row = page.rows[0]
-        return decode_published_version(row.value).version, row.version
+        try:
+            with decoding_row(row.key):
+                return decode_published_version(row.value).version, row.version
+        except UnreadableRowError:
+            return ModelVersion(0), row.version  # the next publication replaces it
 
 
 def decode_published_version(body: bytes) -> ModelState:
-    """Decode a row of `PUBLISHED_VERSIONS_TABLE`; raises `msgspec.DecodeError`."""
-    return msgspec.json.decode(body, type=ModelState)
+    """Decode a row of `PUBLISHED_VERSIONS_TABLE`.
+
+    Raises
+    ------
+    UnreadableDocumentError
+        If the row is not a valid version of a model.
+    """
+    return decode_json(body, ModelState)
--- a/src/bankrudder/store/__init__.py
+++ b/src/bankrudder/store/__init__.py
@@ -4,6 +4,7 @@
     HistoryLostError,
     NotSettledError,
     StoreUnavailableError,
+    UnreadableRowError,
 )
 from bankrudder.store._failures import translate_store_errors
 from bankrudder.store._following import TableFollower
@@ -15,7 +16,12 @@
     PROBE_SHARE,
     RecoveringStore,
 )
-from bankrudder.store._rows import MAX_TRANSACTION_ROWS, read_all, remove_all
+from bankrudder.store._rows import (
+    MAX_TRANSACTION_ROWS,
+    decoding_row,
+    read_all,
+    remove_all,
+)
 from bankrudder.store._settling import commit_settled
 from bankrudder.store._values import (
     ABSENT,
@@ -64,7 +70,9 @@
     "StoreUnavailableError",
     "TableFollower",
     "Transaction",
+    "UnreadableRowError",
     "commit_settled",
+    "decoding_row",
     "read_all",
     "remove_all",
     "translate_store_errors",
--- a/src/bankrudder/store/_errors.py
+++ b/src/bankrudder/store/_errors.py
@@ -11,6 +11,13 @@
         self.error_kind = error_kind
 
 
+class UnreadableRowError(StoreUnavailableError):
+    """A row holds no value of the expected kind, so a repeated read does not help."""
+
+    def __init__(self) -> None:
+        super().__init__(StoreErrorKind.UNREADABLE)
+
+
 class HistoryLostError(Exception):
     """The store no longer keeps the requested changes; all rows must be read again."""
 
--- a/src/bankrudder/store/_following.py
+++ b/src/bankrudder/store/_following.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from bankrudder.decoding import UnreadableDocumentError
 from bankrudder.store._errors import HistoryLostError, StoreUnavailableError
 from bankrudder.store._port import Store
 from bankrudder.store._values import ABSENT, RemovedRow, Row, RowKey, RowVersion
@@ -29,7 +30,8 @@
     ----------
     on_row, on_removed : callable
         Called in the order of the store's transactions, also for the rows of the
-        initial full read.
+        initial full read. If `on_row` raises `UnreadableDocumentError`, the row is
+        passed over, and logged once for each change of the reason.
     pause_s : callable
         Pause between two reads. A longer pause delays changes and saves calls when
         rows change often.
@@ -56,6 +58,7 @@
         self._pause_s = pause_s
         self._wait_s = wait_s
         self._known_versions: dict[RowKey, RowVersion] = {}
+        self._unreadable: dict[RowKey, str] = {}
         self._read_version = ABSENT
         self._last_read_at: float | None = None
         self._failing_since: float | None = None
@@ -173,9 +176,34 @@
         if self._known_versions.get(row.key, 0) >= row.version:
             return
         self._known_versions[row.key] = row.version
-        self._on_row(row)
+        try:
+            self._on_row(row)
+        except UnreadableDocumentError as error:
+            self._note_unreadable(row, error.reason)
+        else:
+            if self._unreadable.pop(row.key, None) is not None:
+                _log.info(
+                    "store: row readable again",
+                    table=row.key.table,
+                    part=row.key.part,
+                    row=row.key.key,
+                )
+
+    def _note_unreadable(self, row: Row, reason: str) -> None:
+        if self._unreadable.get(row.key) == reason:
+            return
+        self._unreadable[row.key] = reason
+        _log.warning(
+            "store: row not understood",
+            table=row.key.table,
+            part=row.key.part,
+            row=row.key.key,
+            bytes=len(row.value),
+            reason=reason,
+        )
 
     def _apply_removal(self, key: RowKey) -> None:
+        self._unreadable.pop(key, None)
         if self._known_versions.pop(key, None) is not None:
             self._on_removed(key)
 
--- a/src/bankrudder/store/_values.py
+++ b/src/bankrudder/store/_values.py
@@ -100,6 +100,9 @@
     NO_REPLY = "no_reply"
     """The call was sent; no reply or an unreadable one came back."""
 
+    UNREADABLE = "unreadable"
+    """A row was read whose value is not of the expected kind."""
+
     REJECTED = "rejected"
     """The store considers the call invalid; a retry will fail again."""
 
--- a/src/bankrudder/usage/_storage.py
+++ b/src/bankrudder/usage/_storage.py
@@ -12,10 +12,17 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 
 import msgspec
 import structlog
 
+from bankrudder.decoding import (
+    NonNegativeInt,
+    UnreadableDocumentError,
+    decode_decimal,
+    decode_json,
+)
 from bankrudder.duties import UsageWindow
 from bankrudder.presence import Lifetime
 from bankrudder.store import (
@@ -32,7 +39,9 @@
     Store,
     StoreUnavailableError,
     Transaction,
+    UnreadableRowError,
     commit_settled,
+    decoding_row,
     read_all,
     remove_all,
 )
@@ -59,6 +68,8 @@
 RETAINED_REPORT_COUNT = 720
 """Number of reports kept in the store: one hour of windows of the usual length."""
 
+_Counts = dict[WorkspaceName, NonNegativeInt]
+
 _log = structlog.get_logger("usage")
 
 
@@ -75,7 +86,7 @@
         Whether the platform has rejected the report as invalid.
     """
 
-    counts: dict[WorkspaceName, int]
+    counts: _Counts
     is_done: bool = False
     is_rejected: bool = False
     is_draft: bool = False
@@ -135,13 +146,15 @@
         """Return the counts of a window, summed over all hosts."""
         total: Counter[WorkspaceName] = Counter()
         for row in await read_all(self._store, USAGE_TABLE, str(window)):
-            total.update(msgspec.json.decode(row.value, type=dict[WorkspaceName, int]))
+            with suppress(UnreadableRowError), decoding_row(row.key):
+                total.update(decode_json(row.value, _Counts))
         return dict(total)
 
     async def counted_windows(self) -> list[UsageWindow]:
         """Return the windows that have stored counts, oldest first."""
         parts = await self._store.parts(USAGE_TABLE)
-        return sorted(UsageWindow(int(each)) for each in parts)
+        windows = (decode_decimal(each) for each in parts)
+        return sorted(UsageWindow(each) for each in windows if each is not None)
 
     async def newest_windows(self, max_count: int) -> list[WindowSummary]:
         """Return the newest windows in the form shown to operators."""
@@ -187,12 +200,25 @@
                 before = outcome.row(key)
                 if before is None:
                     raise NotSettledError
-                stored = _stored_report(before)
+                try:
+                    stored = _stored_report(before)
+                except UnreadableRowError:
+                    return await self._replace(before, row)
                 if stored.row.is_draft:
                     # Another holder stored it, or a write that this one gave up.
                     raise NotSettledError
                 return stored
 
+    async def _replace(self, unreadable: Row, report: ReportRow) -> StoredReport:
+        """Store a report in place of a row that another program has written."""
+        window = UsageWindow(int(unreadable.key.key))
+        outcome = await self._commit_row(
+            unreadable.key, unreadable.version, msgspec.json.encode(report)
+        )
+        if not isinstance(outcome, Committed):
+            raise NotSettledError
+        return StoredReport(window, report, outcome.version)
+
     async def seal(self, draft: StoredReport) -> StoredReport:
         """Make a draft of an earlier holder final, so that it cannot be replaced."""
         return await self.settle(draft.window, draft.row.counts, replaces=draft)
@@ -210,10 +236,11 @@
 
     async def reports(self) -> list[StoredReport]:
         """Return all stored reports, oldest first."""
-        return [
-            _stored_report(row)
-            for row in await read_all(self._store, REPORTS_TABLE, "")
-        ]
+        reports: list[StoredReport] = []
+        for row in await read_all(self._store, REPORTS_TABLE, ""):
+            with suppress(UnreadableRowError):
+                reports.append(_stored_report(row))
+        return reports
 
     async def remove_before(self, window: UsageWindow) -> None:
         """Remove the reports of older windows, and counts that arrived after them."""
@@ -319,5 +346,9 @@
 
 
 def _stored_report(row: Row) -> StoredReport:
-    value = msgspec.json.decode(row.value, type=ReportRow)
-    return StoredReport(UsageWindow(int(row.key.key)), value, row.version)
+    with decoding_row(row.key):
+        window = decode_decimal(row.key.key)
+        if window is None:
+            raise UnreadableDocumentError("the key is not the number of a window")
+        value = decode_json(row.value, ReportRow)
+    return StoredReport(UsageWindow(window), value, row.version)
--- a/tests/batches/test_cleaning.py
+++ b/tests/batches/test_cleaning.py
@@ -106,3 +106,18 @@
     timed_store.now_s += 1
     await cleaner.clean()
     assert await repository.owner("b1") is None
+
+
+async def test_an_odd_row_of_the_first_time_is_written_again(
+    cleaner, timed_store, repository, rows
+):
+    """It ended each pass before the batches behind it were removed."""
+    await repository.accept(batch(), THIS_OWNER)
+    await repository.end("b1")
+    await cleaner.clean()
+    for key in [key for key in rows.rows if key[0] == "cleaning"]:
+        rows.commit([], [(key, b"[" * 9000)], [])
+    await cleaner.clean()
+    timed_store.now_s += RETENTION_S + RETENTION_MARGIN_S
+    await cleaner.clean()
+    assert await repository.head("b1") is None
--- a/tests/batches/test_repository.py
+++ b/tests/batches/test_repository.py
@@ -11,6 +11,7 @@
     Sample,
     SampleResult,
 )
+from bankrudder.store import NotSettledError, UnreadableRowError
 
 THIS_OWNER = Owner("host-1", "life-1", "m")
 OTHER_OWNER = Owner("host-2", "life-2", "m")
@@ -121,3 +122,27 @@
     assert await progress_store.of_model("other") == {}
     await progress_store.drop("m", ["s1"])
     assert await progress_store.of_model("m") == {}
+
+
+@pytest.mark.parametrize("value", [b"", b"\xc1", b"null", b'{"digest":' + b"[" * 9000])
+async def test_odd_rows_of_a_batch_have_a_typed_error(repository, rows, value):
+    """Callers got status 500, and the owner's work failed without an explanation."""
+    await repository.accept(batch(), THIS_OWNER)
+    rows.commit([], [(("owners", "b1", "a"), value)], [])
+    rows.commit([], [(("batches", "b1", "samples/9998"), value)], [])
+    assert await repository.load("b1") == batch()
+    assert (await repository.owner("b1")).key.key == "owner"
+    rows.commit([], [(("results", "b1", "00000000/0000."), value)], [])
+    with pytest.raises(UnreadableRowError):
+        await repository.results("b1", 0)
+    rows.commit([], [(("batches", "b1", "samples/0000"), value)], [])
+    with pytest.raises(UnreadableRowError):
+        await repository.load("b1")
+    rows.commit([], [(("batches", "b1", "head"), value)], [])
+    for read in (repository.load, repository.head):
+        with pytest.raises(UnreadableRowError):
+            await read("b1")
+    with pytest.raises(NotSettledError):
+        await repository.accept(batch(), THIS_OWNER)
+    await repository.delete("b1")
+    assert not [key for key in rows.rows if key[0] in ("batches", "results")]
--- a/tests/calls/test_records.py
+++ b/tests/calls/test_records.py
@@ -9,6 +9,7 @@
 from bankrudder.calls._keys import record_name, record_timestamp
 from bankrudder.calls._values import CallRecord, RecordState
 from bankrudder.client import new_key
+from bankrudder.store import StoreUnavailableError
 from bankrudder.world import SystemClock
 
 RECORD = CallRecord(b"f" * 16, "host", "life", "attempt-1")
@@ -78,3 +79,27 @@
 
 def test_a_record_name_contains_the_timestamp_of_its_key(name):
     assert abs(record_timestamp(name) - time.time()) < 60.0
+
+
+async def test_an_odd_record_is_not_ours_and_is_removed_after_its_window(
+    records, rows, name
+):
+    """Records with odd names or values ended each pass that removes old ones."""
+    old = record_name("broker", "00000001-0000-7000-8000-000000000000")
+    for part, key in ((old, "record"), (name, "record"), ("odd", "x"), ("9" * 99, "y")):
+        rows.commit([], [(("calls", part, key), b"\xc1")], [])
+    with pytest.raises(StoreUnavailableError):
+        await records.begin(name, RECORD, 1.0)
+    with pytest.raises(StoreUnavailableError):
+        await records.read(name)
+    await records.begin(new_name := record_name("broker", new_key()), RECORD, 1.0)
+    cleaner = CallRecordCleaner(records, ValidLease(), lambda: 60.0, SystemClock())
+    await cleaner.clean()
+    assert sorted(await records.names()) == sorted([name, new_name, "odd", "9" * 99])
+
+
+async def test_a_foreign_row_beside_a_record_is_not_taken_for_it(records, rows, name):
+    rows.commit([], [(("calls", name, "a"), b"\xc1")], [])
+    assert await records.read(name) is None
+    assert (await records.begin(name, RECORD, 1.0)).is_ours
+    assert (await records.read(name)).record == RECORD
--- a/tests/leases/test_lease.py
+++ b/tests/leases/test_lease.py
@@ -142,3 +142,15 @@
     assert holder.gate.apply_delayed() == 0
     await assert_at_most_one_holder(hosts, LEASE_S)
     assert other.lease.fence == fence
+
+
+@pytest.mark.parametrize("value", [b"", b"null", b"\xff", b'{"host":' + b"[" * 9000])
+async def test_a_lease_whose_row_was_overwritten_is_acquired_again(hosts, value):
+    """The host that watched the lease ended with each read of the row."""
+    await wait_for_holder(hosts)
+    rows = hosts[0].gate.rows
+    rows.commit([], [(("leases", "duty", "a"), value)], [])
+    rows.commit([], [(("leases", "duty", "lease"), value)], [])
+    await until(lambda: not valid_holders(hosts))
+    await wait_for_holder(hosts)
+    assert not any(host.task.done() for host in hosts)
--- a/tests/presence/test_seen.py
+++ b/tests/presence/test_seen.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from bankrudder.decoding import UnreadableDocumentError
 from bankrudder.presence import Heartbeat
 from bankrudder.presence._seen import SeenHosts
 from bankrudder.store import Row, RowKey
@@ -64,3 +65,25 @@
     record_heartbeat(seen, "a", wall_ahead_s=1.5)
     record_heartbeat(seen, "b")
     assert seen.wall_ahead() == [1.5]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"count": -1},
+        {"count": 10**40},
+        {"revision": 10**40},
+        {"interval_s": 0},
+        {"interval_s": 1e300},
+        {"room": -1},
+        {"feed_address": "nowhere"},
+        {"feed_address": "10.0.0.1:99999"},
+        {"rpc_address": "a b:1"},
+    ],
+)
+def test_an_odd_heartbeat_leaves_the_one_before_in_force(seen, change):
+    record_heartbeat(seen, "a", count=4)
+    value = msgspec.json.encode({"lifetime": "two", "count": 5, **change})
+    with pytest.raises(UnreadableDocumentError):
+        seen.apply_row(Row(RowKey("hosts", "", "a"), 2, value))
+    assert (seen["a"].heartbeat.lifetime, seen["a"].heartbeat.count) == ("one", 4)
--- a/tests/store/test_following.py
+++ b/tests/store/test_following.py
@@ -4,7 +4,9 @@
 import time
 
 import pytest
+from structlog.testing import capture_logs
 
+from bankrudder.decoding import decode_json
 from bankrudder.store import TableFollower
 from bankrudder.world import SystemClock
 from outside.store import GateMode
@@ -90,3 +92,30 @@
     gate.mode = GateMode.OPEN
     await until(lambda: follower.failure_free_s() > 0.0)
     assert follower.failure_free_s() <= time.monotonic() - failed_at
+
+
+async def test_a_row_that_cannot_be_decoded_is_passed_over(rows, store):
+    """An error of the callback ended the follower, and with it all that it fed."""
+    copy = {}
+    follower = TableFollower(
+        store,
+        "op",
+        SystemClock(),
+        on_row=lambda row: copy.__setitem__(row.key.key, decode_json(row.value, int)),
+        on_removed=lambda key: copy.pop(key.key, None),
+    )
+    with capture_logs() as lines:
+        task = asyncio.ensure_future(follower.run())
+        rows.put("op", "odd", "text")
+        rows.put("op", "good", 1)
+        await until(lambda: copy == {"good": 1})
+        for value in ("other text", "more text", 2):
+            rows.put("op", "odd", value)
+        rows.put("op", "good", 2)
+        await until(lambda: copy == {"good": 2, "odd": 2})
+        task.cancel()
+    found = [(line["event"], line["row"]) for line in lines if "row" in line]
+    assert found == [
+        ("store: row not understood", "odd"),
+        ("store: row readable again", "odd"),
+    ]
--- a/tests/usage/test_storage.py
+++ b/tests/usage/test_storage.py
@@ -134,3 +134,21 @@
         await usage.put_counts(WINDOW, "a.1", {"north": 2}, ABSENT)
     with pytest.raises(StoreUnavailableError):
         await usage.settle(WINDOW, {"north": 2})
+
+
+async def test_odd_rows_of_counts_and_reports_are_passed_over(usage, rows):
+    """One of them ended the reporting of all windows."""
+    await usage.put_counts(7, "a.1", {"north": 2}, 0)
+    for part, key in (("7", "odd"), ("odd", "x"), ("\u0667", "y"), ("9" * 99, "z")):
+        rows.commit([], [(("usage", part, key), b'{"north": -1}')], [])
+    for key in ("odd", "9" * 99, "000000000009"):
+        rows.commit([], [(("usage_reports", "", key), b"[" * 9000)], [])
+    assert await usage.counts(7) == {"north": 2}
+    assert await usage.counted_windows() == [7]
+    assert await usage.reports() == []
+    settled = await usage.settle(9, {"north": 3})
+    assert [(each.window, each.row.counts) for each in await usage.reports()] == [
+        (9, {"north": 3})
+    ]
+    await usage.record_answer(settled)
+    assert (await usage.reports())[0].row.is_done
