Test that answers whose headers hold odd numbers are kept

A server in trouble sent 'Keep-Alive: timeout=' or X-Weight-Versions with digits that str.isdigit accepts and int() does not, or with 400 or 5000 of them. ValueError or OverflowError passed through the client, so that a complete answer was lost and the caller got status 500; digits of other scripts were taken for a version.

--- a/tests/platform/test_endpoint_client.py
+++ b/tests/platform/test_endpoint_client.py
@@ -12,6 +12,7 @@
     Endpoint,
     LossReason,
     Lost,
+    OpenedStream,
     OutgoingRequest,
     ReportedLoad,
 )
@@ -34,6 +35,7 @@
     def __init__(self, keep_alive_s):
         self.keep_alive_s = keep_alive_s
         self.load_report = "1,0,8"
+        self.odd_headers = {}
         self.connections = set()
         self.expected_connections = 1
         self.all_connected = asyncio.Event()
@@ -50,6 +52,7 @@
             "X-Response-Stamp": "stamp",
             "Keep-Alive": f"timeout={self.keep_alive_s}",
             "X-Server-Load": self.load_report,
+            **self.odd_headers,
         }
         if self.first_part is None:
             return web.Response(body=b"answer", headers=headers)
@@ -142,3 +145,18 @@
         assert newer.grow(700)
         assert await sending == Lost(LossReason.NO_MEMORY)
         endpoint.may_end.set()
+
+
+@pytest.mark.parametrize("value", ["\u00b2", "\u0663", "9" * 5000, "9" * 400, "-1", ""])
+async def test_odd_numbers_in_the_headers_of_an_answer_do_not_cost_it(value):
+    """They raised ValueError, and the caller got status 500 for a complete answer."""
+    async with serve_endpoint(10) as (endpoint, entry, client):
+        endpoint.odd_headers = {
+            "Keep-Alive": f"timeout={value}",
+            "X-Weight-Versions": value,
+        }
+        outcome = await client.send(entry, make_request(1))
+        assert isinstance(outcome, Answered)
+        async with client.open_stream(entry, make_request(2)) as stream:
+            assert isinstance(stream, OpenedStream)
+            assert stream.version is None
