Count replies of the store that cannot be decoded as none

A reply of the store that is nested too deeply raised RecursionError through every reader of the store; versions below 0 or of more than 63 bits were taken as versions, from which followers would go on. A page that says that there are more rows but has none ended the follower with IndexError.

Replies are decoded like everything else, with bounds on the versions, and a page without rows is the last one.

A page without rows was only read in the code, not run.

--- a/src/bankrudder/platform/_store.py
+++ b/src/bankrudder/platform/_store.py
@@ -13,6 +13,7 @@
 import msgspec
 import structlog
 
+from bankrudder.decoding import NonNegativeInt, UnreadableDocumentError, decode_json
 from bankrudder.platform import _names as names
 from bankrudder.platform._bounded_answers import read_body
 from bankrudder.platform._bounded_connections import BoundedConnector
@@ -92,7 +93,7 @@
     part: str = ""
     key: str = ""
     value: str = ""
-    ver: int = 0
+    ver: NonNegativeInt = 0
     tombstone: bool = False
 
 
@@ -102,7 +103,7 @@
     rows: list[_WireRow] = []
     parts: list[str] = []
     has_more: bool = False
-    ver: int = 0
+    ver: NonNegativeInt = 0
     now_ms: float = 0.0
 
 
@@ -356,10 +357,10 @@
 
 def _decode(body: bytes) -> _Reply:
     try:
-        wire = msgspec.json.decode(body, type=_WireReply)
+        wire = decode_json(body, _WireReply)
         # A conflict may contain rows that do not exist; they have no version.
         changes = tuple(_change(row) for row in wire.rows if row.ver)
-    except (msgspec.DecodeError, ValueError):
+    except (UnreadableDocumentError, ValueError):
         _log.warning("store: reply not understood", bytes=len(body))
         raise _NoReplyError(StoreErrorKind.NO_REPLY, True) from None
     return _Reply(
--- a/src/bankrudder/store/_following.py
+++ b/src/bankrudder/store/_following.py
@@ -157,7 +157,7 @@
                 for row in page.rows:
                     found.add(row.key)
                     self._apply_row(row)
-                if not page.has_more:
+                if not page.has_more or not page.rows:
                     break
                 start = page.rows[-1].key.key + "\0"
         return found
--- a/tests/store/test_platform_store.py
+++ b/tests/store/test_platform_store.py
@@ -107,7 +107,16 @@
 
 
 @pytest.mark.parametrize(
-    "reply", [b"{", b'{"rows": 7}', b'{"rows":[{"table":"t","ver":1,"value":"?"}]}']
+    "reply",
+    [
+        b"{",
+        b'{"rows": 7}',
+        b'{"rows":[{"table":"t","ver":1,"value":"?"}]}',
+        b'{"rows":[{"table":"t","ver":-1}]}',
+        b'{"ver": 99999999999999999999}',
+        b'{"more": ' + b"[" * 100_000,
+        b"\xff",
+    ],
 )
 async def test_an_unreadable_reply_counts_as_no_reply(store, gate, reply):
     gate.garbled_reply = reply
