Quote the names of objects in the store's paths

A large batch is stored as an object whose name begins with the batch's name, which its caller chooses. The name went into the path as it is: it ended at a question mark or a number sign, so that 'a?1-...' and 'a?2-...' were both the object 'a'. The second one found an object, took it for its own, and would have been worked on with the samples of the first.

Names are quoted now; a slash stays, as before.

--- a/src/bankrudder/platform/_store.py
+++ b/src/bankrudder/platform/_store.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 from typing import Any, Self
+from urllib.parse import quote
 
 import aiohttp
 import msgspec
@@ -206,7 +207,7 @@
         try:
             status, _ = await self._call(
                 "PUT",
-                names.PUT_OBJECT_PATH + name,
+                names.PUT_OBJECT_PATH + _quoted(name),
                 body=body,
                 headers={"If-None-Match": "*"},
                 timeout_s=OBJECT_TIMEOUT_S,
@@ -225,7 +226,7 @@
         """Return an object, None if it does not exist."""
         try:
             status, body = await self._call(
-                "GET", names.GET_OBJECT_PATH + name, timeout_s=OBJECT_TIMEOUT_S
+                "GET", names.GET_OBJECT_PATH + _quoted(name), timeout_s=OBJECT_TIMEOUT_S
             )
         except _NoReplyError as error:
             raise StoreUnavailableError(error.error_kind) from None
@@ -240,7 +241,9 @@
     async def drop_object(self, name: str) -> CommitOutcome:
         """Remove an object; succeed also if it does not exist."""
         try:
-            status, _ = await self._call("DELETE", names.DROP_OBJECT_PATH + name)
+            status, _ = await self._call(
+                "DELETE", names.DROP_OBJECT_PATH + _quoted(name)
+            )
         except _NoReplyError as error:
             return CommitUnknown(error.error_kind)
         if status in (200, 204, 404):
@@ -347,6 +350,11 @@
     return {"table": key.table, "part": key.part, "key": key.key}
 
 
+def _quoted(name: str) -> str:
+    """Return the name of an object as a path: callers choose a part of it."""
+    return quote(name, safe="/")
+
+
 def _change(row: _WireRow) -> Row | RemovedRow:
     key = RowKey(row.table, row.part, row.key)
     version = RowVersion(row.ver)
--- a/tests/store/test_platform_store.py
+++ b/tests/store/test_platform_store.py
@@ -86,6 +86,17 @@
     assert await store.get_object("a") is None
 
 
+@pytest.mark.parametrize("name", ["a?b", "a#b", "a%3Fb", "a b/c", "a%"])
+async def test_the_names_of_objects_are_kept_apart(store, gate, name):
+    """A name was cut at a question mark, so that two batches had one object."""
+    await store.put_object("a", b"other")
+    assert isinstance(await store.put_object(name, b"one"), Committed)
+    assert await store.get_object(name) == b"one"
+    assert gate.rows.objects == {"a": b"other", name: b"one"}
+    await store.drop_object(name)
+    assert gate.rows.objects == {"a": b"other"}
+
+
 async def test_an_object_that_may_be_written_is_not_reported_as_unwritten(store, gate):
     """Guards against a repetition that finds no store and hides the first write."""
     gate.ends_after_object = True
