Refuse acknowledgements whose shape is none of a step

A trainer's Ack with 0 or -1 groups ended its open step, since the empty set of slots is held by anyone. One with 2**31 - 1 groups of as many samples lists 2**62 slots in memory, which would end the host.

Ack checks the shape as OpenStep does: at least one group and one sample, at most 8192 samples together.

--- a/src/bankrudder/steps/_service.py
+++ b/src/bankrudder/steps/_service.py
@@ -116,7 +116,7 @@
             If samples were aborted; all other samples were delivered.
         """
         job = self._job_of_trainer(trainer, spec.job)
-        _check_shape(spec)
+        _check_shape(spec.shape)
         batch = self._build_batch(trainer, job, spec)
         await self._accept_batch(batch, spec)
         delivered_count = 0
@@ -147,11 +147,12 @@
         Raises
         ------
         InvalidError
-            If the job does not belong to the trainer.
+            If the job does not belong to the trainer, or `shape` is none of a step.
         NotRunError, OutcomeUnknownError
             If the step did not end, or if that is unknown.
         """
         job = self._job_of_trainer(trainer, job_name)
+        _check_shape(shape)
         if not shape.slots <= frozenset(slots):
             return
         batch_ids = {
@@ -285,14 +286,14 @@
                 return page.results, page.next_position
 
 
-def _check_shape(spec: StepSpec) -> None:
-    if not spec.prompts or spec.samples_per_group < 1:
+def _check_shape(shape: StepShape) -> None:
+    if shape.groups < 1 or shape.samples_per_group < 1:
         raise InvalidError(
             FailureReason.BAD_REQUEST,
             "at least one prompt and one sample per group are required",
             field="groups",
         )
-    count = len(spec.prompts) * spec.samples_per_group
+    count = shape.groups * shape.samples_per_group
     if count > MAX_SAMPLES_PER_STEP:
         raise InvalidError(
             FailureReason.TOO_LARGE,
--- a/tests/rpc/test_steps.py
+++ b/tests/rpc/test_steps.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from bankrudder.client._trainer_connection import GrpcTrainerConnection
 from bankrudder.exceptions import FailedError, InvalidError
 from bankrudder.failures import FailureReason
+from bankrudder.v1 import bankrudder_pb2 as pb
 from bankrudder.world import SampleSlot, StepShape
 from outside.rpc_interface import trainer
 from outside.site import MODEL, until
@@ -161,3 +163,27 @@
             async for sample in client.step("wording", 1, PROMPTS, 3):
                 samples.append(sample)
     assert caught.value.failure.reason is FailureReason.SAMPLES_GIVEN_UP
+
+
+@pytest.mark.parametrize(
+    ("groups", "samples"), [(0, 0), (-1, 3), (8193, 1), (2**31 - 1, 2**31 - 1)]
+)
+async def test_an_acknowledgement_of_an_odd_shape_is_invalid(site, groups, samples):
+    """A step without slots was ended; one of 2**62 slots was listed in memory."""
+    slow_down_engines(site)
+    request = pb.AckRequest(
+        job="wording",
+        step=1,
+        groups=groups,
+        samples_per_group=samples,
+        opened_versions=[0],
+    )
+    address = site.hosts[0].rpc_address
+    connection = GrpcTrainerConnection.from_config(address, "wording-token")
+    async with trainer(site) as client:
+        step = asyncio.ensure_future(collect_samples(client))
+        await until(lambda: any(engine.arrivals for engine in site.engines))
+        with pytest.raises(InvalidError):
+            await connection.ack(request)
+        check_complete(await step, events=20)
+    await connection.close()
