Check that modules decode only through bankrudder.decoding

Each decoder had its own list of exceptions, and most of them missed one. A check of the style finds decoders of msgspec and json, and str.isdigit and its kin, in any other module, except in the decoder of operators' documents, whose errors name the field. It found one more: a count of 5000 digits on the command line ended in a traceback.

--- a/src/bankrudder/cli/_parser.py
+++ b/src/bankrudder/cli/_parser.py
@@ -7,6 +7,7 @@
 from bankrudder.cli._commands import Command
 from bankrudder.cli._exit import EXIT_CODES_HELP
 from bankrudder.client import TrainerSettings
+from bankrudder.decoding import decode_decimal
 from bankrudder.world import Address, address_error
 
 DEFAULT_TIMEOUT_S = 20.0
@@ -252,9 +253,10 @@
 
 
 def _parse_count(text: str) -> int:
-    if not text.isascii() or not text.isdigit():
+    number = decode_decimal(text)
+    if number is None:
         raise argparse.ArgumentTypeError(f"{text!r}: must be an integer, 0 or more")
-    return int(text)
+    return number
 
 
 def _parse_seconds(text: str) -> float:
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -26,3 +26,20 @@
 def test_a_module_imports_only_public_names_of_other_packages(path):
     private = set(PRIVATE_IMPORT.findall(path.read_text()))
     assert private - {path.parent.name} == set()
+
+
+DECODER_MODULES = {"decoding.py", "config/_decode.py"}
+"""Modules that call decoders. The second adds the wrong field to an operator's error."""
+
+RAW_DECODING = re.compile(
+    r"msgspec\.(?:json|msgpack)\.(?:decode|Decoder)\b|\bjson\.loads?\("
+    r"|\.(?:isdigit|isdecimal|isnumeric)\(\)"
+)
+
+
+@pytest.mark.parametrize("path", SOURCES, ids=lambda path: str(path.relative_to(ROOT)))
+def test_a_module_decodes_only_through_the_module_for_it(path):
+    """A decoder of its own lets errors pass that its author did not think of."""
+    module = path.relative_to(ROOT / "src" / "bankrudder").as_posix()
+    if module not in DECODER_MODULES:
+        assert RAW_DECODING.findall(path.read_text()) == []
