Refuse configurations with numbers out of range

A route whose weights add up to 0 or to infinity raised ValueError at each request (status 500), and negative times or priorities of 400 digits were put in force. The store is to accept only valid configurations, so this is a second line of defence, at the decoder.

Numbers are 0 or more and at most 2**63 - 1, and the weights of a route add up to a finite number above 0. The configuration before stays in force otherwise.

--- a/src/bankrudder/platform/_documents.py
+++ b/src/bankrudder/platform/_documents.py
@@ -4,6 +4,7 @@
 valid documents of its type and raises `UnreadableDocumentError` for anything else.
 """
 
+import math
 from typing import Annotated
 
 import msgspec
@@ -47,12 +48,13 @@
 
 _READINESS_STATES = {"ready": Readiness.READY, "draining": Readiness.DRAINING}
 
+_NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 _NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
 
 
 class _WireBackend(msgspec.Struct):
     service: str
-    weight: float = 1.0
+    weight: _NonNegativeFloat = 1.0
 
 
 class _WireRoute(msgspec.Struct):
@@ -60,18 +62,23 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float = 10_000.0
-    target_latency_ms: float = 1_000.0
-    result_target_ms: float = 0.0
-    retention_s: float = 60.0
-    priority: int = 5
-    max_attempts: int = 1
+    timeout_ms: _NonNegativeFloat = 10_000.0
+    target_latency_ms: _NonNegativeFloat = 1_000.0
+    result_target_ms: _NonNegativeFloat = 0.0
+    retention_s: _NonNegativeFloat = 60.0
+    priority: NonNegativeInt = 5
+    max_attempts: NonNegativeInt = 1
     service: str = ""
     backends: list[_WireBackend] = []
     resumable: bool = False
     single_version: bool = False
     public: bool = False
 
+    def __post_init__(self) -> None:
+        total_weight = sum(each.weight for each in self.backends)
+        if self.backends and not 0 < total_weight < math.inf:
+            raise ValueError(f"the weights of the backends add up to {total_weight}")
+
 
 class _WireModel(msgspec.Struct):
     name: str
@@ -85,7 +92,7 @@
 class _WireScaling(msgspec.Struct):
     min: NonNegativeInt
     max: NonNegativeInt
-    zone_prices: dict[str, Annotated[float, msgspec.Meta(ge=0)]]
+    zone_prices: dict[str, _NonNegativeFloat]
 
     def __post_init__(self) -> None:
         if self.min > self.max:
@@ -94,7 +101,7 @@
 
 class _WireService(msgspec.Struct):
     name: str
-    max_connections: int = 100
+    max_connections: NonNegativeInt = 100
     engine: _WireEngine | None = None
     scaling: _WireScaling | None = None
 
@@ -102,18 +109,18 @@
 class _WireWorkspace(msgspec.Struct):
     name: _NonEmptyText
     api_keys: list[_NonEmptyText] = []
-    priority: Annotated[int, msgspec.Meta(ge=0)] | None = None
+    priority: NonNegativeInt | None = None
 
 
 class _WireLimits(msgspec.Struct):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 32 << 20
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: NonNegativeInt = 16384
+    max_body_bytes: NonNegativeInt = 32 << 20
+    header_timeout_ms: _NonNegativeFloat = 3_000.0
+    idle_timeout_ms: _NonNegativeFloat = 15_000.0
 
 
 class _WireConfiguration(msgspec.Struct):
-    version: int
+    version: NonNegativeInt
     routes: list[_WireRoute] = []
     services: list[_WireService] = []
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -280,3 +280,27 @@
     service = {**CONFIGURATION["services"][0], "scaling": kept}
     with pytest.raises(UnreadableDocumentError):
         decode_configuration_with(services=[service])
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"timeout_ms": -1},
+        {"retention_s": -0.1},
+        {"priority": -1},
+        {"priority": 10**40},
+        {"max_attempts": 2**63},
+        {"backends": [{"service": "s", "weight": -1}, {"service": "t"}]},
+        {"backends": [{"service": "s", "weight": 0}]},
+        {"backends": [{"service": "s", "weight": 1e308}] * 2},
+    ],
+)
+def test_a_route_with_odd_numbers_is_unreadable(changes):
+    """Each request of a route whose weights add up to nothing got status 500."""
+    route = {**CONFIGURATION["routes"][0], **changes}
+    with pytest.raises(UnreadableDocumentError):
+        decode_configuration_with(routes=[route])
+    split = [{"service": "s", "weight": 0}, {"service": "t", "weight": 0.5}]
+    decode_configuration_with(
+        routes=[{**route, **dict.fromkeys(changes, 1), "backends": split}]
+    )
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -29,7 +29,7 @@
 
 
 DECODER_MODULES = {"decoding.py", "config/_decode.py"}
-"""Modules that call decoders. The second adds the wrong field to an operator's error."""
+"""Modules that call decoders. The second names the wrong field in its errors."""
 
 RAW_DECODING = re.compile(
     r"msgspec\.(?:json|msgpack)\.(?:decode|Decoder)\b|\bjson\.loads?\("
