Orders: a second answer to a request does not confirm an order

What operators saw: an engine counted as having the newest weights that it had not loaded, and got no further order. Orders and state queries share connections with requests, and their answers carry no identifier. A second answer to an earlier request that arrives after an order was sent on the connection is read as the order's answer: its status 200 means that the order already holds.

An answer that echoes an identifier is no answer to an order or a state query, which are sent without one: the outcome of the order is unknown, so that the engine's count of orders is read next. Second answers without an identifier (refusals) stay indistinguishable; their statuses lead to the same query.

Evidence: test_a_second_answer_does_not_confirm_an_order got ALREADY_SO before.

--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -193,6 +193,10 @@
                 # The HTTP client may repeat a query.
                 middlewares=(),
             ) as response:
+                if names.REQUEST_ID in response.headers:
+                    response.close()
+                    _log_foreign_answer(endpoint, names.STATE_PATH)
+                    return None
                 if response.status != 200:
                     return None
                 wire = decode_json(
@@ -244,6 +248,10 @@
                     total=CONTROL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
                 ),
             ) as response:
+                if names.REQUEST_ID in response.headers:
+                    response.close()
+                    _log_foreign_answer(endpoint, names.ORDERS_PATH)
+                    return OrderOutcome.UNKNOWN
                 return _ORDER_OUTCOMES.get(response.status, OrderOutcome.REJECTED)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return OrderOutcome.NOT_SENT
@@ -273,5 +281,11 @@
     return RefusalReason.UNREACHABLE
 
 
+def _log_foreign_answer(endpoint: Endpoint, path: str) -> None:
+    # Orders and state queries are sent without an identifier, so an answer that echoes
+    # one is the second answer to an earlier request on the connection.
+    _log.info("endpoints: answer of a request", endpoint=endpoint.id, path=path)
+
+
 def _url(endpoint: Endpoint, target: str) -> URL:
     return URL(f"http://{endpoint.address}{target}", encoded=True)
--- a/tests/platform/test_second_answers.py
+++ b/tests/platform/test_second_answers.py
@@ -8,7 +8,15 @@
 
 import pytest
 
-from bankrudder.fleet import Answered, Endpoint, OpenedStream, OutgoingRequest
+from bankrudder.fleet import (
+    Answered,
+    Endpoint,
+    OpenedStream,
+    OrderOutcome,
+    OutgoingRequest,
+    SwitchMode,
+    VersionOrder,
+)
 from bankrudder.platform._endpoint_client import HttpEndpointClient
 from outside.endpoints import stream_answer
 
@@ -118,3 +126,30 @@
     for number in range(3):
         assert await read_stream(client, endpoint, f"q{number}") == [0, 1]
     assert endpoint.requests_by_connection == [["q0", "q1", "q2"]]
+
+
+async def test_a_second_answer_does_not_confirm_an_order():
+    """An order counted as carried out already, and the engine kept its old weights."""
+    connections = []
+
+    async def serve(reader, writer):
+        connections.append(writer)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(stream_answer("q1", FIRST_EVENTS).encode())
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(stream_answer("q1", LATE_EVENTS).encode())
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    entry = Endpoint("e", "s", f"127.0.0.1:{port}", "north", 8)
+    client = HttpEndpointClient()
+    try:
+        assert isinstance(await client.send(entry, make_request("q1")), Answered)
+        order = VersionOrder("m", 2, SwitchMode.CONTINUE, "host", 1, 0)
+        assert await client.order(entry, order) is OrderOutcome.UNKNOWN
+        assert len(connections) == 1
+    finally:
+        await client.close()
+        server.close()
