Endpoints: a connection of a repeated request does not count as kept

What operators saw: nothing yet; requests were sent first to endpoints with idle connections that had been closed, and opened new ones there.

Cause: a request that was sent to the run of an endpoint before goes on a connection of its own, which is closed after its answer. The time for which the connection stays open was still that of a shared one, as it was derived from the request alone, and the endpoint counted an idle connection that it did not have.

--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -115,8 +115,9 @@
 
     async def send(self, endpoint: Endpoint, request: OutgoingRequest) -> SendOutcome:
         """Send a request and read the complete answer."""
+        session = self._sessions.session_for_request(endpoint, request)
         try:
-            async with self._request(endpoint, request) as response:
+            async with _request(session, endpoint, request) as response:
                 self._sessions.learn_idle_time(endpoint, response)
                 if not is_answer_to(response, request):
                     response.close()
@@ -124,7 +125,7 @@
                 outcome = await read_answer(response, self._budget)
                 if isinstance(outcome, Answered):
                     keep_alive_s = self._sessions.keep_alive_s(
-                        endpoint, request, response
+                        endpoint, session, response
                     )
                     outcome = msgspec.structs.replace(
                         outcome, keep_alive_s=keep_alive_s
@@ -148,12 +149,13 @@
         """Send a request whose answer is a stream; leaving the context closes it."""
         response: aiohttp.ClientResponse | None = None
         outcome: StreamOutcome
+        session = self._sessions.session_for_request(endpoint, request)
         try:
-            response = await self._request(endpoint, request)
+            response = await _request(session, endpoint, request)
             self._sessions.learn_idle_time(endpoint, response)
             outcome = await stream_outcome(response, request, self._budget)
             if isinstance(outcome, OpenedStream):
-                keep_alive_s = self._sessions.keep_alive_s(endpoint, request, response)
+                keep_alive_s = self._sessions.keep_alive_s(endpoint, session, response)
                 outcome = msgspec.structs.replace(outcome, keep_alive_s=keep_alive_s)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             outcome = Refused(_connect_refusal(error))
@@ -258,18 +260,21 @@
         except (aiohttp.ClientError, OSError, TimeoutError):
             return OrderOutcome.UNKNOWN
 
-    def _request(self, endpoint: Endpoint, request: OutgoingRequest) -> Any:
-        return self._sessions.session_for_request(endpoint, request).request(
-            request.method,
-            _url(endpoint, request.target),
-            headers=request_headers(endpoint, request),
-            data=request.body or None,
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-            allow_redirects=False,
-            timeout=aiohttp.ClientTimeout(
-                total=request.timeout_s, sock_connect=CONNECT_TIMEOUT_S
-            ),
-        )
+
+def _request(
+    session: aiohttp.ClientSession, endpoint: Endpoint, request: OutgoingRequest
+) -> Any:
+    return session.request(
+        request.method,
+        _url(endpoint, request.target),
+        headers=request_headers(endpoint, request),
+        data=request.body or None,
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        allow_redirects=False,
+        timeout=aiohttp.ClientTimeout(
+            total=request.timeout_s, sock_connect=CONNECT_TIMEOUT_S
+        ),
+    )
 
 
 def _connect_refusal(error: aiohttp.ClientError) -> RefusalReason:
--- a/src/bankrudder/platform/_endpoint_sessions.py
+++ b/src/bankrudder/platform/_endpoint_sessions.py
@@ -113,12 +113,13 @@
     def keep_alive_s(
         self,
         endpoint: Endpoint,
-        request: OutgoingRequest,
+        session: aiohttp.ClientSession,
         response: aiohttp.ClientResponse,
     ) -> float:
         """Return for how long an answer's connection stays open, 0 if it closes."""
+        connector = session.connector
         is_closed = response.headers.get("Connection", "").lower() == "close"
-        if is_closed or not request.may_reuse_connection:
+        if is_closed or connector is None or connector.force_close:
             return 0.0
         return self._idle_s.get(endpoint.service, IDLE_TIMEOUT_S)
 
--- a/tests/platform/test_second_answers.py
+++ b/tests/platform/test_second_answers.py
@@ -153,3 +153,19 @@
     finally:
         await client.close()
         server.close()
+
+
+async def test_a_connection_of_a_repeated_request_does_not_count_as_kept(
+    endpoint, client
+):
+    """Endpoints were chosen for idle connections that had been closed."""
+    entry = Endpoint("e", "s", f"127.0.0.1:{endpoint.port}", "north", 8)
+    first = await client.send(entry, make_request("q1"))
+    again = await client.send(entry, make_request("q1"))
+    assert isinstance(first, Answered)
+    assert isinstance(again, Answered)
+    assert first.keep_alive_s > 0
+    assert again.keep_alive_s == 0
+    async with client.open_stream(entry, make_request("q1")) as outcome:
+        assert isinstance(outcome, OpenedStream)
+        assert outcome.keep_alive_s == 0
