Batches: a result is read only at its position

What trainers could see: while a batch is removed after its retention, a hundred rows at a time, a reader that asks for results from position 0 on got those that were left, as if they stood there. If a row of a split result was gone, the others were decoded on their own, which failed.

Cause: rows were taken in the order in which the store returned them, whatever their keys. A result is now read only if its position is the next one and all of its rows are there.

--- a/src/bankrudder/batches/_repository.py
+++ b/src/bankrudder/batches/_repository.py
@@ -277,15 +277,19 @@
     async def results(
         self, batch_id: BatchId, after: int, limit: int = 500
     ) -> tuple[SampleResult, ...]:
-        """Return results from a position on, as many as one read returns."""
+        """Return results from a position on, as many as one read returns.
+
+        Results after a missing one are left out: they are not at the next position.
+        """
         page = await self._store.read(
             RESULTS_TABLE, batch_id, f"{after:08d}", "", limit
         )
-        return _decode_results(page.rows)
+        return _decode_results(page.rows, after)
 
     async def all_results(self, batch_id: BatchId) -> tuple[SampleResult, ...]:
         """Return all results of a batch."""
-        return _decode_results(await read_all(self._store, RESULTS_TABLE, batch_id))
+        rows = await read_all(self._store, RESULTS_TABLE, batch_id)
+        return _decode_results(rows, 0)
 
     async def end(self, batch_id: BatchId) -> bool:
         """End a batch; return whether there is such a batch.
@@ -341,7 +345,7 @@
         for number, chunk in enumerate(chunks):
             # The suffix tells a reader whether another row of this result follows.
             suffix = "+" if number < last else "."
-            key = f"{position:08d}/{number:04d}{suffix}"
+            key = _result_key(position, number) + suffix
             yield Put(RowKey(RESULTS_TABLE, batch_id, key), chunk)
 
     def _split_rows(self, body: bytes) -> list[bytes]:
@@ -368,10 +372,18 @@
     return f"{batch_id}-{digest[:16]}"
 
 
-def _decode_results(rows: Iterable[Row]) -> tuple[SampleResult, ...]:
+def _result_key(position: int, number: int) -> str:
+    """Return the key of a result's row, without the suffix."""
+    return f"{position:08d}/{number:04d}"
+
+
+def _decode_results(rows: Iterable[Row], first: int) -> tuple[SampleResult, ...]:
+    """Return the results from position `first` on, up to the first missing row."""
     results: list[SampleResult] = []
     chunks: list[bytes] = []
     for row in rows:
+        if row.key.key[:-1] != _result_key(first + len(results), len(chunks)):
+            break
         chunks.append(row.value)
         if row.key.key.endswith("."):
             body = b"".join(chunks)
--- a/tests/batches/test_repository.py
+++ b/tests/batches/test_repository.py
@@ -146,3 +146,23 @@
         await repository.accept(batch(), THIS_OWNER)
     await repository.delete("b1")
     assert not [key for key in rows.rows if key[0] in ("batches", "results")]
+
+
+async def test_later_results_do_not_take_the_place_of_removed_ones(repository, rows):
+    """While a batch was removed, readers got later results at earlier positions."""
+    fence = (await repository.accept(batch(), THIS_OWNER)).fence
+    await repository.add_results("b1", fence, 0, [result(0), result(1), result(2)])
+    rows.remove("results", "00000000/0000.", "b1")
+    assert await repository.results("b1", 0) == ()
+    assert await repository.results("b1", 1) == (result(1), result(2))
+
+
+@pytest.mark.parametrize("number", [0, 1, 2])
+async def test_a_result_of_which_a_row_is_missing_is_not_read(repository, rows, number):
+    """The rest of a result was decoded as a whole one."""
+    fence = (await repository.accept(batch(), THIS_OWNER)).fence
+    large = result(0, "x" * 200_000)
+    await repository.add_results("b1", fence, 0, [large, result(1)])
+    rows.remove("results", f"00000000/{number:04d}+", "b1")
+    assert await repository.results("b1", 0) == ()
+    assert await repository.results("b1", 1) == (result(1),)
