Batches: text is saved again after saved text that was not used

What trainers saw: late samples after an owner was lost. A sample whose saved text was not used, because it answers another request or has old weights, was not saved again until its new text was ten events longer than the old one: the number of the old text counted as saved. A new owner of the batch found only the old text and generated the sample from the start.

Only text that was resumed counts as saved now. The samples with other progress are still noted, so that it is removed once they are listed.

Evidence: the case of another request of the new test in tests/batches/test_run.py failed before. Tests of batches, and tests/node/test_second_answers.py: 159 passed.

--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -135,8 +135,12 @@
             if sample.id not in done
         ]
         self._listed_samples: set[SampleId] = set()
-        self._saved_event_numbers = {
-            key: each.next_number for key, each in progress.items()
+        # Progress that was not used is still removed once its sample is listed.
+        self._saved_event_numbers = dict.fromkeys(progress, 0)
+        self._saved_event_numbers |= {
+            each.sample.id: each.text.next_number
+            for each in self._generators
+            if each.resumed_event_count
         }
 
     @property
