Crashes: owed samples and reward calls are refused for seconds at most

What was seen: engines crashed one after the other while they ran the same sound sample of an accepted batch. After three crashes the sample was refused for ten minutes or more, at every host and in each later step that asked for it, although all was calm and engines were idle. Reward calls were treated in the same way, so that complete samples were never listed.

Cause: how long a content is refused depended only on how likely it was to have caused the crashes. That judgement rests on three or four crashes and is wrong at times. A caller that is refused may decide what to do; samples and reward calls of an accepted batch are owed, and nobody else repeats them.

Fix: decide_admission takes a RefusalPolicy. Requests of callers are refused as before. Samples and reward calls are refused for two seconds, then three, and are sent to one endpoint at a time after that. Strikes are counted and shared as before, so that a caller's request with the same content is limited as before. A suspect waits for an engine without another suspect for a second at most where there is room beside others, as a series of crashes makes far more suspects than there are engines. Refusal and wait together stay below the five seconds for which a sample may be on no engine.

Tests: test_so_is_a_sample and test_so_is_a_reward_call demanded that a sample and a reward call are refused for good after three crashes. This contradicts what is asked now: no sample is a request that crashes endpoints, and each is owed. In their place, test_a_sample_that_crashes_engines_is_paced and test_so_is_a_reward_call_that_crashes_endpoints bound how often endpoints end (three, then one after two seconds, then one in each three), check that from the fourth on no two are down at once, that other batches complete meanwhile, and that the work is sent again. The tests of callers' requests are unchanged. Stand-ins of the guard in four test modules take the new parameter.

--- a/src/bankrudder/batches/_admission.py
+++ b/src/bankrudder/batches/_admission.py
@@ -5,7 +5,7 @@
 import structlog
 
 from bankrudder.batches._values import BatchId
-from bankrudder.crashes import Admission, ContentId, CrashGuard
+from bankrudder.crashes import Admission, ContentId, CrashGuard, RefusalPolicy
 from bankrudder.world import SampleId
 
 MAX_HOLD_S = 1.0
@@ -19,10 +19,13 @@
 async def wait_for_admission(
     crashes: CrashGuard, content: ContentId, batch: BatchId, sample: SampleId
 ) -> bool:
-    """Wait until a sample may run; return whether it is a suspect."""
+    """Wait until a sample may run; return whether it is a suspect.
+
+    The sample is owed, so that it waits for seconds at most.
+    """
     is_logged = False
     while True:
-        decision = crashes.decision(content)
+        decision = crashes.decision(content, RefusalPolicy.BRIEF)
         if decision.admission is not Admission.REFUSED:
             return decision.admission is Admission.ALONE
         if not is_logged:
--- a/src/bankrudder/batches/_dispatcher.py
+++ b/src/bankrudder/batches/_dispatcher.py
@@ -209,12 +209,15 @@
 
     def _grant_slots(self) -> None:
         ungranted: list[SlotRequest] = []
-        full_kinds: set[tuple[object, ...]] = set()
+        # Whether there is room beside suspects, by kinds that get no slot.
+        full_kinds: dict[tuple[object, ...], bool] = {}
+        now = self._clock.monotonic()
         while self._waiting:
             request = self._waiting.pop()
             if request.granted.done():
                 continue
             demand = request.demand
+            may_share = request.may_share(now)
             demand_kind = (
                 demand.service,
                 demand.model,
@@ -223,10 +226,16 @@
                 demand.sample in self._reserved,
                 self._reserved.destination(demand.sample),
                 demand.is_suspect,
+                may_share,
             )
-            target = None if demand_kind in full_kinds else self._choose_engine(demand)
+            target = None
+            if demand_kind not in full_kinds:
+                target = self._choose_engine(demand, may_share)
             if target is None:
-                full_kinds.add(demand_kind)
+                if demand_kind not in full_kinds:
+                    full_kinds[demand_kind] = self._has_room_beside_suspects(demand)
+                if full_kinds[demand_kind]:
+                    request.note_blocked(now)
                 ungranted.append(request)
                 continue
             target.in_flight += 1
@@ -237,14 +246,27 @@
             request.granted.set_result(target)
         self._waiting.put_back(ungranted)
 
-    def _choose_engine(self, demand: SlotDemand) -> TrackedEndpoint | None:
-        free = [
+    def _has_room_beside_suspects(self, demand: SlotDemand) -> bool:
+        return demand.is_suspect and bool(self._free_engines(demand, may_share=True))
+
+    def _free_engines(
+        self, demand: SlotDemand, may_share: bool
+    ) -> list[TrackedEndpoint]:
+        return [
             candidate
-            for candidate in self._usable_engines(demand)
+            for candidate in self._usable_engines(demand, may_share)
             if self._has_free_slot(candidate, demand.sample)
         ]
+
+    def _choose_engine(
+        self, demand: SlotDemand, may_share: bool
+    ) -> TrackedEndpoint | None:
+        free = self._free_engines(demand, may_share)
         if not free:
             return None
+        if demand.is_suspect:
+            least = min(candidate.suspects for candidate in free)
+            free = [candidate for candidate in free if candidate.suspects == least]
         destination = self._move_destination(demand.sample, free)
         if destination is not None:
             return destination
@@ -296,19 +318,28 @@
             candidate, demand, self._clock.monotonic()
         )
 
-    def _usable_engines(self, demand: SlotDemand) -> list[TrackedEndpoint]:
+    def _usable_engines(
+        self, demand: SlotDemand, may_share: bool
+    ) -> list[TrackedEndpoint]:
         """Return the engines that accept samples of a demand, including full ones."""
         now = self._clock.monotonic()
         return [
             candidate
             for candidate in self._eligible_engines(demand, now)
-            if self._is_usable(candidate, demand, now)
+            if self._is_usable(candidate, demand, now, may_share)
         ]
 
     def _is_usable(
-        self, candidate: TrackedEndpoint, demand: SlotDemand, now: float
+        self,
+        candidate: TrackedEndpoint,
+        demand: SlotDemand,
+        now: float,
+        may_share: bool = False,
     ) -> bool:
-        """Whether an engine with recent enough weights accepts samples now."""
+        """Whether an engine with recent enough weights accepts samples now.
+
+        With ``may_share``, a suspect may run beside another one.
+        """
         endpoint = candidate.endpoint
         return (
             candidate.takes_work
@@ -316,7 +347,7 @@
             and endpoint.service == demand.service
             and (not demand.data_centres or endpoint.data_centre in demand.data_centres)
             and not candidate.is_suspended(now)
-            and not (demand.is_suspect and candidate.suspects)
+            and not (demand.is_suspect and candidate.suspects and not may_share)
             and self._paused.get((candidate.run, demand.model), 0.0) <= now
             and not candidate.is_loading(demand.model, now)
         )
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -23,7 +23,7 @@
 from bankrudder.batches._slot_queue import SlotDemand
 from bankrudder.batches._text import SampleText, request_digest, resume_obstacle
 from bankrudder.batches._values import Batch, Progress, Sample
-from bankrudder.crashes import CrashGuard, Send, content_id
+from bankrudder.crashes import CrashGuard, RefusalPolicy, Send, content_id
 from bankrudder.fleet import (
     Answered,
     EndpointClient,
@@ -427,6 +427,7 @@
             self._run_started_at,
             first_event=self._first_event,
             next_event=len(self._text),
+            policy=RefusalPolicy.BRIEF,
         )
         await self._crashes.note_lost(send, reason)
 
--- a/src/bankrudder/batches/_scoring.py
+++ b/src/bankrudder/batches/_scoring.py
@@ -17,6 +17,7 @@
 import structlog
 
 from bankrudder.batches._values import RewardCall
+from bankrudder.crashes import RefusalPolicy
 from bankrudder.fleet import EndpointDirectory
 from bankrudder.relay import (
     Forwarder,
@@ -99,6 +100,7 @@
                     received_at=now,
                     trace=trace,
                     priority=priority,
+                    policy=RefusalPolicy.BRIEF,
                 )
                 reply = await self._forwarder.forward(request, route)
             finally:
--- a/src/bankrudder/batches/_slot_queue.py
+++ b/src/bankrudder/batches/_slot_queue.py
@@ -11,13 +11,20 @@
 from bankrudder.scheduling import Rank
 from bankrudder.world import DataCentreName, GroupId, ModelVersion, SampleId
 
+MAX_ALONE_WAIT_S = 1.0
+"""Longest time for which a suspect waits for an engine that runs no other suspect. In a
+series of crashes most samples become suspects, and there are far more of them than
+engines; each takes seconds. Together with a refusal after crashes, the time is below
+the five seconds for which a sample may be on no engine while there is room."""
+
 
 @dataclass(frozen=True)
 class SlotDemand:
     """What a sample requires of an engine; lower ranks are served first.
 
     A suspect is a sample under which engines crashed. An engine runs one suspect at a
-    time, as a crash could not be attributed to one of several.
+    time, as a crash could not be attributed to one of several, unless a suspect has
+    waited for `MAX_ALONE_WAIT_S` where there was room beside others.
     """
 
     sample: SampleId
@@ -32,12 +39,29 @@
 
 @dataclass(order=True)
 class SlotRequest:
-    """A sample that waits for a slot; ``granted`` resolves to the engine."""
+    """A sample that waits for a slot; ``granted`` resolves to the engine.
+
+    ``blocked_since`` is the monotonic time at which only engines with other suspects
+    had free slots for it, None if there was no such time.
+    """
 
     rank: Rank
     sequence: int
     demand: SlotDemand = field(compare=False)
     granted: "asyncio.Future[TrackedEndpoint]" = field(compare=False)
+    blocked_since: float | None = field(compare=False, default=None)
+
+    def note_blocked(self, now: float) -> None:
+        """Record that only engines with other suspects have free slots for it."""
+        if self.blocked_since is None:
+            self.blocked_since = now
+
+    def may_share(self, now: float) -> bool:
+        """Whether it may run beside a suspect, in spite of being one itself."""
+        return (
+            self.blocked_since is not None
+            and now - self.blocked_since >= MAX_ALONE_WAIT_S
+        )
 
 
 class SlotQueue:
--- a/src/bankrudder/crashes/_admission.py
+++ b/src/bankrudder/crashes/_admission.py
@@ -35,9 +35,14 @@
 alone limit nothing, because lost answers are usually not crashes. They count in
 addition to at least one certain strike: the content is then at one endpoint at a time,
 or is refused until the doubt is resolved, if `CRASH_LIMIT` would be reached.
+
+Samples and reward calls of accepted batches are owed: nobody else repeats them, and no
+number of crashes proves that they caused any. `RefusalPolicy.BRIEF` therefore ends each
+refusal after `MAX_BRIEF_PAUSE_S` at the latest. The content is then sent to one
+endpoint at a time, so that one that does crash endpoints crashes one in each pause.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from bankrudder.crashes._attribution import (
     MIN_PROGRESS_EVENTS,
@@ -55,6 +60,7 @@
     Admission,
     AdmissionDecision,
     Crash,
+    RefusalPolicy,
     Strike,
     UnixTime,
 )
@@ -89,6 +95,20 @@
 merely ran at the same time is repeated at once and must be served. The second lasts
 until crashed endpoints have restarted."""
 
+BRIEF_PAUSE_S = 2.0
+"""First refusal period of owed work, in which most endpoints restart. Each further
+crash lengthens it by half, up to `MAX_BRIEF_PAUSE_S`."""
+
+MAX_BRIEF_PAUSE_S = 3.0
+"""Longest refusal period of owed work. It is far below the twelve seconds of a step,
+and leaves time to wait for an endpoint within the five seconds for which a sample may
+be on no engine while there is room."""
+
+MAX_CLOCK_LEAD_S = 0.5
+"""Time by which the clock of the host that recorded a strike may be ahead of this
+host's. Strikes from further ahead refuse no owed work, since it would be refused until
+this host's clock has caught up."""
+
 RETENTION_BELOW_LIMIT_S = 6 * 3600.0
 """Time after its last strike for which the strikes of a content are kept if there are
 fewer than `CRASH_LIMIT`."""
@@ -106,6 +126,7 @@
     now: UnixTime,
     doubts: Iterable[Strike] = (),
     crashes: Mapping[EndpointRun, Crash] = NO_CRASHES,
+    policy: RefusalPolicy = RefusalPolicy.LASTING,
 ) -> AdmissionDecision:
     """Return whether a request with this content may be sent now.
 
@@ -117,10 +138,47 @@
         The doubtful strikes of this content.
     crashes : mapping
         The recent crashes that are known, by run.
+    policy : RefusalPolicy
+        For how long the content may be refused.
     """
     if not strikes.get(content):
         return FREE
     recent = [each for each in doubts if doubt_left_s(each, now) > 0]
+    decision = _decide(content, strikes, now, recent, crashes)
+    if decision.admission is Admission.REFUSED and policy is RefusalPolicy.BRIEF:
+        return _shortened(decision, [*strikes[content].values(), *recent], now)
+    return decision
+
+
+def doubt_left_s(strike: Strike, now: UnixTime) -> float:
+    """Return the time for which a doubtful strike still counts, negative if none."""
+    # A clock that is set back must not extend the time.
+    return min(strike.lost_at + RESTART_DETECTION_S - now, RESTART_DETECTION_S)
+
+
+def _shortened(
+    refusal: AdmissionDecision, strikes: Iterable[Strike], now: UnixTime
+) -> AdmissionDecision:
+    """Return the decision on owed work that is otherwise refused for longer."""
+    excess_count = max(refusal.strikes - CRASH_LIMIT, 0)
+    pause_s = min(BRIEF_PAUSE_S * 1.5**excess_count, MAX_BRIEF_PAUSE_S)
+    ages_s = [now - each.lost_at for each in strikes]
+    known_s = [age_s for age_s in ages_s if age_s >= -MAX_CLOCK_LEAD_S]
+    left_s = pause_s - max(min(known_s, default=pause_s), 0.0)
+    left_s = min(left_s, refusal.retry_after_s)
+    if left_s <= 0:
+        return AdmissionDecision(Admission.ALONE, refusal.strikes)
+    return AdmissionDecision(Admission.REFUSED, refusal.strikes, left_s)
+
+
+def _decide(
+    content: ContentId,
+    strikes: StrikesByContent,
+    now: UnixTime,
+    recent: Collection[Strike],
+    crashes: Mapping[EndpointRun, Crash],
+) -> AdmissionDecision:
+    """Decide without regard to whether the work is owed; ``recent`` are doubts."""
     certain = _decide_by_certain(content, strikes, now, crashes)
     if not recent or not certain.strikes or certain.admission is Admission.REFUSED:
         return certain
@@ -135,12 +193,6 @@
     return AdmissionDecision(Admission.REFUSED, count, left_s)
 
 
-def doubt_left_s(strike: Strike, now: UnixTime) -> float:
-    """Return the time for which a doubtful strike still counts, negative if none."""
-    # A clock that is set back must not extend the time.
-    return min(strike.lost_at + RESTART_DETECTION_S - now, RESTART_DETECTION_S)
-
-
 def _decide_by_certain(
     content: ContentId,
     strikes: StrikesByContent,
--- a/src/bankrudder/crashes/_guard.py
+++ b/src/bankrudder/crashes/_guard.py
@@ -23,6 +23,7 @@
 from bankrudder.crashes._values import (
     Admission,
     AdmissionDecision,
+    RefusalPolicy,
     Send,
     Strike,
 )
@@ -107,20 +108,22 @@
 
     @property
     def refused_count(self) -> int:
-        """Number of contents that are currently refused."""
+        """Number of contents that are currently refused to callers."""
         decisions = self._registry.decisions(self._times.now())
         return sum(each.admission is Admission.REFUSED for each in decisions)
 
     def __len__(self) -> int:
         return len(self._registry)
 
-    def decision(self, content: ContentId) -> AdmissionDecision:
+    def decision(
+        self, content: ContentId, policy: RefusalPolicy = RefusalPolicy.LASTING
+    ) -> AdmissionDecision:
         """Return whether a request with this content may be sent now."""
         if content in self._doubts:
             # A restart that was learned a moment ago decides at once.
             self._resolve_doubts(content)
         return self._registry.decision(
-            content, self._times.now(), self._doubts.strikes(content)
+            content, self._times.now(), self._doubts.strikes(content), policy
         )
 
     async def note_lost(self, send: Send, reason: LossReason) -> None:
@@ -288,7 +291,7 @@
         self._shared.remove(self._registry.add(strike))
         if self._shared.has(strike):
             self._shared.put(strike)
-        decision = self.decision(loss.content)
+        decision = self.decision(loss.content, loss.send.policy)
         strike_count = sum(1 for _ in self._registry.strikes(loss.content))
         _log.warning(
             "crashes: endpoint ended under a request",
--- a/src/bankrudder/crashes/_registry.py
+++ b/src/bankrudder/crashes/_registry.py
@@ -5,7 +5,13 @@
 from bankrudder.crashes._admission import decide_admission, is_outdated
 from bankrudder.crashes._content import ContentId
 from bankrudder.crashes._crash_log import CrashLog
-from bankrudder.crashes._values import FREE, AdmissionDecision, Strike, UnixTime
+from bankrudder.crashes._values import (
+    FREE,
+    AdmissionDecision,
+    RefusalPolicy,
+    Strike,
+    UnixTime,
+)
 from bankrudder.fleet import EndpointRun
 
 MAX_CONTENTS = 1000
@@ -35,13 +41,17 @@
         return run in self._strikes.get(content, {})
 
     def decision(
-        self, content: ContentId, now: UnixTime, doubts: Iterable[Strike] = ()
+        self,
+        content: ContentId,
+        now: UnixTime,
+        doubts: Iterable[Strike] = (),
+        policy: RefusalPolicy = RefusalPolicy.LASTING,
     ) -> AdmissionDecision:
         """Return whether a request with this content may be sent now."""
         if content not in self._strikes:
             return FREE
         return decide_admission(
-            content, self._strikes, now, doubts, self._crash_log.crashes
+            content, self._strikes, now, doubts, self._crash_log.crashes, policy
         )
 
     def strikes(self, content: ContentId) -> Iterator[Strike]:
@@ -95,5 +105,5 @@
         return [strike for content in old for strike in self.clear(content)]
 
     def decisions(self, now: UnixTime) -> Iterable[AdmissionDecision]:
-        """Return the decision on each content."""
+        """Return the decision on each content, as for requests of callers."""
         return (self.decision(content, now) for content in self._strikes)
--- a/src/bankrudder/crashes/_values.py
+++ b/src/bankrudder/crashes/_values.py
@@ -13,6 +13,22 @@
 """Unix time in seconds, because strikes outlive the process that observed them."""
 
 
+class RefusalPolicy(Enum):
+    """For how long work may be refused because endpoints crashed during it."""
+
+    LASTING = "lasting"
+    """Minutes to hours, as for requests of callers, of which any may crash endpoints.
+
+    Their callers get the refusal and decide what to do.
+    """
+
+    BRIEF = "brief"
+    """Seconds, as for the samples and reward calls of accepted batches.
+
+    They are owed, whatever crashed while they ran.
+    """
+
+
 class Send(msgspec.Struct, frozen=True):
     """One attempt to send a request to an endpoint; ``sent_at`` is a monotonic time.
 
@@ -26,6 +42,8 @@
     next_event : int
         Number of the first event that was not received; `first_event` unless the answer
         is a stream.
+    policy : RefusalPolicy
+        For how long the request may be refused.
     """
 
     content: ContentId
@@ -34,6 +52,7 @@
     request: str = ""
     first_event: int = 0
     next_event: int = 0
+    policy: RefusalPolicy = RefusalPolicy.LASTING
 
 
 class Strike(msgspec.Struct, frozen=True):
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -161,7 +161,10 @@
         task = asyncio.ensure_future(self._send(target))
         task.add_done_callback(lambda _: release())
         now = self._clock.monotonic()
-        self._sends[task] = Send(self._content, target, now, self._request.request_id)
+        request = self._request
+        self._sends[task] = Send(
+            self._content, target, now, request.request_id, policy=request.policy
+        )
 
     def _must_take_turn(self) -> bool:
         is_refused = self._decision().admission is Admission.REFUSED
@@ -210,7 +213,7 @@
         )
 
     def _decision(self) -> AdmissionDecision:
-        return self._crashes.decision(self._content)
+        return self._crashes.decision(self._content, self._request.policy)
 
     async def _send(self, target: TrackedEndpoint) -> SendOutcome:
         sent_at = self._clock.monotonic()
--- a/src/bankrudder/relay/_forwarder.py
+++ b/src/bankrudder/relay/_forwarder.py
@@ -61,7 +61,7 @@
 
         Callers of `forward` that queue requests check this before queueing one.
         """
-        decision = self._crashes.decision(request.content)
+        decision = self._crashes.decision(request.content, request.policy)
         refusal = crash_refusal(decision)
         if refusal is None:
             return None
--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -6,7 +6,7 @@
 import msgspec
 import structlog
 
-from bankrudder.crashes import Admission, CrashGuard, Send
+from bankrudder.crashes import Admission, AdmissionDecision, CrashGuard, Send
 from bankrudder.fleet import (
     NO_EVENT,
     Answered,
@@ -252,6 +252,7 @@
             self._clock.monotonic(),
             first_event=first_event,
             next_event=first_event,
+            policy=self._request.policy,
         )
         self._attempt = StreamAttempt(send, self._admission() is Admission.ALONE)
         outcome = await self._open_attempt(self._attempt)
@@ -300,7 +301,10 @@
             await asyncio.sleep(SUSPECT_PAUSE_S)
 
     def _admission(self) -> Admission:
-        return self._crashes.decision(self._content).admission
+        return self._decision().admission
+
+    def _decision(self) -> AdmissionDecision:
+        return self._crashes.decision(self._content, self._request.policy)
 
     async def _open_attempt(self, attempt: StreamAttempt) -> StreamOutcome:
         outgoing = self._request.outgoing(
@@ -348,7 +352,7 @@
         )
 
     def _not_run(self) -> NotRun:
-        refusal = crash_refusal(self._crashes.decision(self._content))
+        refusal = crash_refusal(self._decision())
         if refusal is not None:
             return refusal
         reason = RejectReason.FULL if self._refusal_count else RejectReason.NO_ENDPOINT
--- a/src/bankrudder/relay/_values.py
+++ b/src/bankrudder/relay/_values.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bankrudder.crashes import ContentId, content_id
+from bankrudder.crashes import ContentId, RefusalPolicy, content_id
 from bankrudder.fleet import EndpointId, Generation, Headers, OutgoingRequest
 from bankrudder.workspaces import DenialReason
 from bankrudder.world import NO_WORKSPACE, WorkspaceName
@@ -34,6 +34,8 @@
     priority : int or None
         Overrides the priority of the route, 0 being the most urgent; None leaves it in
         effect.
+    policy : RefusalPolicy
+        For how long the request may be refused because endpoints crashed during it.
     """
 
     request_id: str
@@ -51,6 +53,7 @@
     identity: tuple[str, ...] = ()
     workspace: WorkspaceName = NO_WORKSPACE
     priority: int | None = None
+    policy: RefusalPolicy = RefusalPolicy.LASTING
 
     @property
     def content(self) -> ContentId:
--- a/tests/batches/test_dispatcher.py
+++ b/tests/batches/test_dispatcher.py
@@ -11,6 +11,7 @@
     SlotDemand,
 )
 from bankrudder.batches._reservations import RESERVATION_EVENT_COUNT
+from bankrudder.batches._slot_queue import MAX_ALONE_WAIT_S
 from bankrudder.fleet import Endpoint, EndpointDirectory, ModelState
 from bankrudder.fleet._tracked import LOADING_TIMEOUT_S, MAX_SUSPENSION_S
 
@@ -29,6 +30,13 @@
     return Dispatcher(directory, manual_clock)
 
 
+@pytest.fixture
+async def running_dispatcher(dispatcher):
+    running = asyncio.ensure_future(dispatcher.run())
+    yield dispatcher
+    running.cancel()
+
+
 def demand(rank=0.0, version=1, group="g", sample="x"):
     return SlotDemand(sample, (rank,), "s", "m", version, group)
 
@@ -310,3 +318,58 @@
     dispatcher.release(running.result(), "g", is_suspect=True)
     assert None not in await granted_ids(*suspects)
     assert sum(each.suspects for each in directory.all()) == 2
+
+
+def request_slots_for_suspects(dispatcher, count):
+    return [
+        asyncio.ensure_future(
+            dispatcher.acquire(
+                SlotDemand(f"x{n}", (0.0,), "s", "m", 1, "g", is_suspect=True)
+            )
+        )
+        for n in range(count)
+    ]
+
+
+async def test_a_suspect_waits_for_an_engine_of_its_own_for_a_limited_time(
+    running_dispatcher, directory, manual_clock
+):
+    """Guards against idle slots while one suspect after the other runs for seconds."""
+    suspects = request_slots_for_suspects(running_dispatcher, 4)
+    assert (await granted_ids(*suspects)).count(None) == 2
+    manual_clock.advance(MAX_ALONE_WAIT_S - 0.1)
+    await asyncio.sleep(2 * RECHECK_INTERVAL_S)
+    assert (await granted_ids(*suspects)).count(None) == 2
+    manual_clock.advance(0.1)
+    await asyncio.sleep(2 * RECHECK_INTERVAL_S)
+    assert sorted(await granted_ids(*suspects)) == ["a", "a", "b", "b"]
+    assert [each.suspects for each in directory.all()] == [2, 2]
+
+
+async def test_the_limit_counts_from_when_there_is_room_beside_other_suspects(
+    running_dispatcher, directory, manual_clock
+):
+    """Guards against suspects that share an engine as soon as engines are back."""
+    for engine in directory.all():
+        engine.note_failure(manual_clock.monotonic())
+    suspects = request_slots_for_suspects(running_dispatcher, 3)
+    manual_clock.advance(MAX_SUSPENSION_S + MAX_ALONE_WAIT_S)
+    for engine in directory.all():
+        engine.note_alive()
+    await asyncio.sleep(2 * RECHECK_INTERVAL_S)
+    assert (await granted_ids(*suspects)).count(None) == 1
+    manual_clock.advance(MAX_ALONE_WAIT_S)
+    await asyncio.sleep(2 * RECHECK_INTERVAL_S)
+    assert None not in await granted_ids(*suspects)
+
+
+async def test_a_suspect_that_waited_still_prefers_an_engine_of_its_own(
+    running_dispatcher, directory, manual_clock
+):
+    suspects = request_slots_for_suspects(running_dispatcher, 3)
+    await granted_ids(*suspects)
+    manual_clock.advance(MAX_ALONE_WAIT_S)
+    running = next(each for each in suspects if each.done())
+    running_dispatcher.release(running.result(), "g", is_suspect=True)
+    assert None not in await granted_ids(*suspects)
+    assert [each.suspects for each in directory.all()] == [1, 1]
--- a/tests/batches/test_sample_moves.py
+++ b/tests/batches/test_sample_moves.py
@@ -65,7 +65,7 @@
         services = (WeightedService("s", 1.0),)
         route = Route("r", "h", "/", RouteKind.ROLLOUT, services, 9.0, 0.1)
         crashes = SimpleNamespace(
-            decision=lambda _: AdmissionDecision(Admission.FREE),
+            decision=lambda *_: AdmissionDecision(Admission.FREE),
             note_answer=lambda _: None,
             share_strikes=lambda _: None,
         )
--- a/tests/batches/test_sample_speeds.py
+++ b/tests/batches/test_sample_speeds.py
@@ -70,7 +70,7 @@
 class CalmGuard:
     """A crash guard that refuses nothing."""
 
-    def decision(self, content):
+    def decision(self, content, policy):
         return FREE
 
     def note_answer(self, content):
--- a/tests/crashes/test_admission.py
+++ b/tests/crashes/test_admission.py
@@ -8,9 +8,11 @@
     FREE,
     Admission,
     AdmissionDecision,
+    RefusalPolicy,
     Strike,
     decide_admission,
 )
+from bankrudder.crashes._admission import MAX_CLOCK_LEAD_S
 from bankrudder.fleet import EndpointRun
 
 NOW = 10_000.0
@@ -175,3 +177,68 @@
         2, lost_at=NOW + 1.0, duration_s=1.0
     )
     assert decide_admission("a", {"a": strikes}, NOW).strikes == 2
+
+
+def decide_owed(strikes, now=NOW, doubts=()):
+    return decide_admission(
+        "a", {"a": strikes}, now, doubts, policy=RefusalPolicy.BRIEF
+    )
+
+
+@pytest.mark.parametrize(
+    ("count", "pause_s"), [(3, 2.0), (4, 3.0), (5, 3.0), (12, 3.0), (50, 3.0)]
+)
+def test_owed_work_is_refused_for_seconds_however_many_endpoints_crashed(
+    count, pause_s
+):
+    """Guards against a sound sample that is held back when all is calm again."""
+    strikes = sequential_strikes(*range(count))
+    assert decide_owed(strikes) == AdmissionDecision(Admission.REFUSED, count, pause_s)
+    after = decide_owed(strikes, NOW + pause_s)
+    assert after == AdmissionDecision(Admission.ALONE, count)
+
+
+def test_a_request_of_a_caller_is_refused_for_as_long_as_without_owed_work():
+    """Guards against excusing a request whose content is that of owed work as well."""
+    strikes = sequential_strikes(1, 2, 3)
+    assert decide_owed(strikes, NOW + 3.0).admission is Admission.ALONE
+    assert decide_admission("a", {"a": strikes}, NOW + 3.0).retry_after_s == 597.0
+
+
+@pytest.mark.parametrize("count", range(CRASH_LIMIT))
+def test_owed_work_below_the_limit_is_treated_like_a_request_of_a_caller(count):
+    strikes = sequential_strikes(*range(count))
+    assert decide_owed(strikes) == decide_admission("a", {"a": strikes}, NOW)
+
+
+@pytest.mark.parametrize("lead_s", [0.2, 2.0, 3600.0])
+def test_strikes_of_a_clock_that_is_ahead_do_not_refuse_owed_work_for_longer(lead_s):
+    """Guards against a refusal that lasts until the clock of this host catches up."""
+    strikes = sequential_strikes(1, 2, 3, lost_at=NOW + lead_s)
+    moments = [NOW + tenths / 10 for tenths in range(int(lead_s * 10) + 100)]
+    refused = [
+        moment
+        for moment in moments
+        if decide_owed(strikes, moment).admission is Admission.REFUSED
+    ]
+    assert 2.0 <= refused[-1] - refused[0] + 0.1 <= 2.0 + MAX_CLOCK_LEAD_S + 0.1
+
+
+def test_doubtful_strikes_do_not_refuse_owed_work_for_longer():
+    doubt = Strike("a", run(9), NOW + 1.0, NOW + 1.0, is_doubtful=True)
+    strikes = sequential_strikes(1, 2)
+    refusal = decide_owed(strikes, NOW + 1.0, [doubt])
+    assert refusal == AdmissionDecision(Admission.REFUSED, CRASH_LIMIT, 2.0)
+    assert decide_owed(strikes, NOW + 3.0, [doubt]).admission is Admission.ALONE
+
+
+def test_owed_work_that_crashes_each_endpoint_crashes_one_in_each_pause():
+    now, strikes, tries = NOW, sequential_strikes(*range(CRASH_LIMIT), lost_at=NOW), 0
+    while now < NOW + 60.0:
+        decision = decide_owed(strikes, now)
+        if decision.admission is Admission.REFUSED:
+            now += decision.retry_after_s
+            continue
+        strikes |= sequential_strikes(100 + tries, lost_at=now)
+        tries += 1
+    assert tries <= 20
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -36,6 +36,10 @@
 VISIT_COUNT = 6
 """Number of times that the hosts receive the request."""
 
+MAX_OWED_PAUSE_S = 4.0
+"""Time within which owed work is sent again, whatever crashed under it: less than the
+five seconds for which a sample may be on no engine while there is room."""
+
 IMMEDIATE_REPLY_S = 0.4
 """Time in which a host answers a request without forwarding it."""
 
@@ -172,7 +176,10 @@
 
 
 @pytest.mark.parametrize("events_before", [None, 1])
-async def test_so_is_a_sample(site, make_service, events_before):
+async def test_a_sample_that_crashes_engines_is_paced(
+    site, make_service, events_before
+):
+    """Guards against owed work that keeps engines down and others from being run."""
     engines = make_service(site, ENGINES, site.engines)
     for engine in site.engines:
         engine.crash_after_events = events_before
@@ -181,18 +188,44 @@
     document["items"][0]["body"] = base64.b64encode(CRASHING).decode()
     await site.ask(site.hosts[0], submission("b1", json.dumps(document).encode()))
     assert len(await site.read_all("b1", 7)) == 7
-    await asyncio.sleep(6.0)
-    assert engines.runs <= MAX_CRASH_COUNT
+    await check_other_samples_are_served(site)
+    check_paced(engines)
 
 
-async def test_so_is_a_reward_call(site, make_service):
+async def test_so_is_a_reward_call_that_crashes_endpoints(site, make_service):
+    """Guards against the same failure in the grading service."""
     scorers = make_service(site, SCORERS, await add_third_scorer(site))
     document = batch("b1")
     document["items"][0]["scorer"]["body"] = base64.b64encode(CRASHING).decode()
     await site.ask(site.hosts[0], submission("b1", json.dumps(document).encode()))
     assert len(await site.read_all("b1", 7)) == 7
-    await asyncio.sleep(4.0)
-    assert scorers.runs <= MAX_CRASH_COUNT
+    await check_other_samples_are_served(site)
+    check_paced(scorers)
+
+
+async def check_other_samples_are_served(site):
+    """Check it for some seconds, in which the crashing work is sent again."""
+    for number in range(2, 5):
+        batch_id = f"b{number}"
+        assert await site.submit(site.hosts[number % len(site.hosts)], batch_id) == 202
+        results = await site.read_all(batch_id, 8, limit_s=MAX_OWED_PAUSE_S)
+        assert {each["state"] for each in results} == {"succeeded"}
+        await asyncio.sleep(2.0)
+
+
+def check_paced(service):
+    """Check that owed work crashed few endpoints and is still sent.
+
+    Three endpoints may crash at once, as under a request of a caller. Later ones crash
+    one at a time: the work is sent again after two seconds and then every three.
+    """
+    times = service.run_times
+    pauses_s = [later - earlier for earlier, later in itertools.pairwise(times)]
+    assert len(times) > MAX_CRASH_COUNT
+    assert pauses_s[MAX_CRASH_COUNT - 1] > 1.9
+    assert all(2.9 < pause_s < MAX_OWED_PAUSE_S for pause_s in pauses_s[3:])
+    assert time.monotonic() - times[-1] < MAX_OWED_PAUSE_S
+    assert service.crashed_counts[MAX_CRASH_COUNT:] == [1] * (len(times) - 3)
 
 
 async def test_endpoints_that_come_back_under_their_names_are_counted(
--- a/tests/outside/crashing.py
+++ b/tests/outside/crashing.py
@@ -19,6 +19,11 @@
 
     With ``keeps_names`` a restarted endpoint keeps its name and has a later start time,
     as some endpoints of the platform do; otherwise it gets a new name.
+
+    Attributes
+    ----------
+    crashed_counts : list of int
+        Number of endpoints that were down right after each crash.
     """
 
     def __init__(self, site, service, endpoints, *, keeps_names=False):
@@ -27,9 +32,11 @@
         self._service = service
         self._keeps_names = keeps_names
         self._restart_numbers = itertools.count(1)
+        self.crashed_counts = []
         self._restart_task = asyncio.ensure_future(self._restart_crashed())
         for endpoint in endpoints:
             endpoint.crash_on.add(CRASHING)
+            endpoint.on_crash.append(self._count_crashed)
             if keeps_names:
                 endpoint.born = 1
                 self._add_to_list(endpoint)
@@ -46,11 +53,26 @@
             body == CRASHING for each in self.endpoints for *_, body in each.arrivals
         )
 
+    @property
+    def run_times(self):
+        """Times at which the crashing request reached an endpoint, in order."""
+        return sorted(
+            arrived_at
+            for each in self.endpoints
+            for (arrived_at, _), (*_, body) in zip(
+                each.arrival_times, each.arrivals, strict=True
+            )
+            if body == CRASHING
+        )
+
     @property
     def all_are_running(self):
         """Whether all endpoints are running."""
         return not any(each.has_crashed for each in self.endpoints)
 
+    def _count_crashed(self):
+        self.crashed_counts.append(sum(each.has_crashed for each in self.endpoints))
+
     async def _restart_crashed(self):
         while True:
             for endpoint in self.endpoints:
--- a/tests/relay/test_attempts.py
+++ b/tests/relay/test_attempts.py
@@ -71,7 +71,7 @@
     def __init__(self):
         self.strikes = 0
 
-    def decision(self, content):
+    def decision(self, content, policy):
         match self.strikes:
             case 0:
                 return FREE
--- a/tests/relay/test_streaming.py
+++ b/tests/relay/test_streaming.py
@@ -54,7 +54,7 @@
     def __init__(self):
         self.abandoned = []
 
-    def decision(self, content):
+    def decision(self, content, policy):
         return FREE
 
     def share_strikes(self, content):
