--- a/tests/batches/test_sampling.py
+++ b/tests/batches/test_sampling.py
@@ -138,7 +138,7 @@
 
 
 CALM_GUARD = SimpleNamespace(
-    decision=lambda _: AdmissionDecision(Admission.FREE),
+    decision=lambda *_: AdmissionDecision(Admission.FREE),
     note_answer=lambda _: None,
     share_strikes=lambda _: None,
     note_lost=note_lost,
--- a/tests/overload/test_lines.py
+++ b/tests/overload/test_lines.py
@@ -41,7 +41,7 @@
     def __init__(self):
         self.verdict = FREE
 
-    def decision(self, content):
+    def decision(self, content, policy):
         return self.verdict
 
     def note_answer(self, content):
