Relay: a resumable stream begins with its first event

A call of the project's own interface that is retried has the same request identifier as before. A late second answer on a kept connection, to an attempt of it that had resumed, would be the answer to the retry, and the rest of the answer the whole one: the first event of a stream could have any number.

Streams that may be resumed are numbered by position, so they now have to begin with number 0 or 1, as texts of samples do; another one is a broken stream and is sent again. Streams that are never resumed may still be numbered from anywhere.

Before, test_a_resumable_stream_begins_with_its_first_event gave [3, 4] for [0, 1, 2, 3, 4].

--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -177,7 +177,10 @@
 
     def _check_order(self, event: StreamEvent) -> None:
         last_number = self._last_event_number
-        if last_number != NO_EVENT and not follows(event.number, last_number):
+        # Streams that are never resumed may be numbered from anywhere.
+        if last_number == NO_EVENT and not self._route.is_resumable:
+            return
+        if not follows(event.number, last_number):
             raise StreamBrokenError(
                 f"event {event.number} arrived after event {last_number}"
             )
--- a/tests/relay/test_streaming.py
+++ b/tests/relay/test_streaming.py
@@ -141,3 +141,16 @@
     endpoints = ScriptedEndpoints(numbers, (3, 4, 5))
     stream = await start_stream(endpoints, is_resumable=True, resume_after=2)
     assert [event.number async for event in stream.events] == [3, 4, 5]
+
+
+async def test_a_resumable_stream_begins_with_its_first_event(start_stream):
+    """The rest of a stream, answered twice, was the whole answer to a repeated call."""
+    endpoints = ScriptedEndpoints((3, 4), range(5))
+    stream = await start_stream(endpoints, is_resumable=True)
+    assert [event.number async for event in stream.events] == list(range(5))
+    assert endpoints.resumed_after == [-1, -1]
+
+
+async def test_a_stream_that_is_never_resumed_may_begin_with_any_number(start_stream):
+    stream = await start_stream(ScriptedEndpoints((7, 8)), is_resumable=False)
+    assert [event.number async for event in stream.events] == [7, 8]
