Relay: owed suspects wait for an endpoint of their own for a limited time

There are far more of them than endpoints, so that they run one by one while slots are free, and the results of their samples are late.

Cause: a suspect waits for an endpoint that works on no other one for as long as its caller waits. A reward call is repeated after that, and waits again.

Evidence: test_an_owed_suspect_waits_for_an_endpoint_of_its_own_for_a_limited_ time fails without the limit: the call is given up as "full".

Fix: a request whose refusals are brief is sent beside another suspect after a quarter of a second. Requests of callers wait as before; a test says so.

--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -12,6 +12,7 @@
     AdmissionDecision,
     ContentId,
     CrashGuard,
+    RefusalPolicy,
     Send,
 )
 from bankrudder.fleet import (
@@ -34,6 +35,7 @@
 from bankrudder.relay._limits import (
     ALL_FULL_PAUSE_S,
     MAX_REFUSALS,
+    MAX_SUSPECT_WAIT_S,
     MIN_SEND_S,
     RETRY_AFTER_S,
     SUSPECT_PAUSE_S,
@@ -81,6 +83,7 @@
         turn: Turn,
     ):
         self._turn = turn
+        self._blocked_since: float | None = None
         self._tracer = tracer
         self._meter = meter
         self._began_at: float | None = None
@@ -116,6 +119,7 @@
                 if not self._sends:
                     if not self._must_wait_for_suspects():
                         return self._give_up()
+                    self._note_blocked()
                     await asyncio.sleep(SUSPECT_PAUSE_S)
                     continue
                 done = await self._next_outcome()
@@ -151,7 +155,10 @@
             return
         is_suspect = self._is_suspect()
         target = self._directory.choose(
-            self._service, self._tried, self._route.data_centres, is_suspect
+            self._service,
+            self._tried,
+            self._route.data_centres,
+            is_suspect and not self._may_share(),
         )
         if target is None:
             return
@@ -204,6 +211,19 @@
     def _is_suspect(self) -> bool:
         return self._decision().admission is Admission.ALONE
 
+    def _note_blocked(self) -> None:
+        """Record that each endpoint works on another suspect."""
+        if self._blocked_since is None:
+            self._blocked_since = self._clock.monotonic()
+
+    def _may_share(self) -> bool:
+        """Whether it may go to an endpoint that works on another suspect."""
+        return (
+            self._request.policy is RefusalPolicy.BRIEF
+            and self._blocked_since is not None
+            and self._clock.monotonic() - self._blocked_since >= MAX_SUSPECT_WAIT_S
+        )
+
     def _must_wait_for_suspects(self) -> bool:
         """Whether the request can be sent only once another suspect has finished."""
         return (
--- a/src/bankrudder/relay/_limits.py
+++ b/src/bankrudder/relay/_limits.py
@@ -13,6 +13,12 @@
 """Pause of a suspect, a request during which endpoints crashed, while every remaining
 endpoint works on another suspect. It is a fraction of a typical response time."""
 
+MAX_SUSPECT_WAIT_S = 0.25
+"""Longest time for which a suspect that is owed waits for an endpoint that works on no
+other suspect: several times a typical response time. A series of crashes makes far more
+suspects than there are endpoints, and all of them are due with the results of a step.
+"""
+
 MAX_REFUSALS = 6
 """Number of endpoint refusals after which a request is given up."""
 
--- a/tests/relay/test_attempts.py
+++ b/tests/relay/test_attempts.py
@@ -10,8 +10,15 @@
 import msgspec
 import pytest
 
-from bankrudder.crashes import CRASH_LIMIT, FREE, Admission, AdmissionDecision
+from bankrudder.crashes import (
+    CRASH_LIMIT,
+    FREE,
+    Admission,
+    AdmissionDecision,
+    RefusalPolicy,
+)
 from bankrudder.fleet import (
+    Answered,
     Endpoint,
     EndpointDirectory,
     LossReason,
@@ -19,8 +26,9 @@
 )
 from bankrudder.observe import NoTraceExport, Tracer
 from bankrudder.overload import FreeTurn
-from bankrudder.relay import IncomingRequest, Unanswered
+from bankrudder.relay import IncomingRequest, NotRun, Relayed, Unanswered
 from bankrudder.relay._attempts import Attempts
+from bankrudder.relay._limits import MAX_SUSPECT_WAIT_S
 from bankrudder.relay._metering import NoMeter
 from bankrudder.relay._waiting import first_done
 from bankrudder.routing import Route, RouteKind, WeightedService
@@ -65,11 +73,22 @@
         await asyncio.sleep(60)
 
 
+class AnsweringEndpoints:
+    """Endpoints that answer at once."""
+
+    def __init__(self):
+        self.count = 0
+
+    async def send(self, endpoint, request):
+        self.count += 1
+        return Answered(200, (), b"answer")
+
+
 class CountingGuard:
     """A crash guard that counts each loss as a crash."""
 
-    def __init__(self):
-        self.strikes = 0
+    def __init__(self, strikes):
+        self.strikes = strikes
 
     def decision(self, content, policy):
         match self.strikes:
@@ -84,6 +103,9 @@
     async def note_lost(self, send, reason):
         self.strikes += 1
 
+    def note_answer(self, content):
+        self.strikes = 0
+
     def share_strikes(self, content):
         pass
 
@@ -92,26 +114,33 @@
 
 
 @pytest.fixture
-def make_attempts():
-    clock = SystemClock()
-    directory = EndpointDirectory("north", clock)
+def directory():
+    directory = EndpointDirectory("north", SystemClock())
     for number in range(4):
         directory.put(Endpoint(f"e{number}", "s", "127.0.0.1:1", "north", slots=4))
+    return directory
+
+
+@pytest.fixture
+def make_attempts(directory):
+    clock = SystemClock()
     services = (WeightedService("s", 1.0),)
     route = Route(
         "r", "h", "/", RouteKind.IDEMPOTENT, services, 0.8, 0.01, max_attempts=3
     )
 
-    def make(client, max_attempts=3):
+    def make(client, max_attempts=3, *, strikes=0, policy=RefusalPolicy.LASTING):
         now = clock.monotonic()
-        request = IncomingRequest("q", "POST", "/x", "/x", "h", (), b"", now + 0.8, now)
+        request = IncomingRequest(
+            "q", "POST", "/x", "/x", "h", (), b"", now + 0.8, now, policy=policy
+        )
         return Attempts(
             request,
             msgspec.structs.replace(route, max_attempts=max_attempts),
             "s",
             directory,
             client,
-            CountingGuard(),
+            CountingGuard(strikes),
             clock,
             Tracer("a", NoTraceExport()),
             NoMeter(),
@@ -138,6 +167,37 @@
     assert len(endpoints.names) == CRASH_LIMIT
 
 
+@pytest.fixture
+def occupied_endpoints(directory):
+    """All endpoints of the directory, each of which works on a suspect."""
+    endpoints = directory.of_service("s")
+    for endpoint in endpoints:
+        endpoint.occupy(is_suspect=True)
+    return endpoints
+
+
+async def test_an_owed_suspect_waits_for_an_endpoint_of_its_own_for_a_limited_time(
+    make_attempts, occupied_endpoints
+):
+    """Guards against reward calls that run one by one after a series of crashes."""
+    client = AnsweringEndpoints()
+    attempts = make_attempts(client, strikes=2, policy=RefusalPolicy.BRIEF)
+    began = time.monotonic()
+    assert isinstance(await attempts.reply(), Relayed)
+    assert time.monotonic() - began >= MAX_SUSPECT_WAIT_S
+    assert client.count == 1
+    await asyncio.sleep(0)
+    assert all(each.suspects == 1 for each in occupied_endpoints)
+
+
+async def test_a_suspect_of_a_caller_waits_for_as_long_as_its_caller(
+    make_attempts, occupied_endpoints
+):
+    client = AnsweringEndpoints()
+    assert isinstance(await make_attempts(client, strikes=2).reply(), NotRun)
+    assert client.count == 0
+
+
 class JumpingClock(SystemClock):
     """A clock by which each wait takes as long as the test says."""
 
