Feeds: a late read does not replace a newer value of a row

What operators could see: in a fleet where one host reads the store for others, a host kept an earlier value of a row, such as an endpoint that no longer drains, until the row's content changed again.

Cause: a message about touched rows has no values; a subscriber takes those that it knows, and every read of its own replaced them, also one that was answered after the reader's message with a newer value. The old value then got the version of the touched row, and passed for the newest one.

A value is now replaced only by one of a newer version. test_a_touched_row_does_not_have_the_value_of_a_late_read got the old value before.

--- a/src/bankrudder/feeds/_cache.py
+++ b/src/bankrudder/feeds/_cache.py
@@ -50,7 +50,7 @@
     def __init__(self, clock: Clock):
         self._clock = clock
         self._tables: dict[str, _TableChanges] = {}
-        self._values: dict[RowKey, bytes] = {}
+        self._rows: dict[RowKey, Row] = {}
         self._last_number: int | None = None
         self._last_message_at: float | None = None
         self._change_events: dict[str, asyncio.Event] = {}
@@ -63,15 +63,17 @@
         self._wake_all_waiters()
 
     def remember(self, row: Row) -> None:
-        """Keep the value of a row that this host read.
+        """Keep the value of a row that this host read, unless a newer one is known.
 
         A message about touched rows does not repeat their values.
         """
-        self._values[row.key] = row.value
+        known = self._rows.get(row.key)
+        if known is None or row.version > known.version:
+            self._rows[row.key] = row
 
     def forget(self, key: RowKey) -> None:
         """Forget the value of a removed row."""
-        self._values.pop(key, None)
+        self._rows.pop(key, None)
 
     def apply(self, message: FeedMessage) -> None:
         """Apply a message of the reader."""
@@ -131,19 +133,20 @@
             table_changes = self._tables[message.table] = _TableChanges(message.after)
         self._note_age(message.table, 0.0)
         changes: list[Row | RemovedRow] = []
-        for row in message.rows:
-            self._values[row.key] = row.value
-            changes.append(Row(row.key, row.version, row.value))
+        for relayed_row in message.rows:
+            row = Row(relayed_row.key, relayed_row.version, relayed_row.value)
+            self.remember(row)
+            changes.append(row)
         for touched_row in message.touched:
-            value = self._values.get(touched_row.key)
-            if value is None:
+            known = self._rows.get(touched_row.key)
+            if known is None:
                 # The row's value is unknown, so this host must read the store itself.
                 self._tables[message.table] = _TableChanges(message.version)
                 self._note_age(message.table, 0.0)
                 return
-            changes.append(Row(touched_row.key, touched_row.version, value))
+            changes.append(Row(touched_row.key, touched_row.version, known.value))
         for removed_row in message.removed:
-            self._values.pop(removed_row.key, None)
+            self._rows.pop(removed_row.key, None)
             changes.append(RemovedRow(removed_row.key, removed_row.version))
         table_changes.changes.extend(sorted(changes, key=lambda change: change.version))
         table_changes.version = max(table_changes.version, message.version)
--- a/tests/feeds/test_cache.py
+++ b/tests/feeds/test_cache.py
@@ -119,6 +119,15 @@
     assert cached.changes == (Row(ROW_KEY, 11, b"known"),)
 
 
+async def test_a_touched_row_does_not_have_the_value_of_a_late_read(cache):
+    """A read that was answered late gave a row its earlier value back."""
+    cache.apply(changes(1, 10, 12, rows=[(ROW_KEY, 11, b"new")]))
+    cache.remember(Row(ROW_KEY, 5, b"old"))
+    cache.apply(changes(2, 12, 14, touched=[(ROW_KEY, 13)]))
+    cached = await cache.changes_since("hosts", 12, 0.0)
+    assert cached.changes == (Row(ROW_KEY, 13, b"new"),)
+
+
 async def test_a_touched_row_of_unknown_value_makes_the_cache_miss(cache):
     cache.apply(changes(1, 10, 12, touched=[(ROW_KEY, 11)]))
     assert await cache.changes_since("hosts", 10, 0.0) is None
