Platform: an answer in no chunks that is reset is not complete

What callers could see: half an answer as a whole one, if it states a transfer encoding other than chunked and its connection is reset. Such a body has no length and ends with its connection, but the field was taken for that of a chunked body, whose end the HTTP client checks.

No server is known to send such a field.

--- a/src/bankrudder/platform/_body_end.py
+++ b/src/bankrudder/platform/_body_end.py
@@ -10,7 +10,8 @@
 def was_cut_off(response: aiohttp.ClientResponse) -> bool:
     """Whether the end of a body that was read is not the end of the answer."""
     headers = response.headers
-    if "Content-Length" in headers or "Transfer-Encoding" in headers:
+    encoding = headers.get("Transfer-Encoding", "")
+    if "Content-Length" in headers or "chunked" in encoding.lower():
         return False  # the HTTP client checks these
     protocol = response._protocol
     # A connection that was closed in order leaves another error here.
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -40,12 +40,12 @@
 
 
 @asynccontextmanager
-async def endpoint(end, pause_s):
+async def endpoint(end, pause_s, head=HEAD):
     """Yield an endpoint whose answers have no length and end as `end` does it."""
 
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(HEAD.encode() + EVENTS)
+        writer.write(head.encode() + EVENTS)
         await writer.drain()
         await asyncio.sleep(pause_s)
         end(writer.transport)
@@ -101,3 +101,11 @@
     async with endpoint(reset, pause_s) as target:
         outcome = await client.send(target, REQUEST)
     assert outcome == Lost(LossReason.BROKEN_OFF)
+
+
+async def test_an_answer_in_no_chunks_that_is_reset_is_lost(client):
+    """The field of another encoding hid that the answer had no length."""
+    head = HEAD.replace("Connection: close", "Transfer-Encoding: identity")
+    async with endpoint(reset, 0.05, head) as target:
+        outcome = await client.send(target, REQUEST)
+    assert outcome == Lost(LossReason.BROKEN_OFF)
