Refuse entries of endpoints whose name cannot be sent

The name of an entry is its key in the store, which any text of 200 bytes may be, and each request states it in a header. A name with a line break raised ValueError at the send, and callers got status 500.

A name is one or more visible ASCII characters; an entry of another name is left out like any other that cannot be decoded.

--- a/src/bankrudder/platform/_documents.py
+++ b/src/bankrudder/platform/_documents.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import re
 from typing import Annotated
 
 import msgspec
@@ -48,6 +49,8 @@
 
 _READINESS_STATES = {"ready": Readiness.READY, "draining": Readiness.DRAINING}
 
+_ENDPOINT_NAME = re.compile("[!-~]+")
+
 _NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 _NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
 
@@ -187,8 +190,10 @@
     Raises
     ------
     UnreadableDocumentError
-        If the body is not a valid entry.
+        If the body is not a valid entry, or the name cannot be sent in a header.
     """
+    if not _ENDPOINT_NAME.fullmatch(endpoint_id):
+        raise UnreadableDocumentError("the name is empty or not of visible ASCII")
     wire = decode_json(body, _WireEndpoint)
     return Endpoint(
         id=EndpointId(endpoint_id),
--- a/tests/node/test_odd_entries.py
+++ b/tests/node/test_odd_entries.py
@@ -173,6 +173,17 @@
     check_logged_once(site, ODD_ADDRESSES)
 
 
+async def test_entries_with_odd_names_concern_only_themselves(site):
+    """Requests to an endpoint whose name is no header's value got status 500."""
+    names = ["", "a\r\nB: c", "a b", "\u00e9", "\x00"]
+    for name in names:
+        site.rows.put("servers", name, site.scorers[0].document(SCORERS))
+    await asyncio.sleep(0.7)
+    await check_all_else_goes_on(site)
+    for host in site.hosts:
+        assert misunderstood(host) == dict.fromkeys(names, 1)
+
+
 async def test_entries_that_are_no_documents_concern_only_themselves(site):
     put_bodies(site, ODD_BODIES)
     await asyncio.sleep(0.7)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -60,6 +60,12 @@
     assert decode_entry(state="draining").readiness is Readiness.DRAINING
 
 
+@pytest.mark.parametrize("name", ["", "a b", "a\r\nB: c", "a\n", "\u00e9", "\x00"])
+def test_an_entry_whose_name_cannot_be_sent_is_unreadable(name):
+    with pytest.raises(UnreadableDocumentError):
+        decode_endpoint(name, json.dumps(ENDPOINT_ENTRY).encode())
+
+
 def test_an_entry_without_a_start_time_is_valid():
     assert decode_entry(born=...).born is None
 
