Callers' connections: a limit on bytes that are not the body of a request

What callers saw: while one caller sends blank lines, spaces before a value, zeros of a chunk size, extensions of chunks or chunks of one byte without end, the host parses them for as long as they come, and others' requests are answered up to half a second later.

Cause: the same as for answers: the HTTP library skips these bytes, which no limit counts.

What held before: lines, fields and trailers that are too long or too many, and requests that wait on a connection.

Connections of callers now count the bytes since the last head. Fifteen tests hold, among them small chunks, thousands of requests at once or one after the other, and a request that follows a large body at once.

--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -19,6 +19,7 @@
     decode_batch,
     encode_page,
 )
+from bankrudder.platform._bounded_server import BoundedServer
 from bankrudder.platform._limits import limit_status
 from bankrudder.platform._requests import (
     MEMORY_RETRY_AFTER_S,
@@ -108,7 +109,7 @@
         OSError
             If the address cannot be bound.
         """
-        server = web.Server(
+        server = BoundedServer(
             self._handle,
             request_factory=_make_request,
             handler_cancellation=True,
