Feeds: a limit on the size of a message

What would be seen: a host that follows another host's feed and gets a message without end, or one that states a size of gigabytes, holds all of it and is killed for its memory.

Cause: the subscriber's socket had no limit on the size of a message.

Evidence: the new test, in which a stand-in announces and sends a message of 256 MB: read on for the 2 s of the test on the code before. With a limit of 32 MB, as for replies of the store, the connection is closed before 32 MB are sent, and the host reads the store itself as after any lost message. tests/feeds, tests/node/test_feeds.py: 21 passed.

--- a/src/bankrudder/feeds/_links.py
+++ b/src/bankrudder/feeds/_links.py
@@ -18,6 +18,10 @@
 """Queue length for a slow subscriber, beyond which messages are lost: the messages of
 several seconds."""
 
+MAX_MESSAGE_BYTES = 32 << 20
+"""Maximum size of a received message: that of a reply of the store, whose rows it
+holds. The connection of a larger one is closed."""
+
 RETRY_PAUSE_S = 0.2
 """Pause after a failed receive."""
 
@@ -49,7 +53,11 @@
     """Receives messages from one reader; owns its socket and the receiving task."""
 
     def __init__(self, address: Address, apply: Callable[[FeedMessage], None]):
-        self._socket = pynng.Sub0(topics=[b""], recv_buffer_size=QUEUE_MESSAGE_COUNT)
+        self._socket = pynng.Sub0(
+            topics=[b""],
+            recv_buffer_size=QUEUE_MESSAGE_COUNT,
+            recv_max_size=MAX_MESSAGE_BYTES,
+        )
         self._socket.dial(f"tcp://{address}", block=False)
         self._apply = apply
         self._task = asyncio.ensure_future(self._receive())
