Connections: an answer is complete whatever bytes come with it

What callers saw: a request that may run once failed although its endpoint had answered it in full, and one that may run again ran again, where the endpoint sent further bytes right after the answer, which belong to no request.

Cause: the HTTP client's parser drops all that it was given at a time if any of it is malformed, also the head of an answer in the same packet.

A head is now parsed by itself. The bytes after it either complete the body, which then is whole, or fail the connection only.

--- a/src/bankrudder/platform/_bounded_connections.py
+++ b/src/bankrudder/platform/_bounded_connections.py
@@ -25,6 +25,8 @@
 """Size of the parts in which a head is parsed. The limit is checked after each of them,
 because parsing thousands of informational answers would hold up the event loop."""
 
+HEAD_END = b"\r\n\r\n"
+
 _log = structlog.get_logger("answers")
 
 
@@ -70,8 +72,14 @@
             return
         begin = 0
         while self._body is None and begin < len(data):
-            self._parse(data[begin : begin + HEAD_PART_BYTES])
-            begin += HEAD_PART_BYTES
+            end = begin + HEAD_PART_BYTES
+            # What follows a head is parsed by itself: if it is malformed, the parser
+            # drops all that it was given, also the head of a complete answer.
+            head_end = data.find(HEAD_END, begin, end)
+            if head_end >= 0:
+                end = head_end + len(HEAD_END)
+            self._parse(data[begin:end])
+            begin = end
             if self._is_broken_off or self.transport is None:
                 return
         if begin < len(data) or not data:
--- a/tests/platform/test_bounded_connections.py
+++ b/tests/platform/test_bounded_connections.py
@@ -226,6 +226,17 @@
     await assert_closed(server)
 
 
+@pytest.mark.parametrize("rest", [b"a", b"\x00" * 5000, b"HTTP/1.1", b"\r\n\r\na"])
+@pytest.mark.parametrize("answer", [ANSWER, CHUNKED + b"4\r\nbody\r\n0\r\n\r\n"])
+async def test_an_answer_is_complete_whatever_bytes_come_with_it(
+    serve, client, answer, rest
+):
+    """Guards against an answer that is lost for bytes that belong to no request."""
+    server = serve(answer + rest, b"a")
+    assert (await send(client, server)).body == b"body"
+    await assert_closed(server)
+
+
 async def test_an_answer_before_many_others_is_complete(serve, client):
     server = serve(ANSWER, ANSWER)
     assert (await send(client, server)).body == b"body"
