Batches: a late reply to an acceptance does not begin the batch again

A host read in the feed that it owns a batch, listed it, and began it again when the store's late reply to the acceptance came, as a batch without results.

Cause: whether the work of an owner row had begun was asked only while it went on. A reply that belongs to an earlier time was also taken instead of a later owner row.

Work begins now only for an owner row that is newer than the last one for which it began. The stand-in of the store can be late with a reply, which states the version of its own commit.

--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -239,9 +239,9 @@
         batch: Batch | None = None,
         submitted_at: float | None = None,
     ) -> None:
+        if fence <= self._fences.get(batch_id, ABSENT):
+            return  # The work of this owner row or a later one has begun, or is done.
         if batch_id in self._tasks:
-            if self._fences.get(batch_id) == fence:
-                return
             self._tasks[batch_id].cancel()
         self._fences[batch_id] = fence
         work = self._work(batch_id, fence, batch, submitted_at)
--- a/tests/outside/store.py
+++ b/tests/outside/store.py
@@ -95,6 +95,8 @@
     ----------
     refuses_table : str
         Table whose writes are refused with status 503.
+    late_replies : dict of str to float
+        Seconds by which the reply to the next commit that writes to a table is late.
     lose_replies : int
         Number of the next commits that are applied without a reply.
     delay_commits : int
@@ -124,6 +126,7 @@
         self.ends_after_object = False
         self.late_share = 0.0
         self.refuses_table = ""
+        self.late_replies = {}
         self._blocked_table = ""
         self._released = asyncio.Event()
         self.calls = []
@@ -222,16 +225,18 @@
         if self.rejects_after_delay:
             return web.Response(status=400)
         conflicting = self.rows.commit(expectations, puts, removals)
+        version, now_ms = self.rows.version, 1000 * self.rows.now_s()
+        for table in {key[0] for key, _ in puts} & self.late_replies.keys():
+            await asyncio.sleep(self.late_replies.pop(table))
         if self.lose_replies:
             self.lose_replies -= 1
             request.transport.abort()
         if self.hang_replies:
             await asyncio.sleep(60)
         if conflicting is None:
-            now_ms = 1000 * self.rows.now_s()
-            return web.json_response({"ver": self.rows.version, "now_ms": now_ms})
+            return web.json_response({"ver": version, "now_ms": now_ms})
         rows = [_wire(*each) for each in conflicting]
-        return web.json_response({"rows": rows, "ver": self.rows.version}, status=412)
+        return web.json_response({"rows": rows, "ver": version}, status=412)
 
     def _read(self, query):
         found = sorted(
