Relay: the numbers of a stream that is never resumed only have to increase

A gap in one answer of such a stream is no fault that this host could mend.

Streams that may be resumed are checked as before.

--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -8,7 +8,6 @@
 
 from bankrudder.crashes import Admission, AdmissionDecision, CrashGuard, Send
 from bankrudder.fleet import (
-    NO_EVENT,
     Answered,
     EndpointClient,
     EndpointDirectory,
@@ -183,10 +182,12 @@
 
     def _check_order(self, event: StreamEvent) -> None:
         last_number = self._last_event_number
-        # Streams that are never resumed may be numbered from anywhere.
-        if last_number == NO_EVENT and not self._route.is_resumable:
-            return
-        if not follows(event.number, last_number):
+        if self._route.is_resumable:
+            is_due = follows(event.number, last_number)
+        else:
+            # Numbers of streams that are never resumed only have to increase.
+            is_due = event.number > last_number
+        if not is_due:
             raise StreamBrokenError(
                 f"event {event.number} arrived after event {last_number}"
             )
