Listeners: a largest number of connections, and time limits on them

What callers saw: with more silent connections than the process may have descriptors, no ordinary request was answered while they stayed, on any listener. A connection whose body stopped was never closed. Each connection could also make the process hold 250 KB before any code of ours was asked.

Cause: nothing limited the number of connections. header_timeout_ms and idle_timeout_ms of the configuration were decoded and not applied. The event loop reads up to 250 KB at once, and the HTTP library takes what it is given.

Fix: a package `serving` with one kind of listener for callers, readiness checks and monitoring. Its table of connections closes the one that has waited longest for its client when a new one comes, never one whose request is in progress, and closes those beyond the time limits of the configuration. Reads are of 16 KiB, and receive buffers of the kernel are 16 KiB.

--- a/src/bankrudder/memory/__init__.py
+++ b/src/bankrudder/memory/__init__.py
@@ -1,5 +1,6 @@
 """The memory that a host may use for the data of callers and endpoints."""
 
 from bankrudder.memory._budget import Holding, MemoryBudget, TransferKind
+from bankrudder.memory._process_limits import ProcessLimits
 
-__all__ = ["Holding", "MemoryBudget", "TransferKind"]
+__all__ = ["Holding", "MemoryBudget", "ProcessLimits", "TransferKind"]
--- a/src/bankrudder/node/_adapter.py
+++ b/src/bankrudder/node/_adapter.py
@@ -66,7 +66,9 @@
         """Create the listener for callers and trainers."""
         ...
 
-    def readiness_listener(self, settings: NodeSettings, gateway: Gateway) -> Listener:
+    def readiness_listener(
+        self, settings: NodeSettings, gateway: Gateway, clock: Clock
+    ) -> Listener:
         """Create the listener for readiness checks of the load balancer."""
         ...
 
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -68,7 +68,9 @@
         self._callers = adapter.caller_listener(
             settings, self._components.gateway, clock
         )
-        self._readiness = adapter.readiness_listener(settings, self._components.gateway)
+        self._readiness = adapter.readiness_listener(
+            settings, self._components.gateway, clock
+        )
         self._stop_requested = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/src/bankrudder/node/_settings.py
+++ b/src/bankrudder/node/_settings.py
@@ -165,6 +165,9 @@
         The platform's API for duties; None if it has none.
     memory_mb : float or None
         Memory above which the process is killed, in megabytes; None if unknown.
+    max_descriptors : int or None
+        Largest number of descriptors that the process may have open; None for the limit
+        of the operating system, which also holds if it is lower.
     overload : OverloadSettings or None
         Decisions for scarce capacity; None for none of them.
     contracts : tuple of str
@@ -190,6 +193,7 @@
     rpc: RpcSettings | None = None
     duties: DutySettings | None = None
     memory_mb: float | None = None
+    max_descriptors: int | None = None
     overload: OverloadSettings | None = None
     contracts: tuple[str, ...] = ()
     traces: TraceExport = NoTraceExport()
@@ -289,6 +293,8 @@
     }
     if settings.memory_mb is not None:
         values["memory_mb"] = settings.memory_mb
+    if settings.max_descriptors is not None:
+        values["max_descriptors"] = settings.max_descriptors
     if settings.feeds is not None:
         values["feeds.min_hosts"] = settings.feeds.min_hosts
     if settings.duties is not None:
--- a/src/bankrudder/observe/_http.py
+++ b/src/bankrudder/observe/_http.py
@@ -7,13 +7,19 @@
 from aiohttp import web
 
 from bankrudder.observe._metrics import Metrics
-from bankrudder.world import Address, host_and_port
+from bankrudder.serving import BoundedListener, ConnectionTable
+from bankrudder.world import Address, Clock, SystemClock
 
 SHUTDOWN_TIMEOUT_S = 1.0
 """Time that responses in progress get when the server stops."""
 
+MAX_CONNECTIONS = 16
+"""Largest number of connections: those of monitoring, and of people who look."""
 
-class MonitoringServer:
+SPANS_PATH_PREFIX = "/spans/"
+
+
+class MonitoringServer(BoundedListener):
     """Serves ``/metrics``, ``/healthz``, ``/readyz`` and ``/spans/ID``.
 
     Parameters
@@ -38,13 +44,18 @@
         is_ready: Callable[[], bool],
         ssl_context: ssl.SSLContext | None = None,
         find_spans: Callable[[str], Iterable[str]] = lambda _: (),
+        clock: Clock | None = None,
     ):
+        super().__init__(
+            address,
+            self._handle,
+            ConnectionTable(MAX_CONNECTIONS, clock or SystemClock()),
+            shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
+            ssl_context=ssl_context,
+        )
         self._find_spans = find_spans
-        self._address = address
         self._metrics = metrics
         self._is_ready = is_ready
-        self._ssl_context = ssl_context
-        self._runner: web.AppRunner | None = None
 
     @classmethod
     def from_config(
@@ -58,60 +69,30 @@
         """Make a server that listens on `address` once it is started."""
         return cls(address, metrics, is_ready, ssl_context, find_spans)
 
-    @property
-    def address(self) -> Address:
-        """Address of the server, with the port in use once it is started."""
-        if self._runner is None or not self._runner.addresses:
-            return self._address
-        host, port = self._runner.addresses[0][:2]
-        return Address(f"{host}:{port}")
-
-    async def start(self) -> None:
-        """Start listening.
-
-        Raises
-        ------
-        OSError
-            If the address cannot be bound.
-        """
-        application = web.Application()
-        application.router.add_get("/metrics", self._get_metrics)
-        application.router.add_get("/healthz", self._get_health)
-        application.router.add_get("/readyz", self._get_readiness)
-        application.router.add_get("/spans/{id}", self._get_spans)
-        runner = web.AppRunner(
-            application, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
-        )
-        await runner.setup()
-        host, port = host_and_port(self._address)
-        site = web.TCPSite(runner, host, port, ssl_context=self._ssl_context)
-        try:
-            await site.start()
-        except OSError:
-            await runner.cleanup()
-            raise
-        self._runner = runner
-
-    async def stop(self) -> None:
-        """Stop listening; responses in progress get `SHUTDOWN_TIMEOUT_S` to finish."""
-        runner = self._runner
-        self._runner = None
-        if runner is not None:
-            await runner.cleanup()
-
-    async def _get_metrics(self, _: web.Request) -> web.Response:
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        path = request.path
+        if request.method not in ("GET", "HEAD"):
+            return web.Response(status=405, headers={"Allow": "GET, HEAD"})
+        match path:
+            case "/metrics":
+                return self._metrics_response()
+            case "/healthz":
+                return web.Response(text="ok\n")
+            case "/readyz":
+                return self._readiness_response()
+        if path.startswith(SPANS_PATH_PREFIX):
+            return self._spans_response(path.removeprefix(SPANS_PATH_PREFIX))
+        return web.Response(status=404)
+
+    def _metrics_response(self) -> web.Response:
         body, content_type = self._metrics.render()
         return web.Response(body=body, headers={"Content-Type": content_type})
 
-    async def _get_health(self, _: web.Request) -> web.Response:
-        return web.Response(text="ok\n")
-
-    async def _get_spans(self, request: web.Request) -> web.Response:
-        spans = self._find_spans(request.match_info["id"])
-        text = "".join(f"{span}\n" for span in spans)
+    def _spans_response(self, key: str) -> web.Response:
+        text = "".join(f"{span}\n" for span in self._find_spans(key))
         return web.Response(text=text, content_type="application/x-ndjson")
 
-    async def _get_readiness(self, _: web.Request) -> web.Response:
+    def _readiness_response(self) -> web.Response:
         if self._is_ready():
             return web.Response(text="ready\n")
         return web.Response(status=503, text="not ready\n")
--- a/src/bankrudder/platform/_adapter.py
+++ b/src/bankrudder/platform/_adapter.py
@@ -1,10 +1,11 @@
 """The adapter that connects a host to the platform."""
 
+import resource
 from typing import Self
 
 from bankrudder.duties import DutyApi
 from bankrudder.fleet import Endpoint, ModelState
-from bankrudder.memory import MemoryBudget
+from bankrudder.memory import MemoryBudget, ProcessLimits
 from bankrudder.node import Gateway, NodeSettings, run_daemon
 from bankrudder.platform import _names as names
 from bankrudder.platform._contracts import complete_settings
@@ -21,6 +22,9 @@
 from bankrudder.routing import RoutingConfiguration
 from bankrudder.world import Clock, SystemClock
 
+ASSUMED_DESCRIPTORS = 4096
+"""Descriptors of a process that neither its settings nor the system limit."""
+
 
 class PlatformDocuments:
     """Locations of the platform's documents in its store, and their decoders."""
@@ -47,6 +51,9 @@
     """All connections of one host to the platform."""
 
     def __init__(self, settings: NodeSettings, clock: Clock | None = None):
+        self._limits = ProcessLimits.from_config(
+            settings.memory_mb, _max_descriptors(settings)
+        )
         self._budget = _memory_budget(settings, clock or SystemClock())
         self._store = PlatformStore.from_config(settings.store.address)
         self._endpoints = HttpEndpointClient(self._budget)
@@ -83,13 +90,19 @@
         self, settings: NodeSettings, gateway: Gateway, clock: Clock
     ) -> CallerListener:
         """Create the HTTP listener for callers."""
-        return CallerListener(settings.callers_address, gateway, clock, self._budget)
+        return CallerListener(
+            settings.callers_address,
+            gateway,
+            clock,
+            self._limits.caller_connections,
+            self._budget,
+        )
 
     def readiness_listener(
-        self, settings: NodeSettings, gateway: Gateway
+        self, settings: NodeSettings, gateway: Gateway, clock: Clock
     ) -> ReadinessListener:
         """Create the HTTP listener for the load balancer's readiness checks."""
-        return ReadinessListener(settings.readiness_address, gateway)
+        return ReadinessListener(settings.readiness_address, gateway, clock)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -99,6 +112,15 @@
             await self._duties.close()
 
 
+def _max_descriptors(settings: NodeSettings) -> int:
+    """Return how many descriptors the process may have open."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    limits = [settings.max_descriptors] if settings.max_descriptors else []
+    if limit != resource.RLIM_INFINITY:
+        limits.append(limit)
+    return min(limits, default=ASSUMED_DESCRIPTORS)
+
+
 def _memory_budget(settings: NodeSettings, clock: Clock) -> MemoryBudget | None:
     """Return the budget for bodies, None unless the settings ask for one."""
     overload = settings.overload
--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -19,7 +19,6 @@
     decode_batch,
     encode_page,
 )
-from bankrudder.platform._bounded_server import BoundedServer
 from bankrudder.platform._limits import limit_status
 from bankrudder.platform._requests import (
     MEMORY_RETRY_AFTER_S,
@@ -45,14 +44,9 @@
     StreamStarted,
 )
 from bankrudder.routing import Route, RouteKind
+from bankrudder.serving import BoundedListener, ConnectionTable, ConnectionTimeouts
 from bankrudder.workspaces import Admitted
-from bankrudder.world import Address, Clock, SampleId, host_and_port
-
-KEEP_ALIVE_S = 20.0
-"""Idle timeout of callers' connections.
-
-It is longer than the time for which callers reuse an idle connection.
-"""
+from bankrudder.world import Address, Clock, SampleId
 
 MAX_HEADER_BYTES = 32768
 """Maximum size of the request line and of each header field.
@@ -67,11 +61,13 @@
 _log = structlog.get_logger("front")
 
 
-class CallerListener:
+class CallerListener(BoundedListener):
     """Serves the HTTP requests of callers and trainers.
 
     Parameters
     ----------
+    max_connections : int
+        Largest number of connections of callers.
     budget : MemoryBudget or None
         Memory for the bodies of requests and answers; None if it is not limited.
     """
@@ -81,14 +77,23 @@
         address: Address,
         gateway: Gateway,
         clock: Clock,
+        max_connections: int,
         budget: MemoryBudget | None = None,
     ):
+        super().__init__(
+            address,
+            self._handle,
+            ConnectionTable(max_connections, clock),
+            self._connection_timeouts,
+            backlog=1024,
+            request_factory=_make_request,
+            handler_cancellation=True,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        )
         self._budget = budget
-        self._address = address
         self._gateway = gateway
         self._clock = clock
-        self._runner: web.ServerRunner | None = None
-        self._site: web.TCPSite | None = None
         self._in_progress = 0
 
     @property
@@ -101,33 +106,9 @@
         """Bytes of bodies that this host holds, 0 if they are not counted."""
         return self._budget.held_bytes if self._budget is not None else 0
 
-    async def start(self) -> None:
-        """Start listening.
-
-        Raises
-        ------
-        OSError
-            If the address cannot be bound.
-        """
-        server = BoundedServer(
-            self._handle,
-            request_factory=_make_request,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=KEEP_ALIVE_S,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-        )
-        self._runner = web.ServerRunner(server, shutdown_timeout=0.5)
-        await self._runner.setup()
-        host, port = host_and_port(self._address)
-        self._site = web.TCPSite(self._runner, host, port, backlog=1024)
-        await self._site.start()
-
-    async def stop(self) -> None:
-        """Stop listening and close the remaining connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+    def _connection_timeouts(self) -> ConnectionTimeouts:
+        limits = self._gateway.caller_limits
+        return ConnectionTimeouts(limits.header_timeout_s, limits.idle_timeout_s)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self._in_progress += 1
--- a/src/bankrudder/platform/_readiness.py
+++ b/src/bankrudder/platform/_readiness.py
@@ -4,37 +4,23 @@
 
 from bankrudder.node import Gateway
 from bankrudder.platform import _names as names
-from bankrudder.world import Address, host_and_port
+from bankrudder.serving import BoundedListener, ConnectionTable
+from bankrudder.world import Address, Clock
 
+MAX_CONNECTIONS = 16
+"""Largest number of connections. The load balancer needs one or two."""
 
-class ReadinessListener:
+
+class ReadinessListener(BoundedListener):
     """Answers the load balancer's readiness checks.
 
     The response states whether this host accepts new connections.
     """
 
-    def __init__(self, address: Address, gateway: Gateway):
-        self._address = address
+    def __init__(self, address: Address, gateway: Gateway, clock: Clock):
+        table = ConnectionTable(MAX_CONNECTIONS, clock)
+        super().__init__(address, self._handle, table)
         self._gateway = gateway
-        self._runner: web.ServerRunner | None = None
-
-    async def start(self) -> None:
-        """Start listening.
-
-        Raises
-        ------
-        OSError
-            If the address cannot be bound.
-        """
-        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
-        await self._runner.setup()
-        host, port = host_and_port(self._address)
-        await web.TCPSite(self._runner, host, port).start()
-
-    async def stop(self) -> None:
-        """Stop listening."""
-        if self._runner is not None:
-            await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         if request.path != names.READINESS_PATH:
--- /dev/null
+++ b/src/bankrudder/serving/__init__.py
@@ -0,0 +1,16 @@
+"""HTTP listeners that limit what their clients make a host hold."""
+
+from bankrudder.serving._connections import (
+    ConnectionState,
+    ConnectionTable,
+    ConnectionTimeouts,
+)
+from bankrudder.serving._server import BoundedListener, BoundedServer
+
+__all__ = [
+    "BoundedListener",
+    "BoundedServer",
+    "ConnectionState",
+    "ConnectionTable",
+    "ConnectionTimeouts",
+]
--- a/tests/platform/test_bounded_server.py
+++ b/tests/serving/test_server.py
@@ -8,7 +8,8 @@
 import pytest
 from aiohttp import web
 
-from bankrudder.platform._bounded_server import BoundedServer
+from bankrudder.serving import BoundedServer, ConnectionTable
+from bankrudder.world import SystemClock
 
 BLOCK_BYTES = 1 << 16
 READ_BYTES = 16 << 20
@@ -38,7 +39,9 @@
     async def answer(request):
         return web.Response(body=await request.read())
 
-    runner = web.ServerRunner(BoundedServer(answer, access_log=None))
+    runner = web.ServerRunner(
+        BoundedServer(answer, ConnectionTable(100, SystemClock()))
+    )
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
     yield runner.addresses[0][:2]
