Callers: compressed bodies pass as they were sent

What callers saw: a body with Content-Encoding reached the endpoint unpacked, under the header that says it is compressed, and the endpoint answered 500. Unpacked it took memory without relation to what was sent: four small bodies that unpack to 100 MB each made the process hold all of it, or got 413 or 503.

Cause: the HTTP server's option to decompress bodies is on by default.

Fix: the option is off for all listeners. The endpoints of the tests record what arrives as it was sent, too.

--- a/src/bankrudder/serving/_server.py
+++ b/src/bankrudder/serving/_server.py
@@ -66,6 +66,7 @@
     def __init__(self, handler: Handler, table: ConnectionTable, **options: Any):
         defaults = {
             "access_log": None,
+            "auto_decompress": False,
             "keepalive_timeout": KEEP_ALIVE_S,
             "lingering_time": LINGERING_S,
             "read_bufsize": BUFFER_BYTES,
--- a/tests/outside/endpoints.py
+++ b/tests/outside/endpoints.py
@@ -55,6 +55,7 @@
         self.cancelled_runs: Counter[str] = Counter()
         self.fail_next = []
         self.delay_s = 0.0
+        self.max_echo_bytes = None
         self.slots = 4
         self.refuses_when_full = False
         self.born = None
@@ -73,7 +74,12 @@
         app = web.Application(client_max_size=64 << 20, handler_args=None)
         app.router.add_route("*", "/{tail:.*}", self._handle)
         self._runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=0.1, handler_cancellation=True
+            app,
+            access_log=None,
+            shutdown_timeout=0.1,
+            handler_cancellation=True,
+            # What arrives is recorded as it was sent.
+            auto_decompress=False,
         )
         await self._runner.setup()
         _, _, port = self.address.rpartition(":")
@@ -187,7 +193,8 @@
                 )
                 request.transport.write(head.encode() + body)
                 request.transport.close()
-        return web.Response(body=b"answer to " + body, headers=headers)
+        echo = body[: self.max_echo_bytes]
+        return web.Response(body=b"answer to " + echo, headers=headers)
 
 
 class EngineStandIn(EndpointStandIn):
