Listeners: a request that cannot be parsed is one line of the log

What operators saw: for each head that cannot be parsed a traceback of the HTTP library, at the level of an error. A client could write the log full with it, past the limit on lines of our own.

Cause: the HTTP library logs each malformed request as an exception.

Evidence: tests/crowds/test_connections.py:: test_a_head_that_cannot_be_parsed_is_one_line_of_the_log failed before.

Fix: the request handler answers such requests itself, with one line under the limit of lines, and closes the connection. Failures of our own handlers are logged as before.

--- a/src/bankrudder/serving/_server.py
+++ b/src/bankrudder/serving/_server.py
@@ -210,6 +210,28 @@
         if not self._reading_paused and not self._buffer_paused:
             self._check_framing()
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the response to a request that is malformed or whose handler failed.
+
+        What clients send is not worth a traceback.
+        """
+        if status >= 500:
+            return super().handle_error(request, status, exc, message)
+        _log.info(
+            "serving: malformed request",
+            status=status,
+            reason=type(exc).__name__,
+        )
+        response = web.Response(status=status, text="malformed request\n")
+        response.force_close()
+        return response
+
     async def finish_response(
         self,
         request: web.BaseRequest,
--- a/tests/crowds/test_connections.py
+++ b/tests/crowds/test_connections.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import json
+import socket
 
 import pytest
 
@@ -102,6 +104,21 @@
     assert await is_served(site, host)
 
 
+async def test_a_head_that_cannot_be_parsed_is_one_line_of_the_log(small_site):
+    site, host = small_site
+    for number in range(3):
+        address, _, port = host.address.rpartition(":")
+        connection = socket.create_connection((address, int(port)), 5.0)
+        connection.sendall(b"GET / HTTP/1.1\r\nHost : %d\r\n\r\n" % number)
+        assert b" 400 " in connection.recv(4096).split(b"\r\n")[0]
+        connection.close()
+    assert await is_served(site, host)
+    lines = host.log_path.read_text().splitlines()
+    events = [json.loads(line) for line in lines if line.startswith("{")]
+    assert len(events) == len(lines)
+    assert all("frames" not in each for each in events)
+
+
 async def test_slow_endpoints_leave_descriptors_for_the_store(
     start_site, gather_crowd, measure
 ):
