Memory: bodies are held once, within a budget, on every deployment

What callers saw: many large bodies at once, whole or stopping before their end, ended the process for its memory. Where the settings asked for decisions on overload there was a budget, and a single body of max_body_bytes got 503, no_memory: a legal request refused in calm.

Cause: the two halves pulled apart because a body stood in memory up to four times: its parts, their join, the join with the head, and what the connection had not taken. So the budget could give out a quarter of the free memory only. Most deployments had none: it was an option of overload. A body was read whole before its route, its key and its length were looked at. And the allocator kept freed memory of large blocks, up to 64 MB.

Fix: parts are appended to a buffer that grows in place and becomes the body. Bodies and answers are written in slices of the same memory. Route, key and stated length are checked first, and a body that is not complete at its caller's deadline gets 408: it has not run. Blocks above 128 KiB are returned to the system at once. An answer without a stated length may have 32 MB, as it may have no end.

tests/node/test_memory.py asks the same; the host that cannot hold 50 MB now has 128 MB and a configuration that allows 64 MB, as a body beyond the configuration is refused with 413 without being read.

--- a/src/bankrudder/memory/_budget.py
+++ b/src/bankrudder/memory/_budget.py
@@ -5,9 +5,10 @@
 every request that it works on.
 
 All data that is being transferred counts against one budget, apart from the first bytes
-of each transfer: callers of small requests must not fail because of large ones. Neither
-requests nor answers may use all of the budget, so that neither takes the room of the
-other. If data does not fit, the slowest transfers are ended until it does.
+of each transfer: callers of small requests must not fail because of large ones. Batches
+that this host works on count, too. Neither requests nor answers may use all of the
+budget, so that neither takes the room of the other. If data does not fit, the slowest
+transfers are ended until it does.
 
 A transfer younger than `MIN_ENDED_AGE_S` is never ended, and an older one never ends
 one that is faster. A request that has been read may run and is not ended: it stays held
@@ -21,21 +22,13 @@
 
 import structlog
 
-from bankrudder.world import Clock
+from bankrudder.memory._process_limits import ProcessLimits
+from bankrudder.world import Clock, SystemClock
 
-PROCESS_MB = 80.0
-"""Memory that the process takes without transfers, in megabytes."""
-
-DATA_SHARE = 0.25
-"""Share of the remaining memory that transfers may use. Data stands in memory up to
-three times while its parts are joined and written, and the allocator does not return
-freed memory at once."""
-
-MIN_BUDGET_MB = 8.0
-"""Smallest budget, in megabytes: room for a thousand answers of the usual size."""
-
-MAX_KIND_SHARE = 0.75
-"""Share of the budget that requests may use, and that answers may use."""
+KIND_RESERVE_SHARE = 0.25
+KIND_RESERVE_BYTES = 4 << 20
+"""Part of the budget that requests leave to answers, and answers to requests: the
+smaller one of a share and a size."""
 
 UNCOUNTED_BYTES = 16 << 10
 """Bytes of each transfer that do not count. Usual requests and answers are smaller, and
@@ -45,8 +38,6 @@
 """Age from which a transfer may be ended. A caller that reads at once has received an
 answer of megabytes by then."""
 
-BYTES_PER_MB = 1 << 20
-
 _log = structlog.get_logger("memory")
 
 
@@ -177,10 +168,14 @@
         self._holdings: set[Holding] = set()
 
     @classmethod
-    def from_config(cls, memory_mb: float, clock: Clock) -> Self:
-        """Create the budget of a process that may use `memory_mb` megabytes."""
-        budget_mb = max(DATA_SHARE * (memory_mb - PROCESS_MB), MIN_BUDGET_MB)
-        return cls(int(budget_mb * BYTES_PER_MB), clock)
+    def from_config(cls, limits: ProcessLimits, clock: Clock) -> Self:
+        """Create the budget of a process."""
+        return cls(limits.data_bytes, clock)
+
+    @classmethod
+    def of_unknown_process(cls) -> Self:
+        """Create the budget of a process whose memory is not known."""
+        return cls.from_config(ProcessLimits.from_config(None, 0), SystemClock())
 
     @property
     def limit_bytes(self) -> int:
@@ -195,7 +190,14 @@
     @property
     def max_transfer_bytes(self) -> int:
         """Size of the largest transfer that fits while there is no other one."""
-        return int(MAX_KIND_SHARE * self._limit_bytes) + self._uncounted_bytes
+        return self._kind_limit_bytes + self._uncounted_bytes
+
+    @property
+    def _kind_limit_bytes(self) -> int:
+        reserve_bytes = min(
+            int(KIND_RESERVE_SHARE * self._limit_bytes), KIND_RESERVE_BYTES
+        )
+        return self._limit_bytes - reserve_bytes
 
     @property
     def held_bytes(self) -> int:
@@ -230,10 +232,9 @@
 
     def _make_room(self, holding: Holding, count: int) -> bool:
         """End slower transfers until `count` more bytes fit; return whether they do."""
-        kind_limit_bytes = int(MAX_KIND_SHARE * self._limit_bytes)
         held_of_kind = self._held_bytes[holding.kind]
         missing_bytes = self.held_bytes + count - self._limit_bytes
-        missing_of_kind = held_of_kind + count - kind_limit_bytes
+        missing_of_kind = held_of_kind + count - self._kind_limit_bytes
         if count <= 0 or max(missing_bytes, missing_of_kind) <= 0:
             return True
         ended = self._slower_transfers(holding, missing_bytes, missing_of_kind)
--- a/src/bankrudder/node/_adapter.py
+++ b/src/bankrudder/node/_adapter.py
@@ -4,6 +4,7 @@
 
 from bankrudder.duties import DutyApi
 from bankrudder.fleet import EndpointClient
+from bankrudder.memory import MemoryBudget
 from bankrudder.node._documents import Documents
 from bankrudder.node._gateway import Gateway
 from bankrudder.node._settings import NodeSettings
@@ -33,7 +34,7 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes of bodies that the host holds, 0 if they are not counted."""
+        """Bytes of bodies that the host holds."""
         ...
 
 
@@ -50,6 +51,11 @@
         """The client for calls to endpoints."""
         ...
 
+    @property
+    def budget(self) -> MemoryBudget:
+        """The memory for the data of callers and endpoints."""
+        ...
+
     @property
     def duties(self) -> DutyApi | None:
         """The client of the platform's API for duties, None if it has none."""
--- a/src/bankrudder/node/_main.py
+++ b/src/bankrudder/node/_main.py
@@ -20,6 +20,7 @@
     NonBlockingSink,
     configure_logging,
 )
+from bankrudder.memory import return_freed_blocks
 from bankrudder.node._adapter import Adapter
 from bankrudder.node._node import Node
 from bankrudder.node._settings import NodeSettings, load_settings
@@ -48,6 +49,7 @@
         Adds the settings that the platform's contract calls for.
     """
     arguments = _parser().parse_args(argv)
+    return_freed_blocks()
     clock = SystemClock()
     line_limit = LogRateLimiter(clock)
     sink = NonBlockingSink(sys.stdout.fileno())
--- a/src/bankrudder/node/_settings.py
+++ b/src/bankrudder/node/_settings.py
@@ -109,14 +109,10 @@
     plans_steps : bool
         Whether the samples of steps are ordered by whether their groups can be complete
         when they are due.
-    limits_memory : bool
-        Whether the memory that callers' and endpoints' data takes is limited; this
-        needs ``memory_mb``.
     """
 
     limits_requests: bool = True
     plans_steps: bool = True
-    limits_memory: bool = True
 
 
 class RpcSettings(_Section, frozen=True):
@@ -164,7 +160,8 @@
     duties : DutySettings or None
         The platform's API for duties; None if it has none.
     memory_mb : float or None
-        Memory above which the process is killed, in megabytes; None if unknown.
+        Memory above which the process is killed, in megabytes; None if unknown, which
+        is taken for 512.
     max_descriptors : int or None
         Largest number of descriptors that the process may have open; None for the limit
         of the operating system, which also holds if it is lower.
--- a/src/bankrudder/platform/_adapter.py
+++ b/src/bankrudder/platform/_adapter.py
@@ -54,7 +54,7 @@
         self._limits = ProcessLimits.from_config(
             settings.memory_mb, _max_descriptors(settings)
         )
-        self._budget = _memory_budget(settings, clock or SystemClock())
+        self._budget = MemoryBudget.from_config(self._limits, clock or SystemClock())
         self._store = PlatformStore.from_config(settings.store.address)
         self._endpoints = HttpEndpointClient(self._budget)
         self._documents = PlatformDocuments()
@@ -76,6 +76,11 @@
         """The client for endpoints."""
         return self._endpoints
 
+    @property
+    def budget(self) -> MemoryBudget:
+        """The memory for the data of callers and endpoints."""
+        return self._budget
+
     @property
     def duties(self) -> DutyApi | None:
         """The client for the platform's duty API, None if none is configured."""
@@ -121,14 +126,6 @@
     return min(limits, default=ASSUMED_DESCRIPTORS)
 
 
-def _memory_budget(settings: NodeSettings, clock: Clock) -> MemoryBudget | None:
-    """Return the budget for bodies, None unless the settings ask for one."""
-    overload = settings.overload
-    if overload is None or not overload.limits_memory or settings.memory_mb is None:
-        return None
-    return MemoryBudget.from_config(settings.memory_mb, clock)
-
-
 def main() -> None:
     """Run a daemon on the platform."""
     run_daemon(PlatformAdapter.from_config, complete_settings)
--- a/src/bankrudder/platform/_answers.py
+++ b/src/bankrudder/platform/_answers.py
@@ -118,7 +118,7 @@
 
 
 async def read_answer(
-    response: aiohttp.ClientResponse, budget: MemoryBudget | None = None
+    response: aiohttp.ClientResponse, budget: MemoryBudget
 ) -> SendOutcome:
     """Read a complete answer, or return why there is none.
 
@@ -148,7 +148,7 @@
 async def stream_outcome(
     response: aiohttp.ClientResponse,
     request: OutgoingRequest,
-    budget: MemoryBudget | None = None,
+    budget: MemoryBudget,
 ) -> StreamOutcome:
     """Return the event stream of a response, or its answer if it is not a stream."""
     if not is_answer_to(response, request):
@@ -196,11 +196,9 @@
 
 
 async def _read_body(
-    response: aiohttp.ClientResponse, budget: MemoryBudget | None
+    response: aiohttp.ClientResponse, budget: MemoryBudget
 ) -> bytes | None:
     """Return the body of an answer, None if there is no memory for it."""
-    if budget is None:
-        return await read_body(response)
     try:
         return await read_answer_body(response, budget)
     except NoMemoryError:
--- a/src/bankrudder/platform/_bounded_answers.py
+++ b/src/bankrudder/platform/_bounded_answers.py
@@ -4,6 +4,8 @@
 long they are read; the limits here bound how many of them are.
 """
 
+import io
+
 import aiohttp
 import structlog
 
@@ -28,14 +30,13 @@
         If the body is longer than `max_bytes`. Its rest is not read.
     """
     check_stated_length(response, max_bytes)
-    parts: list[bytes] = []
-    size_bytes = 0
+    buffer = io.BytesIO()
     async for part in response.content.iter_any():
-        size_bytes += len(part)
+        size_bytes = buffer.tell() + len(part)
         if size_bytes > max_bytes:
             raise too_long(response, size_bytes, max_bytes)
-        parts.append(part)
-    return b"".join(parts)
+        buffer.write(part)
+    return buffer.getvalue()
 
 
 def check_stated_length(response: aiohttp.ClientResponse, max_bytes: int) -> None:
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -41,6 +41,7 @@
     request_headers,
     stream_outcome,
 )
+from bankrudder.platform._body_slices import outgoing_body
 from bankrudder.platform._bounded_answers import AnswerTooLongError, read_body
 from bankrudder.platform._endpoint_sessions import EndpointSessions
 from bankrudder.routing import ModelName
@@ -101,12 +102,13 @@
 
     Parameters
     ----------
-    budget : MemoryBudget or None
-        Memory for the bodies of answers; None if it is not limited.
+    budget : MemoryBudget, optional
+        Memory for the bodies of answers; by default that of a process whose memory is
+        not known.
     """
 
     def __init__(self, budget: MemoryBudget | None = None) -> None:
-        self._budget = budget
+        self._budget = budget or MemoryBudget.of_unknown_process()
         self._sessions = EndpointSessions()
 
     async def close(self) -> None:
@@ -268,7 +270,7 @@
         request.method,
         _url(endpoint, request.target),
         headers=request_headers(endpoint, request),
-        data=request.body or None,
+        data=outgoing_body(request.body),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
         allow_redirects=False,
         timeout=aiohttp.ClientTimeout(
--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import structlog
 from aiohttp import StreamReader, web
 from aiohttp.abc import AbstractStreamWriter
@@ -19,7 +20,11 @@
     decode_batch,
     encode_page,
 )
-from bankrudder.platform._limits import limit_status
+from bankrudder.platform._limits import (
+    STATUS_BODY_TOO_LARGE,
+    STATUS_HEADERS_TOO_LARGE,
+    is_head_too_large,
+)
 from bankrudder.platform._requests import (
     MEMORY_RETRY_AFTER_S,
     api_key,
@@ -48,6 +53,12 @@
 from bankrudder.workspaces import Admitted
 from bankrudder.world import Address, Clock, SampleId
 
+STATUS_REQUEST_TIMEOUT = 408
+"""Status of a request whose body did not arrive in time, so that it did not run."""
+
+MIN_BODY_TIMEOUT_S = 0.1
+"""Shortest time for the rest of a body, so that one that came with its head is read."""
+
 MAX_HEADER_BYTES = 32768
 """Maximum size of the request line and of each header field.
 
@@ -68,8 +79,8 @@
     ----------
     max_connections : int
         Largest number of connections of callers.
-    budget : MemoryBudget or None
-        Memory for the bodies of requests and answers; None if it is not limited.
+    budget : MemoryBudget
+        Memory for the bodies of requests and answers.
     """
 
     def __init__(
@@ -78,7 +89,7 @@
         gateway: Gateway,
         clock: Clock,
         max_connections: int,
-        budget: MemoryBudget | None = None,
+        budget: MemoryBudget,
     ):
         super().__init__(
             address,
@@ -103,8 +114,8 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes of bodies that this host holds, 0 if they are not counted."""
-        return self._budget.held_bytes if self._budget is not None else 0
+        """Bytes of bodies that this host holds."""
+        return self._budget.held_bytes
 
     def _connection_timeouts(self) -> ConnectionTimeouts:
         limits = self._gateway.caller_limits
@@ -117,15 +128,15 @@
                 response = await self._answer(request, holding)
             if self._gateway.is_leaving:
                 response.force_close()
-            if self._budget is not None and isinstance(response, web.Response):
-                response = await self._send_within(self._budget, request, response)
+            if isinstance(response, web.Response):
+                response = await self._send_within(request, response)
         finally:
             self._in_progress -= 1
         return response
 
     async def _send_within(
-        self, budget: MemoryBudget, request: web.BaseRequest, response: web.Response
-    ) -> web.Response:
+        self, request: web.BaseRequest, response: web.Response
+    ) -> web.StreamResponse:
         """Send a response, whose body counts against the budget until it is sent.
 
         Results of a batch that do not fit are refused: other hosts have them, too.
@@ -134,16 +145,17 @@
             (names.BATCH_PATH_PREFIX, names.SAMPLE_PATH_PREFIX)
         )
         try:
-            await send_answer(request, response, budget, is_repeatable=is_repeatable)
+            return await send_answer(
+                request, response, self._budget, is_repeatable=is_repeatable
+            )
         except NoMemoryError:
             _log.warning(
                 "front: no memory for an answer",
                 path=request.path,
-                held_bytes=budget.held_bytes,
-                budget_bytes=budget.limit_bytes,
+                held_bytes=self._budget.held_bytes,
+                budget_bytes=self._budget.limit_bytes,
             )
             return response_to(NotRun(RejectReason.NO_MEMORY, MEMORY_RETRY_AFTER_S))
-        return response
 
     def _no_memory_for_request(self, request: web.BaseRequest) -> web.Response:
         _log.warning(
@@ -156,26 +168,27 @@
         return response
 
     async def _answer(
-        self, request: web.BaseRequest, holding: Holding | None
+        self, request: web.BaseRequest, holding: Holding
     ) -> web.StreamResponse:
+        """Answer a request; its body is read only if the request can be served."""
         received_at = self._clock.monotonic()
-        try:
-            body = await read_request_body(request, holding)
-        except BodyTooLargeError:
-            return web.Response(status=413)
-        except NoMemoryError:
-            return self._no_memory_for_request(request)
         path = request.path
         if path.startswith(names.BATCH_PATH_PREFIX):
             return await self._batch_call(request, path)
         if path.startswith(names.SAMPLE_PATH_PREFIX):
             return await self._sample_body(request, path)
-        incoming = incoming_request(request, body, received_at)
+        incoming = incoming_request(request, received_at)
         if isinstance(incoming, Malformed):
             return response_to(incoming)
         route = self._gateway.route(incoming.host, incoming.path)
         if not isinstance(route, Route):
             return response_to(route)
+        limits = self._gateway.caller_limits
+        max_body_bytes = MAX_BODY_BYTES
+        if route.kind is not RouteKind.ROLLOUT:
+            max_body_bytes = min(limits.max_body_bytes, MAX_BODY_BYTES)
+            if is_head_too_large(request, limits):
+                return web.Response(status=STATUS_HEADERS_TOO_LARGE)
         admitted = await self._gateway.admit(
             api_key(request), is_public=route.is_public
         )
@@ -183,17 +196,45 @@
             return response_to(admitted)
         if self._gateway.has_workspaces or admitted.workspace:
             incoming = with_workspace(incoming, admitted)
-        if route.kind is RouteKind.ROLLOUT:
-            return await self._accept_batch(incoming, route)
-        status = limit_status(request, body, self._gateway.caller_limits)
-        if status is not None:
-            return web.Response(status=status)
+        body = await self._read_body(request, holding, incoming, max_body_bytes)
+        if isinstance(body, web.Response):
+            return body
+        incoming = msgspec.structs.replace(incoming, body=body)
+        del body  # a batch is decoded without another reference to its request
         match route:
+            case Route(kind=RouteKind.ROLLOUT):
+                return await self._accept_batch(incoming, route)
             case Route(kind=RouteKind.STREAM):
                 return await self._stream(request, incoming, route)
             case _:
                 return response_to(await self._gateway.forward(incoming, route))
 
+    async def _read_body(
+        self,
+        request: web.BaseRequest,
+        holding: Holding,
+        incoming: IncomingRequest,
+        max_bytes: int,
+    ) -> bytes | web.Response:
+        """Return the body of a request, or the response if it cannot be read."""
+        left_s = incoming.deadline - self._clock.monotonic()
+        try:
+            async with asyncio.timeout(max(left_s, MIN_BODY_TIMEOUT_S)):
+                return await read_request_body(request, holding, max_bytes)
+        except BodyTooLargeError:
+            return web.Response(status=STATUS_BODY_TOO_LARGE)
+        except NoMemoryError:
+            return self._no_memory_for_request(request)
+        except TimeoutError:
+            _log.info(
+                "front: body not received in time",
+                request=incoming.request_id,
+                received_bytes=holding.size_bytes,
+            )
+            response = web.Response(status=STATUS_REQUEST_TIMEOUT)
+            response.force_close()
+            return response
+
     async def _stream(
         self, request: web.BaseRequest, incoming: IncomingRequest, route: Route
     ) -> web.StreamResponse:
--- a/src/bankrudder/platform/_requests.py
+++ b/src/bankrudder/platform/_requests.py
@@ -36,9 +36,9 @@
 
 
 def incoming_request(
-    request: web.BaseRequest, body: bytes, received_at: float
+    request: web.BaseRequest, received_at: float
 ) -> IncomingRequest | Malformed:
-    """Return a caller's HTTP request in the project's own form.
+    """Return a caller's HTTP request, without its body, in the project's own form.
 
     A request to resume a stream after no valid event is malformed: sent from the start,
     the caller would get events twice.
@@ -57,7 +57,7 @@
         path=target.partition("?")[0],
         host=request.headers.get("Host", ""),
         headers=tuple(request.headers.items()),
-        body=body,
+        body=b"",
         deadline=received_at + timeout_s,
         received_at=received_at,
         resume_after=resume_after,
--- a/src/bankrudder/platform/_transfers.py
+++ b/src/bankrudder/platform/_transfers.py
@@ -1,6 +1,7 @@
 """Bodies of requests and answers, held within the host's memory budget."""
 
 import asyncio
+import io
 import math
 from collections.abc import AsyncIterator, Iterator
 from contextlib import contextmanager
@@ -9,6 +10,7 @@
 from aiohttp import web
 
 from bankrudder.memory import Holding, MemoryBudget, TransferKind
+from bankrudder.platform._body_slices import body_slices
 from bankrudder.platform._bounded_answers import (
     MAX_ANSWER_BYTES,
     check_stated_length,
@@ -18,6 +20,8 @@
 MAX_BODY_BYTES = 64 << 20
 """Maximum size of a request body; a larger one is answered with status 413."""
 
+MAX_UNSTATED_ANSWER_BYTES = 32 << 20
+"""Maximum size of an answer that states no length, and may have no end."""
 
 SEND_POLL_INTERVAL_S = 0.02
 """Interval at which the unsent part of an answer is checked: a fraction of the time in
@@ -34,12 +38,9 @@
 
 @contextmanager
 def holding_request(
-    request: web.BaseRequest, budget: MemoryBudget | None
-) -> Iterator[Holding | None]:
-    """Hold a request while it is in progress; None if memory is not limited."""
-    if budget is None:
-        yield None
-        return
+    request: web.BaseRequest, budget: MemoryBudget
+) -> Iterator[Holding]:
+    """Hold a request while it is in progress."""
     holding = budget.hold(
         TransferKind.REQUEST, lambda: holding.size_bytes, lambda: _abort(request)
     )
@@ -49,24 +50,23 @@
         holding.release()
 
 
-async def read_request_body(request: web.BaseRequest, holding: Holding | None) -> bytes:
+async def read_request_body(
+    request: web.BaseRequest, holding: Holding, max_bytes: int = MAX_BODY_BYTES
+) -> bytes:
     """Return the body of a request, which stays held by `holding`.
 
     Raises
     ------
     BodyTooLargeError
-        If the body is larger than `MAX_BODY_BYTES`.
+        If the body is larger than `max_bytes`. Its rest is not read.
     NoMemoryError
         If the body does not fit into the budget. Its rest is not read.
     """
-    if holding is None:
-        try:
-            return await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            raise BodyTooLargeError from None
     if not request.can_read_body:
         return b""
-    body = await _read_chunks(request.content.iter_any(), holding, MAX_BODY_BYTES)
+    if (request.content_length or 0) > max_bytes:
+        raise BodyTooLargeError
+    body = await _read_chunks(request.content.iter_any(), holding, max_bytes)
     holding.note_received()
     return body
 
@@ -83,13 +83,13 @@
         Its rest is not read.
     AnswerTooLongError
         If the body is longer than any answer may be, or states no length and is longer
-        than the budget can ever hold. Its rest is not read.
+        than such an answer may be. Its rest is not read.
     """
     check_stated_length(response, MAX_ANSWER_BYTES)
     max_bytes = MAX_ANSWER_BYTES
     if response.content_length is None:
         # Such an answer may have no end, which is a failure of the endpoint.
-        max_bytes = min(max_bytes, budget.max_transfer_bytes)
+        max_bytes = min(MAX_UNSTATED_ANSWER_BYTES, budget.max_transfer_bytes)
     holding = budget.hold(
         TransferKind.ANSWER, lambda: holding.size_bytes, response.close
     )
@@ -109,14 +109,16 @@
 async def _read_chunks(
     chunks: AsyncIterator[bytes], holding: Holding, max_bytes: float = math.inf
 ) -> bytes:
-    parts: list[bytes] = []
+    # A list of parts takes many times the size of small parts, and joining them takes
+    # the size of the body again. This buffer grows in place and becomes the result.
+    buffer = io.BytesIO()
     async for chunk in chunks:
         if holding.size_bytes + len(chunk) > max_bytes:
             raise BodyTooLargeError
         if not holding.grow(len(chunk)):
             raise NoMemoryError
-        parts.append(chunk)
-    return b"".join(parts)
+        buffer.write(chunk)
+    return buffer.getvalue()
 
 
 async def send_answer(
@@ -125,7 +127,7 @@
     budget: MemoryBudget,
     *,
     is_repeatable: bool,
-) -> None:
+) -> web.StreamResponse:
     """Send an answer, whose body counts against the budget until it is sent.
 
     A small answer does not count and is left to the server.
@@ -136,26 +138,34 @@
         Whether the caller can get the same answer from another host. Any other answer
         is sent even if it does not fit into the budget.
 
+    Returns
+    -------
+    web.StreamResponse
+        The response that was sent, or that the server sends.
+
     Raises
     ------
     NoMemoryError
         If the answer is repeatable and does not fit. Nothing is sent.
     """
-    size = len(response.body) if isinstance(response.body, bytes) else 0
-    if size <= budget.uncounted_bytes:
-        return
+    body = response.body
+    if not isinstance(body, bytes) or len(body) <= budget.uncounted_bytes:
+        return response
+    sent_bytes = 0
     holding = budget.hold(
         TransferKind.ANSWER,
-        lambda: size - _unsent_bytes(request),
+        lambda: sent_bytes - _unsent_bytes(request),
         lambda: _abort(request),
     )
     try:
-        if not holding.grow(size, is_required=not is_repeatable):
+        if not holding.grow(len(body), is_required=not is_repeatable):
             raise NoMemoryError
-        await response.prepare(request)
-        await response.write_eof()
-        # The server keeps the response while it waits for the next request.
-        response.body = None
+        sent = _without_body(response, len(body))
+        await sent.prepare(request)
+        for part in body_slices(body):
+            await sent.write(part)
+            sent_bytes += len(part)
+        await sent.write_eof()
         # The event loop sends the data after this task has yielded, so the server does
         # not know of unsent data when it has written all of it.
         await asyncio.sleep(0)
@@ -163,6 +173,16 @@
             await asyncio.sleep(SEND_POLL_INTERVAL_S)
     finally:
         holding.release()
+    return sent
+
+
+def _without_body(response: web.Response, length: int) -> web.StreamResponse:
+    """Return a response with the same head, whose body is written in parts."""
+    sent = web.StreamResponse(status=response.status, headers=response.headers)
+    sent.content_length = length
+    if response.keep_alive is False:
+        sent.force_close()
+    return sent
 
 
 def _unsent_bytes(request: web.BaseRequest) -> int:
--- a/tests/memory/test_budget.py
+++ b/tests/memory/test_budget.py
@@ -6,16 +6,14 @@
 
 from bankrudder.memory import MemoryBudget, TransferKind
 from bankrudder.memory._budget import (
-    BYTES_PER_MB,
-    MAX_KIND_SHARE,
-    MIN_BUDGET_MB,
+    KIND_RESERVE_BYTES,
+    KIND_RESERVE_SHARE,
     MIN_ENDED_AGE_S,
-    PROCESS_MB,
 )
 from manual_clock import ManualClock
 
 LIMIT = 1000
-KIND_LIMIT = int(MAX_KIND_SHARE * LIMIT)
+KIND_LIMIT = LIMIT - int(KIND_RESERVE_SHARE * LIMIT)
 
 
 class Transfer:
@@ -126,15 +124,13 @@
     assert not transfer.is_ended
 
 
-@pytest.mark.parametrize(
-    ("memory_mb", "budget_mb"),
-    [(PROCESS_MB + 120, 30), (PROCESS_MB, MIN_BUDGET_MB), (10, MIN_BUDGET_MB)],
-)
-def test_the_budget_is_what_the_process_does_not_need(
-    memory_mb, budget_mb, manual_clock
-):
-    budget = MemoryBudget.from_config(memory_mb, manual_clock)
-    assert budget.limit_bytes == budget_mb * BYTES_PER_MB
+def test_a_large_budget_leaves_a_fixed_size_to_the_other_kind(manual_clock):
+    budget = MemoryBudget(100 << 20, manual_clock, uncounted_bytes=0)
+    large = Transfer(budget, manual_clock)
+    assert not large.holding.grow((100 << 20) - KIND_RESERVE_BYTES + 1)
+    assert large.holding.grow((100 << 20) - KIND_RESERVE_BYTES)
+    request = Transfer(budget, manual_clock, TransferKind.REQUEST)
+    assert request.holding.grow(KIND_RESERVE_BYTES)
 
 
 def test_an_answer_that_must_be_delivered_is_held_beyond_the_budget(
--- a/tests/node/test_memory.py
+++ b/tests/node/test_memory.py
@@ -24,6 +24,12 @@
 RECEIVE_BUFFER_BYTES = 4096
 
 
+SMALLEST_MB = 128
+"""Memory of a host that cannot hold a body which its configuration allows."""
+
+ALLOWED_BODY_BYTES = 64 << 20
+
+
 @pytest.fixture
 async def small_host_site(tmp_path):
     settings = {"memory_mb": MEMORY_MB, "overload": {}}
@@ -34,6 +40,20 @@
         await site.stop()
 
 
+@pytest.fixture
+async def smallest_host_site(tmp_path):
+    site = Site(
+        tmp_path,
+        hosts=1,
+        settings={"memory_mb": SMALLEST_MB, "overload": {}},
+        limits={"max_body_bytes": ALLOWED_BODY_BYTES},
+    )
+    try:
+        yield await site.start()
+    finally:
+        await site.stop()
+
+
 class SlowReader:
     """A caller that sends a large request and does not read the answer."""
 
@@ -101,8 +121,8 @@
     assert ended
 
 
-async def test_a_request_that_does_not_fit_is_refused_and_not_run(small_host_site):
-    site = small_host_site
+async def test_a_request_that_does_not_fit_is_refused_and_not_run(smallest_host_site):
+    site = smallest_host_site
     [host] = site.hosts
     status, headers, body = await site.call(
         host,
--- a/tests/platform/test_endless_bodies.py
+++ b/tests/platform/test_endless_bodies.py
@@ -17,7 +17,7 @@
     RefusalReason,
     Refused,
 )
-from bankrudder.memory import MemoryBudget
+from bankrudder.memory import MemoryBudget, ProcessLimits
 from bankrudder.platform._bounded_answers import MAX_ANSWER_BYTES
 from bankrudder.platform._endpoint_client import HttpEndpointClient
 from bankrudder.platform._store import MAX_REPLY_BYTES, PlatformStore
@@ -103,7 +103,9 @@
 @pytest.mark.parametrize("call", [send, open_stream])
 @pytest.mark.parametrize("body", ["to_the_close", "chunks", "one_chunk"])
 async def test_a_small_host_reads_less_of_it(serve, manual_clock, body, call):
-    budget = MemoryBudget.from_config(MEMORY_MB, manual_clock)
+    budget = MemoryBudget.from_config(
+        ProcessLimits.from_config(MEMORY_MB, 0), manual_clock
+    )
     client = HttpEndpointClient(budget)
     server = serve(b"500", body)
     outcome = await call(client, server)
--- a/tests/platform/test_transfers.py
+++ b/tests/platform/test_transfers.py
@@ -10,6 +10,7 @@
     """A request of a caller, as far as the reading of its body uses it."""
 
     can_read_body = True
+    content_length = len(BODY)
 
     def __init__(self):
         self.content = self
