Batches: decoded, loaded and worked on only where there is memory

What callers saw: many submissions at once ended the process for its memory; one submission of 1 MB took 38 MB.

Cause: a document in JSON takes many times its size once decoded (texts, objects, tasks), nothing asked whether there was room, all samples were decoded into the wire's form first, and each of thousands of samples got its task, request and span at once. Batches in work were counted nowhere. Each read of a sample's body loaded its whole batch, all at the same time, and replies of the store of 1 MB were read and decoded up to 24 at a time.

Fix: before decoding, the memory that it takes is estimated from the number of quotes and braces, and must fit into the budget; otherwise the submission is refused as not run (no_memory, Retry-After). Samples are decoded one after the other. A batch in work holds memory until its work ends, and waits for room before that; its submission has been accepted and is in the store. At most 256 samples of a batch wait for a slot at the same time; running ones are not limited. A batch is digested and stored from one encoding. One batch at a time is loaded for reads of samples, and small ones only are cached. Two large replies of the store are read at a time.

--- a/src/bankrudder/batches/_reading.py
+++ b/src/bankrudder/batches/_reading.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 from bankrudder.batches._repository import BatchRepository, UnknownBatchError
+from bankrudder.batches._room import batch_bytes
 from bankrudder.batches._values import (
     Batch,
     BatchHead,
@@ -27,6 +28,9 @@
 CACHED_BATCH_COUNT = 4
 """Largest numbers of cached heads and batches; neither ever changes."""
 
+CACHED_BATCH_BYTES = 1 << 20
+"""Largest size of a batch that is cached, by `batch_bytes`."""
+
 
 class BatchReader:
     """Answers reads of batches from the store."""
@@ -36,6 +40,7 @@
         self._clock = clock
         self._heads: dict[BatchId, BatchHead] = {}
         self._batches: dict[BatchId, Batch] = {}
+        self._loading = asyncio.Lock()
 
     async def results(
         self, batch_id: BatchId, after: int, wait_s: float
@@ -85,15 +90,22 @@
         """Return a sample, None if there is no such batch or sample."""
         batch = self._batches.get(batch_id)
         if batch is None:
-            try:
-                batch = await self._repository.load(batch_id)
-            except UnknownBatchError:
-                return None
+            # Each read of a sample needs its whole batch.
+            async with self._loading:
+                batch = await self._load(batch_id)
+        samples = batch.samples if batch is not None else ()
+        return next((each for each in samples if each.id == sample_id), None)
+
+    async def _load(self, batch_id: BatchId) -> Batch | None:
+        if batch_id in self._batches:
+            return self._batches[batch_id]
+        try:
+            batch = await self._repository.load(batch_id)
+        except UnknownBatchError:
+            return None
+        if batch_bytes(batch) <= CACHED_BATCH_BYTES:
             _cache(self._batches, batch_id, batch, CACHED_BATCH_COUNT)
-        for sample in batch.samples:
-            if sample.id == sample_id:
-                return sample
-        return None
+        return batch
 
     async def _head(self, batch_id: BatchId) -> BatchHead | None:
         head = self._heads.get(batch_id)
--- a/src/bankrudder/batches/_repository.py
+++ b/src/bankrudder/batches/_repository.py
@@ -116,7 +116,7 @@
             If it is not known whether the batch is stored.
         """
         body = msgspec.msgpack.encode(batch)
-        digest = _digest(batch)
+        digest = _digest(batch, body)
         chunks = self._split_rows(body) if len(body) <= MAX_INLINE_BYTES else []
         if not chunks:
             await self._put_object(batch.id, digest, body)
@@ -358,10 +358,11 @@
     return RowKey(OWNERS_TABLE, batch_id, _OWNER_KEY)
 
 
-def _digest(batch: Batch) -> str:
+def _digest(batch: Batch, encoded: bytes) -> str:
     """Return the digest of a batch without its trace, which a resend changes."""
-    untraced = msgspec.structs.replace(batch, trace="")
-    return hashlib.sha256(msgspec.msgpack.encode(untraced)).hexdigest()
+    if batch.trace:
+        encoded = msgspec.msgpack.encode(msgspec.structs.replace(batch, trace=""))
+    return hashlib.sha256(encoded).hexdigest()
 
 
 def _head_key(batch_id: BatchId) -> RowKey:
--- a/src/bankrudder/batches/_run.py
+++ b/src/bankrudder/batches/_run.py
@@ -18,6 +18,7 @@
     BatchRepository,
     store_failure_reason,
 )
+from bankrudder.batches._room import MAX_WAITING_SAMPLES
 from bankrudder.batches._sampling import SampleGenerator
 from bankrudder.batches._scoring import ScoreFailedError, Scorer
 from bankrudder.batches._step_planning import StepKind, StepTimes
@@ -134,6 +135,7 @@
             for sample in batch.samples
             if sample.id not in done
         ]
+        self._samplers: set[asyncio.Task[None]] = set()
         self._listed_samples: set[SampleId] = set()
         # Progress that was not used is still removed once its sample is listed.
         self._saved_event_numbers = dict.fromkeys(progress, 0)
@@ -202,17 +204,15 @@
     async def run(self) -> None:
         """Generate until all samples are listed or another owner took over."""
         began = self._clock.monotonic()
-        samplers = [
-            asyncio.ensure_future(self._complete_sample(generator))
-            for generator in self._start_order()
-        ]
+        starter = asyncio.ensure_future(self._start_samples())
         saver = asyncio.ensure_future(self._save_progress())
         try:
-            is_owner = await self._list_results(len(samplers))
+            is_owner = await self._list_results(len(self._generators))
         finally:
-            for task in (*samplers, saver):
+            tasks = (starter, saver, *self._samplers)
+            for task in tasks:
                 task.cancel()
-            await asyncio.gather(*samplers, saver, return_exceptions=True)
+            await asyncio.gather(*tasks, return_exceptions=True)
         _log.info(
             "batches: work done" if is_owner else "batches: owner changed",
             batch=self._batch.id,
@@ -220,6 +220,17 @@
             seconds=round(self._clock.monotonic() - began, 3),
         )
 
+    async def _start_samples(self) -> None:
+        """Start the samples, of which only so many wait for slots at the same time."""
+        waiting = asyncio.Semaphore(MAX_WAITING_SAMPLES)
+        for generator in self._start_order():
+            await waiting.acquire()
+            place = _WaitingPlace(waiting)
+            task = asyncio.ensure_future(self._complete_sample(generator, place.leave))
+            self._samplers.add(task)
+            task.add_done_callback(self._samplers.discard)
+            task.add_done_callback(place.leave)
+
     def _start_order(self) -> list[SampleGenerator]:
         """Return the samples in the order in which they ask for slots.
 
@@ -252,7 +263,9 @@
         saved = self._saved_event_numbers.get(sample_id, 0)
         return generator.text.next_number - saved >= MIN_UNSAVED_EVENT_COUNT
 
-    async def _complete_sample(self, generator: SampleGenerator) -> None:
+    async def _complete_sample(
+        self, generator: SampleGenerator, on_slot: Callable[[], None]
+    ) -> None:
         sample = generator.sample
         began = self._clock.monotonic()
         span = self._tracer.span(
@@ -264,7 +277,7 @@
         try:
             with span:
                 async with asyncio.timeout(self._deadline - began):
-                    await generator.run(span.traceparent)
+                    await generator.run(span.traceparent, on_slot)
                     whole_at = self._clock.monotonic()
                     ran_s = whole_at - began - generator.waited_s
                     self._token_pace.note(
@@ -361,6 +374,20 @@
         return results
 
 
+class _WaitingPlace:
+    """The place of a sample among those that wait, which it leaves once."""
+
+    def __init__(self, waiting: asyncio.Semaphore):
+        self._waiting = waiting
+        self._has_left = False
+
+    def leave(self, *_: object) -> None:
+        """Let another sample wait."""
+        if not self._has_left:
+            self._has_left = True
+            self._waiting.release()
+
+
 def _text_bytes(result: SampleResult) -> int:
     """Return the size of a result's text in the store."""
     return len(result.text.encode())
--- a/src/bankrudder/batches/_sampling.py
+++ b/src/bankrudder/batches/_sampling.py
@@ -217,13 +217,17 @@
             reason=obstacle,
         )
 
-    async def run(self, trace: str = "") -> None:
+    async def run(
+        self, trace: str = "", on_slot: Callable[[], None] = lambda: None
+    ) -> None:
         """Generate until the text is complete.
 
         Parameters
         ----------
         trace : str
             W3C ``traceparent`` of the sample's span, or empty.
+        on_slot : callable
+            Called when the sample gets a slot.
 
         Raises
         ------
@@ -231,12 +235,12 @@
             If it cannot be generated, or failed as often as its route allows.
         """
         try:
-            await self._generate(trace)
+            await self._generate(trace, on_slot)
         finally:
             self._moves.end()
             self._crashes.share_strikes(self._content_id)
 
-    async def _generate(self, trace: str) -> None:
+    async def _generate(self, trace: str, on_slot: Callable[[], None]) -> None:
         while not self._text.is_whole:
             is_suspect = await wait_for_admission(
                 self._crashes, self._content_id, self._batch.id, self._sample.id
@@ -248,6 +252,7 @@
             self._waited_s += self._clock.monotonic() - requested_at
             self._run_count += 1
             self._is_running = True
+            on_slot()
             span = self._tracer.span(
                 "batches.run",
                 trace,
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -15,7 +15,7 @@
 from bankrudder.batches._carried import CarriedSamples
 from bankrudder.batches._dispatcher import Dispatcher
 from bankrudder.batches._load_following import LoadFollowing
-from bankrudder.batches._loading import BatchLoader
+from bankrudder.batches._loading import BatchLoader, LoadedBatch
 from bankrudder.batches._moving import MovePlanner
 from bankrudder.batches._ownership import OwnerRegistry
 from bankrudder.batches._progress import ProgressStore
@@ -25,6 +25,12 @@
     owner_key,
     store_failure_reason,
 )
+from bankrudder.batches._room import (
+    LOADING_BYTES,
+    BatchPlace,
+    BatchRoom,
+    batch_bytes,
+)
 from bankrudder.batches._run import BatchRun
 from bankrudder.batches._scoring import Scorer
 from bankrudder.batches._step_planning import StepPlanner, StepTimes
@@ -32,6 +38,7 @@
 from bankrudder.crashes import CrashGuard
 from bankrudder.decoding import UnreadableDocumentError, decode_json
 from bankrudder.fleet import EndpointClient, EndpointDirectory
+from bankrudder.memory import MemoryBudget
 from bankrudder.observe import Tracer
 from bankrudder.presence import Presence
 from bankrudder.routing import Route, RoutingTable
@@ -72,6 +79,8 @@
     plans_steps : bool
         Whether the samples of all services are planned by due time; otherwise those of
         services whose engines report the slowdown of their machine.
+    budget : MemoryBudget, optional
+        Memory for the batches that this host works on.
     """
 
     def __init__(
@@ -91,7 +100,9 @@
         loaded: TableFollower | None = None,
         store_time: Callable[[float], float | None] = lambda _: None,
         plans_steps: bool = False,
+        budget: MemoryBudget | None = None,
     ):
+        self._room = BatchRoom(budget or MemoryBudget.of_unknown_process())
         self._tracer = tracer
         self._load_following = LoadFollowing(loaded)
         self._repository = repository
@@ -267,9 +278,38 @@
         batch: Batch | None,
         submitted_at: float | None,
     ) -> None:
-        found = await self._loader.load(batch_id, batch)
-        if found is None:
-            return
+        with self._room.enter(batch_id) as place:
+            found = await self._load(batch_id, batch, place)
+            del batch
+            if found is not None:
+                await self._generate(batch_id, fence, found, submitted_at)
+
+    async def _load(
+        self, batch_id: BatchId, batch: Batch | None, place: BatchPlace
+    ) -> LoadedBatch | None:
+        """Return a batch for which there is room, None if it is not stored."""
+        needed_bytes = LOADING_BYTES
+        if batch is not None:
+            needed_bytes = batch_bytes(batch)
+            if not place.try_hold(needed_bytes):
+                batch = None  # it is read again once there is room
+        while True:
+            await place.hold(needed_bytes)
+            found = await self._loader.load(batch_id, batch)
+            if found is None:
+                return None
+            needed_bytes = batch_bytes(found.batch)
+            if place.try_hold(needed_bytes):
+                return found
+            del found
+
+    async def _generate(
+        self,
+        batch_id: BatchId,
+        fence: RowVersion,
+        found: LoadedBatch,
+        submitted_at: float | None,
+    ) -> None:
         batch, listed, progress = found.batch, found.listed, found.progress
         route = await self._loader.route_of(batch)
         retention_s = self._loader.retention_s(route)
--- a/src/bankrudder/decoding.py
+++ b/src/bankrudder/decoding.py
@@ -38,7 +38,7 @@
         super().__init__(self.reason)
 
 
-def decode_json(data: bytes, kind: type[_T]) -> _T:
+def decode_json(data: bytes | msgspec.Raw, kind: type[_T]) -> _T:
     """Decode a JSON document of the given type.
 
     Raises
--- a/src/bankrudder/platform/_batch_documents.py
+++ b/src/bankrudder/platform/_batch_documents.py
@@ -44,6 +44,10 @@
 """Largest estimate of output tokens that is believed: it exceeds the memory of engines
 many times."""
 
+TEXT_BYTES = 64
+OBJECT_BYTES = 256
+"""Memory that a decoded text takes besides its characters, and a decoded object."""
+
 _NAME = rf"^[!-~]{{1,{MAX_NAME_BYTES}}}\Z"
 _HEADER_NAME = r"^[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z"
 _HEADER_VALUE = r"^[^\x00-\x08\x0a-\x1f\x7f]*\Z"
@@ -90,7 +94,7 @@
 
 
 class _WireBatch(msgspec.Struct):
-    items: list[_WireSample]
+    items: list[msgspec.Raw]
     step: NonNegativeInt = 0
     model: str = ""
     min_version: NonNegativeInt = 0
@@ -129,14 +133,17 @@
         raise MalformedBatchError(names.REQUEST_ID)
     try:
         wire = decode_json(body, _WireBatch)
-        samples = tuple(_sample(each) for each in wire.items)
+        # One by one, as samples in the wire's form take many times their size.
+        samples = tuple(
+            _decode_sample(number, item) for number, item in enumerate(wire.items)
+        )
     except (UnreadableDocumentError, ValueError) as error:
         raise MalformedBatchError(str(error)) from None
     if not samples:
         raise MalformedBatchError("items")
     if len({each.id for each in samples}) != len(samples):
         raise MalformedBatchError("items: an id stands twice")
-    model = wire.model or _model_of(wire)
+    model = wire.model or dict(samples[0].headers).get(names.MODEL, "")
     if len(model.encode()) > MAX_NAME_BYTES:
         raise MalformedBatchError("model")
     return Batch(
@@ -168,8 +175,22 @@
     )
 
 
-def _model_of(wire: _WireBatch) -> str:
-    return wire.items[0].headers.get(names.MODEL, "") if wire.items else ""
+def decoding_bytes(body: bytes) -> int:
+    """Return about how much memory it takes to decode and store a batch.
+
+    It is estimated without decoding, from the number of texts and objects. The content
+    is counted twice, once decoded and once as it is stored.
+    """
+    text_count = body.count(b'"') // 2
+    object_count = body.count(b"{")
+    return 2 * len(body) + TEXT_BYTES * text_count + OBJECT_BYTES * object_count
+
+
+def _decode_sample(number: int, item: msgspec.Raw) -> Sample:
+    try:
+        return _sample(decode_json(item, _WireSample))
+    except UnreadableDocumentError as error:
+        raise UnreadableDocumentError(f"items[{number}]: {error.reason}") from None
 
 
 def _sample(wire: _WireSample) -> Sample:
--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -18,6 +18,7 @@
 from bankrudder.platform._batch_documents import (
     MalformedBatchError,
     decode_batch,
+    decoding_bytes,
     encode_page,
 )
 from bankrudder.platform._limits import (
@@ -203,6 +204,8 @@
         del body  # a batch is decoded without another reference to its request
         match route:
             case Route(kind=RouteKind.ROLLOUT):
+                if not holding.grow(decoding_bytes(incoming.body)):
+                    return self._no_memory_for_request(request)
                 return await self._accept_batch(incoming, route)
             case Route(kind=RouteKind.STREAM):
                 return await self._stream(request, incoming, route)
@@ -264,6 +267,7 @@
     async def _accept_batch(
         self, incoming: IncomingRequest, route: Route
     ) -> web.Response:
+        """Accept a batch, for whose decoding there is room."""
         try:
             batch = decode_batch(
                 incoming.request_id,
--- a/src/bankrudder/platform/_store.py
+++ b/src/bankrudder/platform/_store.py
@@ -16,6 +16,7 @@
 
 from bankrudder.decoding import NonNegativeInt, UnreadableDocumentError, decode_json
 from bankrudder.platform import _names as names
+from bankrudder.platform._body_slices import outgoing_body
 from bankrudder.platform._bounded_answers import read_body
 from bankrudder.platform._bounded_connections import BoundedConnector
 from bankrudder.platform._single_sends import ConnectionLostError, send_once
@@ -74,6 +75,11 @@
 """Maximum size of a reply: four times the largest object, and thirty times the largest
 page of rows. Only changes have no stated limit."""
 
+LARGE_REPLY_BYTES = 256 << 10
+MAX_LARGE_REPLIES = 2
+"""Size from which a reply is large, and largest number of large replies that are read
+at the same time. Decoding a page of rows takes several times its size."""
+
 REPEATABLE_METHODS = frozenset({"GET", "PUT", "DELETE"})
 """Methods of the calls that have the same effect if they are repeated."""
 
@@ -142,6 +148,7 @@
     def __init__(self, address: Address):
         self._base = f"http://{address}"
         self._session: aiohttp.ClientSession | None = None
+        self._large_replies = asyncio.Semaphore(MAX_LARGE_REPLIES)
 
     @classmethod
     def from_config(cls, address: Address) -> Self:
@@ -308,11 +315,15 @@
             method,
             self._base + path,
             params=query,
-            data=body,
+            data=outgoing_body(body or b""),
             headers=headers,
             timeout=timeout,
         ) as response:
-            return response.status, await read_body(response, MAX_REPLY_BYTES)
+            if (response.content_length or 0) <= LARGE_REPLY_BYTES:
+                return response.status, await read_body(response, MAX_REPLY_BYTES)
+            # The caller decodes the reply before another task runs.
+            async with self._large_replies:
+                return response.status, await read_body(response, MAX_REPLY_BYTES)
 
     def _open_session(self) -> aiohttp.ClientSession:
         # The session is created here because it needs the running event loop.
--- a/tests/crowds/test_submissions.py
+++ b/tests/crowds/test_submissions.py
@@ -4,10 +4,11 @@
 it is decoded.
 """
 
+import asyncio
 import json
 
 from outside.crowds import sized_body
-from outside.site import batch
+from outside.site import batch, until
 
 
 def submission_of(batch_id, size_bytes):
@@ -19,6 +20,39 @@
     return sized_body(batch_id, body, "/rollout/all")
 
 
+async def test_many_submissions_at_once(
+    start_site, gather_crowd, measure, settings, check_survival
+):
+    site, host = await start_site(settings)
+    meter = measure(host)
+    crowd = gather_crowd(host.address)
+    await crowd.send([submission_of(f"b{number}", 1 << 20) for number in range(40)])
+    statuses = {each.split(b" ", 2)[1] for each in await crowd.receive() if each}
+    assert statuses <= {b"202", b"429", b"503", b"502"}
+    await check_survival(site, host, meter)
+
+
+async def test_a_submission_alone_is_accepted(
+    start_site, measure, settings, check_survival
+):
+    site, host = await start_site(settings)
+    meter = measure(host)
+    document = batch("whole")
+    document["items"][0]["body"] = "A" * (8 << 20)
+    body = json.dumps(document).encode()
+    status, _, _ = await site.call(
+        host, "POST", "/rollout/all", body=body, headers={"X-Request-Id": "whole"}
+    )
+    assert status == 202
+
+    async def is_listed():
+        status, page = await site.read(host, "whole")
+        return status == 200 and bool(page["results"])
+
+    await until(is_listed)
+    await check_survival(site, host, meter)
+
+
 async def test_one_batch_of_many_samples(
     start_site, gather_crowd, measure, settings, check_survival
 ):
@@ -29,3 +63,17 @@
     [answer] = await crowd.receive()
     assert answer.split(b" ", 2)[1] == b"202"
     await check_survival(site, host, meter)
+
+
+async def test_many_reads_of_results(
+    start_site, gather_crowd, measure, settings, check_survival
+):
+    site, host = await start_site(settings, events=200)
+    assert await site.submit(host, "b", samples=64, target_groups=16) == 202
+    await site.read_all("b", 64)
+    meter = measure(host)
+    crowd = gather_crowd(host.address)
+    request = f"GET /bankrudder/lots/b?after=0 HTTP/1.1\r\nHost: {host.address}\r\n\r\n"
+    await crowd.send([request.encode()] * 200)
+    await asyncio.sleep(0.5)
+    await check_survival(site, host, meter)
