gRPC: messages are received a few at a time

What callers saw: large messages from many clients ended the process; no token was needed for it. Clients that connected and sent nothing kept their descriptors for two minutes.

Cause: the library receives the message of a unary request before it calls anything of ours, for all requests at once, and widens the windows of connections to megabytes. The limits on requests count what has arrived.

Fix: requests are taken as streams of one message, which is the same on the wire, so that the method is called first; two messages at a time are received, within 3 s. The windows of connections stay at 64 KiB. A connection has to begin within 3 s. The memory for two messages of the largest size, and the library's, are taken off the other limits.

--- a/src/bankrudder/memory/_process_limits.py
+++ b/src/bankrudder/memory/_process_limits.py
@@ -17,6 +17,10 @@
 PROCESS_MB = 80.0
 """Memory that the process takes without callers, in megabytes."""
 
+RPC_MB = 84.0
+"""Memory of the gRPC interface, in megabytes: its library, and the messages that are
+received at the same time."""
+
 CONNECTIONS_SHARE = 0.25
 """Share of the remaining memory that connections of callers may use."""
 
@@ -53,11 +57,20 @@
     data_bytes: int
 
     @classmethod
-    def from_config(cls, memory_mb: float | None, max_descriptors: int) -> Self:
-        """Divide the memory, in megabytes, and the descriptors of a process."""
+    def from_config(
+        cls, memory_mb: float | None, max_descriptors: int, *, has_rpc: bool = False
+    ) -> Self:
+        """Divide the memory, in megabytes, and the descriptors of a process.
+
+        Parameters
+        ----------
+        has_rpc : bool
+            Whether the process serves the gRPC interface.
+        """
         if memory_mb is None:
             memory_mb = ASSUMED_MEMORY_MB
-        free_mb = max(memory_mb - PROCESS_MB, 0.0)
+        process_mb = PROCESS_MB + (RPC_MB if has_rpc else 0.0)
+        free_mb = max(memory_mb - process_mb, 0.0)
         connections_bytes = CONNECTIONS_SHARE * free_mb * BYTES_PER_MB
         data_mb = max((1 - CONNECTIONS_SHARE) * free_mb, MIN_DATA_MB)
         free_descriptors = max(max_descriptors - OWN_DESCRIPTORS, 2 * MIN_CONNECTIONS)
--- a/src/bankrudder/platform/_adapter.py
+++ b/src/bankrudder/platform/_adapter.py
@@ -52,7 +52,9 @@
 
     def __init__(self, settings: NodeSettings, clock: Clock | None = None):
         self._limits = ProcessLimits.from_config(
-            settings.memory_mb, _max_descriptors(settings)
+            settings.memory_mb,
+            _max_descriptors(settings),
+            has_rpc=settings.rpc is not None,
         )
         self._budget = MemoryBudget.from_config(self._limits, clock or SystemClock())
         self._store = PlatformStore.from_config(settings.store.address)
--- a/src/bankrudder/rpc/_interceptor.py
+++ b/src/bankrudder/rpc/_interceptor.py
@@ -13,6 +13,7 @@
 from bankrudder.exceptions import BankrudderError, InvalidError
 from bankrudder.failures import Failure, FailureKind, FailureReason
 from bankrudder.rpc._failures import abort_with
+from bankrudder.rpc._receiving import MessageReceiver
 from bankrudder.rpc._types import MethodHandler, ServicerContext
 from bankrudder.wire import MAX_REQUEST_BYTES
 
@@ -36,6 +37,9 @@
     run. Cancellations pass through.
     """
 
+    def __init__(self) -> None:
+        self._receiver = MessageReceiver()
+
     async def intercept_service(
         self,
         continuation: Continuation,
@@ -48,13 +52,13 @@
             return _unknown_method_handler(method)
         deserialize = _tolerant_deserializer(handler.request_deserializer)
         if handler.response_streaming:
-            return grpc.unary_stream_rpc_method_handler(
-                _stream_with_failures(method, handler.unary_stream),
+            return grpc.stream_stream_rpc_method_handler(
+                _stream_with_failures(method, handler.unary_stream, self._receiver),
                 deserialize,
                 handler.response_serializer,
             )
-        return grpc.unary_unary_rpc_method_handler(
-            _unary_with_failures(method, handler.unary_unary),
+        return grpc.stream_unary_rpc_method_handler(
+            _unary_with_failures(method, handler.unary_unary, self._receiver),
             deserialize,
             handler.response_serializer,
         )
@@ -81,10 +85,11 @@
 
 
 def _unary_with_failures(
-    method: str, handle: Callable[..., Awaitable[Any]]
+    method: str, handle: Callable[..., Awaitable[Any]], receiver: MessageReceiver
 ) -> Callable[..., Any]:
-    async def guarded(request: Any, context: ServicerContext) -> Any:
+    async def guarded(messages: AsyncIterator[Any], context: ServicerContext) -> Any:
         try:
+            request = await receiver.receive(messages)
             _check_decoded(method, request)
             return await handle(request, context)
         except grpc.aio.AbortError:
@@ -96,10 +101,13 @@
 
 
 def _stream_with_failures(
-    method: str, handle: Callable[..., Any]
+    method: str, handle: Callable[..., Any], receiver: MessageReceiver
 ) -> Callable[..., AsyncIterator[Any]]:
-    async def guarded(request: Any, context: ServicerContext) -> AsyncIterator[Any]:
+    async def guarded(
+        messages: AsyncIterator[Any], context: ServicerContext
+    ) -> AsyncIterator[Any]:
         try:
+            request = await receiver.receive(messages)
             _check_decoded(method, request)
             async with aclosing(handle(request, context)) as events:
                 async for event in events:
@@ -114,7 +122,7 @@
 
 def _check_decoded(method: str, request: object) -> None:
     match request:
-        case UndecodableRequest():
+        case None | UndecodableRequest():
             reason = FailureReason.BAD_REQUEST
             detail = f"the request of {method} cannot be decoded"
         case OversizedRequest():
--- a/src/bankrudder/rpc/_server.py
+++ b/src/bankrudder/rpc/_server.py
@@ -9,6 +9,15 @@
 from bankrudder.wire import MAX_RECEIVED_BYTES
 from bankrudder.world import Address
 
+MAX_STREAMS = 1024
+"""Largest number of requests in progress on a connection."""
+
+HANDSHAKE_TIMEOUT_MS = 3000
+"""Time within which a client has to begin after it has connected."""
+
+WINDOW_BYTES = 64 << 10
+"""Bytes that a connection may receive before a message is read."""
+
 _OPTIONS = (
     ("grpc.max_receive_message_length", MAX_RECEIVED_BYTES),
     # Without this option, a second process could listen on the same address.
@@ -17,6 +26,11 @@
     # The clients send keepalive pings every 10 s. By default, gRPC closes a connection
     # whose pings come more often than every 5 minutes while no data is sent.
     ("grpc.http2.min_recv_ping_interval_without_data_ms", 5000),
+    ("grpc.max_concurrent_streams", MAX_STREAMS),
+    ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
+    # With the probe, windows grow to megabytes for each connection.
+    ("grpc.http2.bdp_probe", 0),
+    ("grpc.http2.lookahead_bytes", WINDOW_BYTES),
 )
 
 
--- a/tests/outside/crowds.py
+++ b/tests/outside/crowds.py
@@ -5,6 +5,8 @@
 import socket
 from pathlib import Path
 
+import aiohttp
+
 from outside.site import HOST_NAME, until
 
 SMALLEST_MB = 128
@@ -163,7 +165,7 @@
             status, _, _ = await site.call(
                 host, "POST", "/score/good", body=b"good", headers=headers
             )
-        except (OSError, TimeoutError):
+        except (aiohttp.ClientError, OSError, TimeoutError):
             return False
         return status == 200
 
