Endpoints: a largest number of connections, and small buffers on them

What callers could bring about: requests in progress at slow endpoints, and their repeats, open connections to endpoints without a limit, until neither the store nor callers find a descriptor. An endpoint was then taken for unreachable, although this host had no descriptor for it. What an endpoint sends while its answer is not read was held in buffers of the kernel without a fixed size, and of 128 KiB and more in the process.

Cause: the connector's limit was off, and the kernel's error of a full table of descriptors was not told from those of the network.

Evidence: read in the code, shown by tests/platform/test_endpoint_sockets.py, which has no counterpart before; the share of descriptors for endpoints in the account had nothing that kept it.

A request without one has not run: it is tried again or rejected as endpoints that are full are, and no endpoint is suspended.

--- a/src/bankrudder/memory/_process_limits.py
+++ b/src/bankrudder/memory/_process_limits.py
@@ -24,9 +24,10 @@
 CONNECTIONS_SHARE = 0.25
 """Share of the remaining memory that connections of callers may use."""
 
-CONNECTION_BYTES = 144 << 10
+CONNECTION_BYTES = 224 << 10
 """Memory that one connection may take besides counted data: objects, a head, unread
-bytes in the process and in the kernel, and the first bytes of a body."""
+bytes in the process and in the kernel, the first bytes of a body, and what waits on the
+connection to an endpoint."""
 
 MIN_CONNECTIONS = 32
 MIN_DATA_MB = 8.0
--- a/src/bankrudder/platform/_adapter.py
+++ b/src/bankrudder/platform/_adapter.py
@@ -58,7 +58,9 @@
         )
         self._budget = MemoryBudget.from_config(self._limits, clock or SystemClock())
         self._store = PlatformStore.from_config(settings.store.address)
-        self._endpoints = HttpEndpointClient(self._budget)
+        self._endpoints = HttpEndpointClient(
+            self._budget, self._limits.endpoint_connections
+        )
         self._documents = PlatformDocuments()
         duties = settings.duties
         self._duties = HttpDutyApi(duties.address) if duties is not None else None
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -1,6 +1,7 @@
 """HTTP client for requests and orders to endpoints."""
 
 import asyncio
+import errno
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -43,7 +44,7 @@
 )
 from bankrudder.platform._body_slices import outgoing_body
 from bankrudder.platform._bounded_answers import AnswerTooLongError, read_body
-from bankrudder.platform._endpoint_sessions import EndpointSessions
+from bankrudder.platform._endpoint_sessions import MAX_CONNECTIONS, EndpointSessions
 from bankrudder.routing import ModelName
 from bankrudder.world import ModelVersion, host_and_port
 
@@ -105,11 +106,17 @@
     budget : MemoryBudget, optional
         Memory for the bodies of answers; by default that of a process whose memory is
         not known.
+    max_connections : int
+        Largest number of connections to all endpoints together.
     """
 
-    def __init__(self, budget: MemoryBudget | None = None) -> None:
+    def __init__(
+        self,
+        budget: MemoryBudget | None = None,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
         self._budget = budget or MemoryBudget.of_unknown_process()
-        self._sessions = EndpointSessions()
+        self._sessions = EndpointSessions(max_connections)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -281,10 +288,13 @@
 
 def _connect_refusal(error: aiohttp.ClientError) -> RefusalReason:
     """Return the reason why a connection attempt failed."""
-    if isinstance(error, aiohttp.ClientConnectorError) and isinstance(
-        error.os_error, ConnectionRefusedError
-    ):
+    if not isinstance(error, aiohttp.ClientConnectorError):
+        return RefusalReason.UNREACHABLE
+    if isinstance(error.os_error, ConnectionRefusedError):
         return RefusalReason.NOT_LISTENING
+    if error.os_error.errno in (errno.EMFILE, errno.ENFILE):
+        # This host has no descriptor left, which says nothing of the endpoint.
+        return RefusalReason.FULL
     return RefusalReason.UNREACHABLE
 
 
--- a/src/bankrudder/platform/_endpoint_sessions.py
+++ b/src/bankrudder/platform/_endpoint_sessions.py
@@ -18,6 +18,7 @@
 from bankrudder.decoding import decode_decimal
 from bankrudder.fleet import Endpoint, EndpointRun, OutgoingRequest
 from bankrudder.platform._bounded_connections import BoundedConnector
+from bankrudder.platform._endpoint_sockets import EndpointSockets
 from bankrudder.platform._sent_requests import SentRequests
 from bankrudder.platform._single_sends import send_once
 from bankrudder.routing import ServiceName
@@ -38,6 +39,13 @@
 NO_IDLE_S = 0.0
 """Idle timeout of connections that are closed after each request."""
 
+MAX_CONNECTIONS = 2048
+"""Largest number of connections to endpoints if no other is given."""
+
+BUFFER_BYTES = 8 << 10
+"""Size from which the reading of an answer pauses, once it is exceeded twice, until it
+is taken."""
+
 _log = structlog.get_logger("endpoints")
 
 
@@ -63,9 +71,16 @@
 
 
 class EndpointSessions:
-    """Sessions for requests to endpoints, created on first use."""
+    """Sessions for requests to endpoints, created on first use.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    max_connections : int
+        Largest number of connections to all endpoints together.
+    """
+
+    def __init__(self, max_connections: int = MAX_CONNECTIONS) -> None:
+        self._sockets = EndpointSockets(max_connections)
         self._sessions: dict[_SessionKey, aiohttp.ClientSession] = {}
         self._connectors: dict[_SessionKey, _Connector] = {}
         self._restarted_runs: dict[Address, EndpointRun] = {}
@@ -103,7 +118,11 @@
         is_persistent = idle_s > NO_IDLE_S
         session_key = _SessionKey(service, is_persistent, self._restarted_run(endpoint))
         if session_key not in self._sessions:
-            connector = _Connector(limit=0, force_close=not is_persistent)
+            connector = _Connector(
+                limit=0,
+                force_close=not is_persistent,
+                socket_factory=self._sockets.create,
+            )
             self._connectors[session_key] = connector
             self._sessions[session_key] = _new_session(connector)
         if is_persistent:
@@ -180,4 +199,5 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         middlewares=(send_once,),
+        read_bufsize=BUFFER_BYTES,
     )
--- /dev/null
+++ b/tests/platform/test_endpoint_sockets.py
@@ -0,0 +1,58 @@
+"""Only so many sockets to endpoints are open at the same time."""
+
+import asyncio
+import errno
+import socket
+
+import pytest
+from aiohttp import web
+
+from bankrudder.fleet import Answered, Endpoint, OutgoingRequest, RefusalReason, Refused
+from bankrudder.platform._endpoint_client import HttpEndpointClient
+from bankrudder.platform._endpoint_sockets import EndpointSockets
+
+ADDRESS = (socket.AF_INET, socket.SOCK_STREAM, 0, "", ("127.0.0.1", 1))
+
+
+def test_a_closed_socket_leaves_its_place():
+    sockets = EndpointSockets(2)
+    first, second = sockets.create(ADDRESS), sockets.create(ADDRESS)
+    with pytest.raises(OSError) as caught:
+        sockets.create(ADDRESS)
+    assert caught.value.errno == errno.EMFILE
+    assert sockets.open_count == 2
+    first.close()
+    sockets.create(ADDRESS).close()
+    second.close()
+    assert sockets.open_count == 0
+
+
+async def test_a_request_without_a_connection_has_not_run_and_blames_no_endpoint():
+    may_answer, has_begun = asyncio.Event(), asyncio.Event()
+    runs = []
+
+    async def answer(request):
+        runs.append(request.headers["X-Request-Id"])
+        has_begun.set()
+        await may_answer.wait()
+        return web.Response(headers={"X-Request-Id": runs[0], "Connection": "close"})
+
+    runner = web.ServerRunner(web.Server(answer))
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    endpoint = Endpoint("e", "s", f"{host}:{port}", "north", 8)
+    client = HttpEndpointClient(max_connections=1)
+
+    def send(name):
+        request = OutgoingRequest(name, "POST", "/", "host", (), b"x", 5.0)
+        return asyncio.ensure_future(client.send(endpoint, request))
+
+    first = send("r1")
+    await has_begun.wait()
+    assert await send("r2") == Refused(RefusalReason.FULL)
+    may_answer.set()
+    assert isinstance(await first, Answered)
+    assert runs == ["r1"]
+    await client.close()
+    await runner.cleanup()
