Listeners: either version of IP; batches that wait are not kept in memory

- the new listeners bound IPv4 sockets only, where addresses of IPv6 are allowed (tests/serving/test_server.py failed on [::1] before);
- a batch that waits for room was still referenced by the task that waits, although it is read again from the store;
- an answer to a HEAD request would have been written with its body if it was large: such a response is left to the HTTP library, as before.

--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -279,8 +279,9 @@
         submitted_at: float | None,
     ) -> None:
         with self._room.enter(batch_id) as place:
-            found = await self._load(batch_id, batch, place)
-            del batch
+            loading = self._load(batch_id, batch, place)
+            del batch  # it is not kept while it waits for room
+            found = await loading
             if found is not None:
                 await self._generate(batch_id, fence, found, submitted_at)
 
--- a/src/bankrudder/platform/_transfers.py
+++ b/src/bankrudder/platform/_transfers.py
@@ -151,6 +151,8 @@
     body = response.body
     if not isinstance(body, bytes) or len(body) <= budget.uncounted_bytes:
         return response
+    if request.method == "HEAD":
+        return response  # its body is not sent
     sent_bytes = 0
     holding = budget.hold(
         TransferKind.ANSWER,
--- a/src/bankrudder/serving/_server.py
+++ b/src/bankrudder/serving/_server.py
@@ -339,7 +339,8 @@
 
 def _listening_socket(address: Address) -> socket.socket:
     """Return a bound socket whose connections have small receive buffers."""
-    listening = socket.socket()
+    host, port = host_and_port(address)
+    listening = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
     try:
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # Some networks have buffers of a fixed size.
@@ -347,7 +348,7 @@
             listening.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER_BYTES
             )
-        listening.bind(host_and_port(address))
+        listening.bind((host, port))
     except OSError:
         listening.close()
         raise
--- a/tests/serving/test_server.py
+++ b/tests/serving/test_server.py
@@ -8,8 +8,8 @@
 import pytest
 from aiohttp import web
 
-from bankrudder.serving import BoundedServer, ConnectionTable
-from bankrudder.world import SystemClock
+from bankrudder.serving import BoundedListener, BoundedServer, ConnectionTable
+from bankrudder.world import Address, SystemClock, host_and_port
 
 BLOCK_BYTES = 1 << 16
 READ_BYTES = 16 << 20
@@ -126,3 +126,34 @@
         writer.write(GET)
         await reader.readuntil(b"\r\n\r\n")
     writer.close()
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:0", "[::1]:0"])
+async def test_a_listener_answers_on_either_version_of_ip(address):
+    async def answer(_):
+        return web.Response(text="ok")
+
+    listener = BoundedListener(
+        Address(address), answer, ConnectionTable(4, SystemClock())
+    )
+    await listener.start()
+    host, port = host_and_port(listener.address)
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(GET)
+    assert await reader.readline() == b"HTTP/1.1 200 OK\r\n"
+    writer.close()
+    await listener.stop()
+
+
+async def test_an_address_that_is_in_use_is_an_error():
+    async def answer(_):
+        return web.Response()
+
+    def listener(address):
+        return BoundedListener(address, answer, ConnectionTable(4, SystemClock()))
+
+    first = listener(Address("127.0.0.1:0"))
+    await first.start()
+    with pytest.raises(OSError):
+        await listener(first.address).start()
+    await first.stop()
