Callers: a request is routed anew once its body has arrived

Found while reading the changes again: the route was chosen before the body is read, so a request whose body takes seconds could be sent by a configuration that is no longer in force. The checks before the body stay; the route that counts is looked up after it, as before.

--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -73,6 +73,13 @@
 _log = structlog.get_logger("front")
 
 
+class _PreparedRequest(msgspec.Struct, frozen=True):
+    """A request that was admitted by its head, without its body."""
+
+    incoming: IncomingRequest
+    max_body_bytes: int
+
+
 class CallerListener(BoundedListener):
     """Serves the HTTP requests of callers and trainers.
 
@@ -178,15 +185,44 @@
             return await self._batch_call(request, path)
         if path.startswith(names.SAMPLE_PATH_PREFIX):
             return await self._sample_body(request, path)
+        prepared = await self._prepare(request, received_at)
+        if isinstance(prepared, web.Response):
+            return prepared
+        incoming = prepared.incoming
+        body = await self._read_body(
+            request, holding, incoming, prepared.max_body_bytes
+        )
+        if isinstance(body, web.Response):
+            return body
+        incoming = msgspec.structs.replace(incoming, body=body)
+        del body  # a batch is decoded without another reference to its request
+        # The configuration may have changed while the body arrived.
+        route = self._gateway.route(incoming.host, incoming.path)
+        match route:
+            case NotRun() | NotFound():
+                return response_to(route)
+            case Route(kind=RouteKind.ROLLOUT):
+                if not holding.grow(decoding_bytes(incoming.body)):
+                    return self._no_memory_for_request(request)
+                return await self._accept_batch(incoming, route)
+            case Route(kind=RouteKind.STREAM):
+                return await self._stream(request, incoming, route)
+            case _:
+                return response_to(await self._gateway.forward(incoming, route))
+
+    async def _prepare(
+        self, request: web.BaseRequest, received_at: float
+    ) -> _PreparedRequest | web.Response:
+        """Return a request whose body may be read, or the response that refuses it."""
         incoming = incoming_request(request, received_at)
         if isinstance(incoming, Malformed):
             return response_to(incoming)
         route = self._gateway.route(incoming.host, incoming.path)
         if not isinstance(route, Route):
             return response_to(route)
-        limits = self._gateway.caller_limits
         max_body_bytes = MAX_BODY_BYTES
         if route.kind is not RouteKind.ROLLOUT:
+            limits = self._gateway.caller_limits
             max_body_bytes = min(limits.max_body_bytes, MAX_BODY_BYTES)
             if is_head_too_large(request, limits):
                 return web.Response(status=STATUS_HEADERS_TOO_LARGE)
@@ -197,20 +233,7 @@
             return response_to(admitted)
         if self._gateway.has_workspaces or admitted.workspace:
             incoming = with_workspace(incoming, admitted)
-        body = await self._read_body(request, holding, incoming, max_body_bytes)
-        if isinstance(body, web.Response):
-            return body
-        incoming = msgspec.structs.replace(incoming, body=body)
-        del body  # a batch is decoded without another reference to its request
-        match route:
-            case Route(kind=RouteKind.ROLLOUT):
-                if not holding.grow(decoding_bytes(incoming.body)):
-                    return self._no_memory_for_request(request)
-                return await self._accept_batch(incoming, route)
-            case Route(kind=RouteKind.STREAM):
-                return await self._stream(request, incoming, route)
-            case _:
-                return response_to(await self._gateway.forward(incoming, route))
+        return _PreparedRequest(incoming, max_body_bytes)
 
     async def _read_body(
         self,
