Reads of results wait for 5 s at most

Cause: X-Max-Wait was taken as it came.

Evidence: tests/crowds/test_connections.py:: test_readers_that_wait_for_very_long failed before ("not in time"), with 240 connections and 160 descriptors.

Fix: a read waits for 5 s at most and is then answered without results, as at the end of the wait that it asked for. Connections on which one waits are not closed for others, so this bounds how long they can all be taken.

--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -70,6 +70,10 @@
 LONG_POLL_MARGIN_S = 0.1
 """Time by which a long poll is answered before the caller's maximum wait ends."""
 
+MAX_LONG_POLL_S = 5.0
+"""Longest time for which a long poll waits, whatever the caller's maximum wait is. A
+connection on which one waits is not closed for others."""
+
 _log = structlog.get_logger("front")
 
 
@@ -316,7 +320,7 @@
         if after is None:
             return response_to(Malformed("after"))
         wait_ms = decode_decimal(request.headers.get(names.MAX_WAIT_MS, "0"))
-        wait_s = 0.0 if wait_ms is None else wait_ms / 1000
+        wait_s = 0.0 if wait_ms is None else min(wait_ms / 1000, MAX_LONG_POLL_S)
         page = await self._gateway.results(
             batch_id,
             after,
--- a/tests/crowds/test_connections.py
+++ b/tests/crowds/test_connections.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from node.test_memory import gauge
 from outside.crowds import is_served
 from outside.site import HOST_NAME, until
 
@@ -17,6 +18,9 @@
 CROWD_COUNT = 240
 """More connections than the process may have descriptors."""
 
+WAITING_COUNT = 16
+"""Requests that wait in the host before an ordinary one is sent."""
+
 LIMITS = {
     "max_header_bytes": 16384,
     "max_body_bytes": 1 << 20,
@@ -144,3 +148,24 @@
     assert await is_served(site, host)
     assert meter.descriptor_peak < MAX_DESCRIPTORS
     assert host.is_running
+
+
+async def test_readers_that_wait_for_very_long(small_site, gather_crowd, measure):
+    site, host = small_site
+    # No engine has these weights, so there are no results to wait for.
+    assert await site.submit(host, "b", min_version=99) == 202
+    meter = measure(host)
+    crowd = gather_crowd(host.address)
+    request = (
+        f"GET /bankrudder/lots/b?after=0 HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
+        "X-Max-Wait: 1000000000\r\n\r\n"
+    )
+    await crowd.send([request.encode()] * CROWD_COUNT)
+
+    async def are_waiting():
+        return await gauge(host, "bankrudder_requests_in_progress") >= WAITING_COUNT
+
+    await until(are_waiting)
+    assert await is_served(site, host)
+    assert host.is_running
+    assert meter.descriptor_peak < MAX_DESCRIPTORS
