--- a/src/bankrudder/memory/_budget.py
+++ b/src/bankrudder/memory/_budget.py
@@ -45,7 +45,7 @@
     """What is transferred."""
 
     REQUEST = "request"
-    """A request, of which nothing has run."""
+    """A request that is received or in progress, or a batch that is worked on."""
 
     ANSWER = "answer"
 
--- a/src/bankrudder/observe/_http.py
+++ b/src/bankrudder/observe/_http.py
@@ -35,6 +35,8 @@
     find_spans : callable, optional
         Returns the finished spans of a trace, request, batch or sample, as JSON. By
         default there are none.
+    clock : Clock, optional
+        Clock of the time limits on connections, by default that of the host.
     """
 
     def __init__(
--- a/src/bankrudder/serving/_server.py
+++ b/src/bankrudder/serving/_server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import socket
+import ssl
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Any, cast
@@ -85,7 +86,10 @@
 
 
 class _BufferedConnection(asyncio.BufferedProtocol):
-    """Passes on what a connection receives in parts of limited size."""
+    """A connection whose bytes are read in parts of limited size.
+
+    The HTTP library's protocol would be given all that the event loop reads at once.
+    """
 
     def __init__(
         self,
@@ -162,7 +166,10 @@
 
 
 class _BoundedRequestHandler(web.RequestHandler):
-    """Counts the bytes since the last head that are not of the body."""
+    """Limits the bytes that are not of a body, and tells what the connection waits for.
+
+    Framing is what was received since the last head and is not of the body.
+    """
 
     def __init__(self, *args: Any, **options: Any):
         super().__init__(*args, **options)
@@ -267,10 +274,18 @@
 
     Parameters
     ----------
+    table : ConnectionTable
+        The open connections, with their largest number.
     timeouts : callable
         Returns the time limits that apply now.
-    options : dict
-        Options of the HTTP library.
+    backlog : int
+        Largest number of connections that the kernel keeps until they are accepted.
+    shutdown_timeout_s : float
+        Time that responses in progress get when the listener stops.
+    ssl_context : ssl.SSLContext, optional
+        Without it, the listener uses plain HTTP.
+    **options
+        Options of the HTTP library's server.
     """
 
     def __init__(
@@ -282,7 +297,7 @@
         *,
         backlog: int = 128,
         shutdown_timeout_s: float = 0.5,
-        ssl_context: Any = None,
+        ssl_context: ssl.SSLContext | None = None,
         **options: Any,
     ):
         self._address = address
