Batches: the estimate of decoding covers many short texts

Found by a test of the estimate: a batch with many short headers took 3% more memory to decode and store than was estimated, 7.2 of 6.97 MB for 1,000 samples with 40 headers each. A text is now counted with 80 bytes instead of 64 besides its characters. tests/platform/test_batch_documents.py measures four shapes; tests/batches/test_run.py checks that only so many samples of a batch wait for slots at the same time.

--- a/src/bankrudder/platform/_batch_documents.py
+++ b/src/bankrudder/platform/_batch_documents.py
@@ -44,7 +44,7 @@
 """Largest estimate of output tokens that is believed: it exceeds the memory of engines
 many times."""
 
-TEXT_BYTES = 64
+TEXT_BYTES = 80
 OBJECT_BYTES = 256
 """Memory that a decoded text takes besides its characters, and a decoded object."""
 
--- a/tests/batches/test_run.py
+++ b/tests/batches/test_run.py
@@ -1,8 +1,11 @@
 """Results are listed in transactions that the store accepts; progress is saved."""
 
+import asyncio
+
 import pytest
 
 from bankrudder.batches._repository import MAX_TRANSACTION_BYTES
+from bankrudder.batches._room import MAX_WAITING_SAMPLES
 from bankrudder.batches._run import MIN_UNSAVED_EVENT_COUNT, BatchRun
 from bankrudder.batches._text import request_digest
 from bankrudder.batches._values import Progress
@@ -72,3 +75,27 @@
     next_event = StreamEvent(first + MIN_UNSAVED_EVENT_COUNT - 1, "y", None, b"")
     generator.text.add(next_event, 1)
     assert run._needs_saving(generator)
+
+
+async def test_only_so_many_samples_wait_at_the_same_time(make_run, monkeypatch):
+    run = make_run(samples=MAX_WAITING_SAMPLES + 2)
+    on_slot_calls = []
+
+    async def complete(_, on_slot):
+        on_slot_calls.append(on_slot)
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(run, "_complete_sample", complete)
+    starter = asyncio.ensure_future(run._start_samples())
+
+    async def started_count():
+        for _ in range(3):
+            await asyncio.sleep(0)
+        return len(on_slot_calls)
+
+    assert await started_count() == MAX_WAITING_SAMPLES
+    on_slot_calls[0]()
+    on_slot_calls[0]()  # it gets a slot again after it was moved
+    assert await started_count() == MAX_WAITING_SAMPLES + 1
+    for task in (starter, *run._samplers):
+        task.cancel()
--- a/tests/platform/test_batch_documents.py
+++ b/tests/platform/test_batch_documents.py
@@ -2,13 +2,18 @@
 
 import copy
 import json
+import tracemalloc
 
 import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bankrudder.platform._batch_documents import MalformedBatchError, decode_batch
+from bankrudder.platform._batch_documents import (
+    MalformedBatchError,
+    decode_batch,
+    decoding_bytes,
+)
 from bankrudder.routing import Route, RouteKind, ServiceName, WeightedService
 from outside.site import batch
 
@@ -137,3 +142,30 @@
         assert error.field
     else:
         assert msgspec.msgpack.encode(decoded)
+
+
+SHAPES = {
+    "small samples": lambda number: {"id": f"{number}", "path": "/"},
+    "usual samples": lambda number: batch("b1")["items"][0] | {"id": f"s{number}"},
+    "many headers": lambda number: {
+        "id": f"{number}",
+        "path": "/",
+        "headers": {f"x{each}": "a" for each in range(40)},
+    },
+    "long bodies": lambda number: {"id": f"{number}", "path": "/", "body": "A" * 4000},
+}
+
+
+@pytest.mark.parametrize("shape", SHAPES)
+def test_decoding_takes_no_more_memory_than_is_estimated(shape):
+    items = [SHAPES[shape](number) for number in range(1000)]
+    body = json.dumps({"items": items}).encode()
+    tracemalloc.start()
+    try:
+        decoded = decode(body)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert len(decoded.samples) == 1000
+    stored_bytes = len(msgspec.msgpack.encode(decoded))
+    assert peak_bytes + stored_bytes <= decoding_bytes(body)
