Listeners: requests sent in advance, and bytes that are none

What callers saw: with 300 requests sent in advance on each connection, all connections were in progress for good and no ordinary request was answered. Bytes that cannot be parsed, sent on after a request to upgrade, took 1.2 MB a connection.

Cause: a connection whose next request has arrived is never one that waits for its caller. The HTTP library keeps an error with a copy of the bytes for each part that cannot be parsed, until it has answered the first.

Fix: if each connection waits for an answer of this host when a new one comes, the oldest is closed after its answer. After the first bytes that cannot be parsed, all further ones are dropped.

--- a/src/bankrudder/serving/_connections.py
+++ b/src/bankrudder/serving/_connections.py
@@ -45,6 +45,10 @@
         """Close the connection at once."""
         ...
 
+    def close_after_answer(self) -> None:
+        """Close the connection once the request in progress is answered."""
+        ...
+
 
 class ConnectionTimeouts(msgspec.Struct, frozen=True):
     """Time limits on the connections of a listener, in seconds.
@@ -84,7 +88,9 @@
     def __init__(self, max_connections: int, clock: Clock):
         self._max_connections = max_connections
         self._clock = clock
-        self._connections: set[Connection] = set()
+        # In the order in which they were opened.
+        self._connections: dict[Connection, None] = {}
+        self._closing: set[Connection] = set()
         self._closed_count = 0
 
     def __len__(self) -> int:
@@ -109,7 +115,8 @@
         """Add a new connection.
 
         If there are too many, the one that has waited longest for its client is closed.
-        If each waits for an answer of this host, the new one is closed.
+        If each waits for an answer of this host, the new one is closed, and the oldest
+        is closed after its answer: its client may have sent many requests in advance.
         """
         if len(self._connections) >= self._max_connections:
             waiting = [
@@ -119,14 +126,16 @@
             ]
             oldest = min(waiting, key=lambda each: each.waiting_since, default=None)
             if oldest is None:
+                self._close_oldest_after_answer()
                 self._close(connection, "too many connections")
                 return
             self._close(oldest, "closed for a new connection")
-        self._connections.add(connection)
+        self._connections[connection] = None
 
     def discard(self, connection: Connection) -> None:
         """Remove a connection that was closed."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
+        self._closing.discard(connection)
 
     def close_expired(self, timeouts: ConnectionTimeouts) -> None:
         """Close the connections that exceed a time limit."""
@@ -140,7 +149,14 @@
             if limit_s is not None and now - connection.waiting_since >= limit_s:
                 yield connection
 
+    def _close_oldest_after_answer(self) -> None:
+        open_ones = (each for each in self._connections if each not in self._closing)
+        oldest = next(open_ones, None)
+        if oldest is not None:
+            self._closing.add(oldest)
+            oldest.close_after_answer()
+
     def _close(self, connection: Connection, reason: str) -> None:
-        self._connections.discard(connection)
+        self.discard(connection)
         self._closed_count += 1
         connection.abort(reason)
--- a/src/bankrudder/serving/_server.py
+++ b/src/bankrudder/serving/_server.py
@@ -130,6 +130,10 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def close_after_answer(self) -> None:
+        """Close the connection once the request in progress is answered."""
+        self._handler.close()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin a connection, unless there are too many."""
         self._transport = cast(asyncio.Transport, transport)
@@ -176,6 +180,7 @@
         self._received_bytes = 0
         self._body: StreamReader | None = None
         self._has_begun_head = False
+        self._is_malformed = False
         self._table: ConnectionTable | None = None
         self._progress_at = 0.0
 
@@ -200,6 +205,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and close the connection if they are too many."""
+        if self._is_malformed:
+            return
         waiting_count = len(self._messages)
         if not self._has_begun_head:
             self._note_progress()
@@ -209,8 +216,11 @@
         if len(self._messages) > waiting_count:
             # These bytes may contain parts of the requests before.
             self._received_bytes = 0
-            self._body = self._messages[-1][1]
+            message, self._body = self._messages[-1]
             self._has_begun_head = False
+            # The connection ends with the response to what cannot be parsed. Until
+            # then the HTTP library would keep an error for each further part.
+            self._is_malformed = hasattr(message, "exc")
         elif data and not is_of_body:
             self._has_begun_head = True
         # While reading is paused, received bytes wait to be parsed.
--- a/tests/crowds/test_connections.py
+++ b/tests/crowds/test_connections.py
@@ -11,7 +11,7 @@
 import pytest
 
 from node.test_memory import gauge
-from outside.crowds import is_served
+from outside.crowds import head, is_served
 from outside.site import HOST_NAME, until
 
 MAX_DESCRIPTORS = 160
@@ -21,6 +21,16 @@
 WAITING_COUNT = 16
 """Requests that wait in the host before an ordinary one is sent."""
 
+ADVANCE_COUNT = 300
+"""Requests that each caller sends before it reads an answer."""
+
+NOISE_MEMORY_MB = 170
+NOISE_COUNT = 200
+
+UPGRADE = (
+    b"GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
+)
+
 LIMITS = {
     "max_header_bytes": 16384,
     "max_body_bytes": 1 << 20,
@@ -169,3 +179,25 @@
     assert await is_served(site, host)
     assert host.is_running
     assert meter.descriptor_peak < MAX_DESCRIPTORS
+
+
+async def test_requests_sent_in_advance(small_site, gather_crowd, measure):
+    site, host = small_site
+    meter = measure(host)
+    crowd = gather_crowd(host.address)
+    requests = head("/score/1", "p", "Content-Length: 0") * ADVANCE_COUNT
+    await crowd.send([requests] * CROWD_COUNT)
+    assert await is_served(site, host)
+    assert host.is_running
+    assert meter.descriptor_peak < MAX_DESCRIPTORS
+
+
+@pytest.mark.parametrize("start", [b"", UPGRADE], ids=["at once", "after an upgrade"])
+async def test_bytes_that_are_no_requests(start_site, gather_crowd, measure, start):
+    site, host = await start_site({"memory_mb": NOISE_MEMORY_MB})
+    meter = measure(host)
+    crowd = gather_crowd(host.address)
+    await crowd.send([start + bytes(1 << 20)] * NOISE_COUNT)
+    assert await is_served(site, host)
+    assert host.is_running
+    assert meter.peak_bytes < NOISE_MEMORY_MB << 20
--- a/tests/serving/test_connections.py
+++ b/tests/serving/test_connections.py
@@ -12,10 +12,14 @@
         self.state = state
         self.waiting_since = clock.monotonic()
         self.reason = None
+        self.is_closing = False
 
     def abort(self, reason):
         self.reason = reason
 
+    def close_after_answer(self):
+        self.is_closing = True
+
 
 @pytest.fixture
 def table(manual_clock):
@@ -51,6 +55,16 @@
     assert len(table) == 2
 
 
+def test_requests_sent_in_advance_keep_no_connection_for_good(table, connect):
+    first, second = (connect(ConnectionState.BUSY) for _ in range(2))
+    connect()
+    assert (first.is_closing, second.is_closing) == (True, False)
+    connect()
+    assert (first.is_closing, second.is_closing) == (True, True)
+    table.discard(first)
+    assert connect().reason is None
+
+
 def test_a_closed_connection_leaves_its_place(table, connect):
     first, second = connect(), connect()
     table.discard(first)
