--- a/tests/crowds/test_bodies.py
+++ b/tests/crowds/test_bodies.py
@@ -6,16 +6,12 @@
 
 import pytest
 
-from outside.crowds import SMALLEST_MB, chunked_body, sized_body
+from outside.crowds import SMALLEST_MB, chunked_body, sized_body, without_last_byte
 
 LARGEST_BODY_BYTES = 32 << 20
 """Largest body that callers may send by default."""
 
 
-def without_last_byte(requests):
-    return [each[:-1] for each in requests]
-
-
 @pytest.mark.parametrize("chunk_bytes", [None, 1000])
 async def test_bodies_that_stop_before_their_end(
     start_site, gather_crowd, measure, settings, check_survival, chunk_bytes
--- a/tests/outside/crowds.py
+++ b/tests/outside/crowds.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 from pathlib import Path
 
@@ -12,6 +13,9 @@
 SMALLEST_MB = 128
 """Memory of the smallest hosts that are in use."""
 
+PROCESS_MB = 72
+"""Memory that a process takes without callers, by the account of its memory."""
+
 MODES = {"plain": {}, "overload": {"overload": {}}}
 """Settings of deployments without and with decisions for scarce capacity."""
 
@@ -47,6 +51,11 @@
     return b"".join(parts) + b"0\r\n\r\n"
 
 
+def without_last_byte(requests):
+    """Return requests that stop just before their end."""
+    return [each[:-1] for each in requests]
+
+
 class Crowd:
     """Connections to one address that stay open until the crowd leaves."""
 
@@ -112,10 +121,13 @@
 
     @property
     def peak_bytes(self):
-        """Largest resident memory, and most that the kernel held unread for it."""
-        status = Path(f"/proc/{self._host.pid}/status").read_text()
-        [line] = [each for each in status.splitlines() if each.startswith("VmHWM:")]
-        return int(line.split()[1]) * 1024 + self._kernel_peak_bytes
+        """Largest resident memory, and most that the kernel held for its sockets."""
+        return self._memory_bytes("VmHWM:") + self._kernel_peak_bytes
+
+    @property
+    def resident_bytes(self):
+        """Memory that is resident at present."""
+        return self._memory_bytes("VmRSS:")
 
     @property
     def descriptor_peak(self):
@@ -126,33 +138,41 @@
         """Stop measuring."""
         self._task.cancel()
 
+    def _memory_bytes(self, field):
+        status = Path(f"/proc/{self._host.pid}/status").read_text()
+        [line] = [each for each in status.splitlines() if each.startswith(field)]
+        return int(line.split()[1]) * 1024
+
     async def _watch(self):
         while self._host.is_running:
-            unread = _unread_bytes(self._host.address.rpartition(":")[2])
-            self._kernel_peak_bytes = max(self._kernel_peak_bytes, unread)
-            count = _descriptor_count(self._host.pid)
-            self._descriptor_peak = max(self._descriptor_peak, count)
+            targets = _descriptor_targets(self._host.pid)
+            self._descriptor_peak = max(self._descriptor_peak, len(targets))
+            queued_bytes = _queued_bytes(set(targets))
+            self._kernel_peak_bytes = max(self._kernel_peak_bytes, queued_bytes)
             await asyncio.sleep(KERNEL_POLL_S)
 
 
-def _descriptor_count(pid):
-    """Return how many descriptors a process has open, 0 once it has ended."""
-    try:
-        return len(list(Path(f"/proc/{pid}/fd").iterdir()))
-    except OSError:
-        return 0
+def _descriptor_targets(pid):
+    """Return what the open descriptors of a process refer to; nothing once it ended."""
+    targets = []
+    with contextlib.suppress(OSError):
+        for each in os.listdir(f"/proc/{pid}/fd"):
+            # A descriptor may be closed meanwhile.
+            with contextlib.suppress(OSError):
+                targets.append(os.readlink(f"/proc/{pid}/fd/{each}"))
+    return targets
 
 
-def _unread_bytes(port):
-    """Return the bytes that connections to a local port have not been read of."""
-    local_port = f":{int(port):04X}"
+def _queued_bytes(targets):
+    """Return the bytes that sockets have not read or not sent, as the kernel says."""
     lines = Path("/proc/net/tcp").read_text().splitlines()[1:]
     fields = [line.split() for line in lines]
     return sum(
-        int(each[4].partition(":")[2], 16)
+        int(queued, 16)
         for each in fields
-        # In a listening socket the number counts connections.
-        if each[1].endswith(local_port) and each[3] != "0A"
+        for queued in each[4].split(":")
+        # In a listening socket the numbers count connections.
+        if f"socket:[{each[9]}]" in targets and each[3] != "0A"
     )
 
 
