Relay: bodies do not outlast requests whose attempts were cancelled

What callers saw: large requests one after the other, each alone, brought a host over its memory: 148 to 185 MB at 128 and 170 MB. The budget showed none of it, as each request was answered when the next one came.

Cause: a request that is sent to a second endpoint cancels the attempt that did not win. The cancelled task keeps its error, whose frames refer to the attempts of the request and so to its body; the attempts referred to the task. Nothing but the collector of reference cycles ends that, and it counts objects, not bytes.

--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -144,6 +144,9 @@
             if not self._is_answered:
                 self._note_begun(send)
                 self._crashes.note_abandoned(send)
+        # A cancelled task refers to its frames, and they to this object and the body of
+        # the request. The cycle would keep all of them in memory for a while.
+        self._sends.clear()
 
     def _note_begun(self, send: Send) -> None:
         """Record the start of the first attempt that ran or may have run."""
--- a/tests/crowds/test_bodies.py
+++ b/tests/crowds/test_bodies.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from outside.crowds import SMALLEST_MB, chunked_body, sized_body, without_last_byte
+from outside.crowds import (
+    PROCESS_MB,
+    SMALLEST_MB,
+    chunked_body,
+    sized_body,
+    without_last_byte,
+)
 
 LARGEST_BODY_BYTES = 32 << 20
 """Largest body that callers may send by default."""
@@ -31,6 +37,27 @@
     assert all(not each.run_counts["c0"] for each in site.scorers)
 
 
+async def test_bodies_do_not_outlast_their_requests(
+    start_site, measure, settings, check_survival
+):
+    site, host = await start_site(settings)
+    for each in site.scorers:
+        # Longer than the latency target: each request is sent to a second endpoint.
+        each.delay_s = 0.5
+        each.max_echo_bytes = 1
+    meter = measure(host)
+    body = bytes(8 << 20)
+    for number in range(6):
+        headers = {"X-Request-Id": f"twice-{number}", "X-Request-Deadline": "9000"}
+        status, _, _ = await site.call(
+            host, "POST", "/score/twice", body=body, headers=headers
+        )
+        assert status == 200
+        assert meter.resident_bytes < PROCESS_MB << 20
+    assert any(each.cancelled_runs for each in site.scorers)
+    await check_survival(site, host, meter)
+
+
 async def test_bodies_that_come_whole(
     start_site, gather_crowd, measure, settings, check_survival
 ):
