Endpoints: a body is not kept for an endpoint that does not read it

After an attempt was given up, the connection was closed, but what its transport had not sent waited for the endpoint to read it. A slice refers to the whole body, so a body of any size stayed in memory for as long as an endpoint read nothing, counted by nothing.

A connection with unsent bytes is now closed without sending them.

tests/platform/test_endpoint_sockets.py::test_a_body_is_not_kept_for_an_endpoint_that_does_not_read_it failed before (one more reference to the body after the attempt) and passes.

--- a/src/bankrudder/platform/_bounded_connections.py
+++ b/src/bankrudder/platform/_bounded_connections.py
@@ -40,7 +40,7 @@
 
 
 class _BoundedResponseHandler(ResponseHandler):
-    """Counts the bytes of an answer that are not its body."""
+    """Counts the bytes of an answer that are not its body, and sends no late ones."""
 
     def __init__(self, loop: Any):
         super().__init__(loop)
@@ -48,6 +48,16 @@
         self._body: StreamReader | None = None
         self._is_broken_off = False
 
+    def close(self) -> None:
+        """Close the connection, without the rest of a request that was given up.
+
+        Until its rest was sent, the transport would keep the whole body of the request.
+        """
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            self.abort()
+        else:
+            super().close()
+
     def set_response_params(self, **options: Any) -> None:
         """Begin the next answer."""
         self._received_bytes = 0
--- a/tests/platform/test_endpoint_sockets.py
+++ b/tests/platform/test_endpoint_sockets.py
@@ -2,12 +2,22 @@
 
 import asyncio
 import errno
+import gc
 import socket
+import sys
 
 import pytest
 from aiohttp import web
 
-from bankrudder.fleet import Answered, Endpoint, OutgoingRequest, RefusalReason, Refused
+from bankrudder.fleet import (
+    Answered,
+    Endpoint,
+    LossReason,
+    Lost,
+    OutgoingRequest,
+    RefusalReason,
+    Refused,
+)
 from bankrudder.platform._endpoint_client import HttpEndpointClient
 from bankrudder.platform._endpoint_sockets import EndpointSockets
 
@@ -56,3 +66,31 @@
     assert runs == ["r1"]
     await client.close()
     await runner.cleanup()
+
+
+async def start_server(answer):
+    """Start a server; return it, and its entry in the list of endpoints."""
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    return server, Endpoint(f"e{port}", "s", f"{host}:{port}", "north", 8)
+
+
+async def test_a_body_is_not_kept_for_an_endpoint_that_does_not_read_it():
+    may_end = asyncio.Event()
+
+    async def answer(reader, writer):
+        await may_end.wait()
+        writer.close()
+
+    server, endpoint = await start_server(answer)
+    client = HttpEndpointClient()
+    body = bytes(32 << 20)
+    request = OutgoingRequest("r", "POST", "/", "host", (), body, 0.3)
+    reference_count = sys.getrefcount(body)
+    assert await client.send(endpoint, request) == Lost(LossReason.TIMEOUT)
+    await asyncio.sleep(0.05)  # cancelled tasks end, and connections are closed
+    gc.collect()
+    assert sys.getrefcount(body) == reference_count
+    may_end.set()
+    await client.close()
+    server.close()
