Memory: answers count until they are sent, and unsent bytes are limited

What callers saw: 150 callers of small requests that did not read their answers of 2 MB, or their streams, took a host of 128 MB to 129 to 179 MB (2^20 bytes each), of which 29 to 102 MB were bytes that the kernel had not sent; large requests with such answers took 191 MB.

Cause: an answer counted while it was read, and again from when it was sent, then without regard to the budget; in between, while others were read, it counted nowhere. The kernel's send buffers grow to megabytes for each connection, and counted nowhere either.

An answer now stays counted from its first byte until it is sent, or until nothing refers to it, so that the budget is never exceeded by what was read. One that does not fit is broken off while it is read, as before. A body counts up to 256 KiB more than its size, for what its attempts have not sent. Heads and framing are limited to 32 KiB, as the account says, which was 64.

A smaller send buffer was tried and refused the largest body by its time limit: parts below the segment size of the network wait for acknowledgements.

--- a/src/bankrudder/fleet/_sending.py
+++ b/src/bankrudder/fleet/_sending.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bankrudder.fleet._values import Endpoint, ReportedLoad, StartTime
+from bankrudder.memory import HeldData
 from bankrudder.routing import ModelName
 from bankrudder.world import NO_WORKSPACE, ModelVersion, WorkspaceName
 
@@ -106,7 +107,7 @@
 
     ``proof`` is the endpoint's receipt, empty if it sent none. ``keep_alive_s`` is the
     time for which the connection is kept alive for further requests, 0 if it was
-    closed.
+    closed. ``held`` keeps the memory of a large body counted.
     """
 
     status: int
@@ -115,6 +116,7 @@
     load: ReportedLoad | None = None
     proof: str = ""
     keep_alive_s: float = 0.0
+    held: HeldData | None = None
 
 
 class Refused(msgspec.Struct, frozen=True):
--- a/src/bankrudder/memory/_budget.py
+++ b/src/bankrudder/memory/_budget.py
@@ -11,9 +11,11 @@
 transfers are ended until it does.
 
 A transfer younger than `MIN_ENDED_AGE_S` is never ended, and an older one never ends
-one that is faster. A request that has been read may run and is not ended: it stays held
-until it is answered. An answer that was read from its endpoint is delivered even if the
-budget is used up meanwhile.
+one that is faster. A request that has
+been read may run and is not ended: it stays held until it is answered. An answer that
+does not fit is broken off while it is read. One that was read stays held until it is
+sent, or until nothing refers to it, so that it is delivered even if the budget is used
+up meanwhile.
 """
 
 from collections.abc import Callable
@@ -135,6 +137,23 @@
         """Record that all data is here; it stays held and is not ended any more."""
         self._is_received = True
 
+    def begin_sending(
+        self, transferred_bytes: Callable[[], int], end: Callable[[], None]
+    ) -> None:
+        """Begin to transfer data that was received, and that stays held, to a caller.
+
+        Parameters
+        ----------
+        transferred_bytes : callable
+            Returns how many bytes the caller has received so far.
+        end : callable
+            Ends the transfer by closing the caller's connection.
+        """
+        self._began_at = self._budget.now
+        self._transferred_bytes = transferred_bytes
+        self._end = end
+        self._is_received = False
+
     def end(self) -> None:
         """End the transfer and release its bytes."""
         self._is_ended = True
@@ -147,6 +166,25 @@
         self._held_bytes = 0
 
 
+class HeldData:
+    """Keeps the data of a transfer held until nothing refers to it.
+
+    It goes with the data, as data is dropped in many places: an answer is refused, or
+    another one came first, or its caller has left.
+    """
+
+    def __init__(self, holding: Holding):
+        self._holding = holding
+
+    def __del__(self) -> None:
+        self._holding.release()
+
+    @property
+    def holding(self) -> Holding:
+        """The transfer that the data belongs to."""
+        return self._holding
+
+
 class MemoryBudget:
     """The memory that all transfers of a host may use together.
 
@@ -177,6 +215,11 @@
         """Create the budget of a process whose memory is not known."""
         return cls.from_config(ProcessLimits.from_config(None, 0), SystemClock())
 
+    @property
+    def now(self) -> float:
+        """The monotonic time by which the ages of transfers are measured."""
+        return self._clock.monotonic()
+
     @property
     def limit_bytes(self) -> int:
         """Largest number of bytes that are held at the same time."""
--- a/src/bankrudder/platform/_answers.py
+++ b/src/bankrudder/platform/_answers.py
@@ -136,13 +136,17 @@
     if "Content-Encoding" in response.headers:
         response.close()
         return Lost(LossReason.BROKEN_OFF)
-    body = await _read_body(response, budget)
-    if body is None:
+    try:
+        body, held = await read_answer_body(response, budget)
+    except NoMemoryError:
+        response.close()
         return Lost(LossReason.NO_MEMORY)
     if was_cut_off(response):
         return Lost(LossReason.BROKEN_OFF)
     proof = response.headers.get(names.ANSWER_PROOF, "")
-    return Answered(response.status, _answer_headers(response), body, load, proof)
+    return Answered(
+        response.status, _answer_headers(response), body, load, proof, held=held
+    )
 
 
 async def stream_outcome(
@@ -195,17 +199,6 @@
         response.close()
 
 
-async def _read_body(
-    response: aiohttp.ClientResponse, budget: MemoryBudget
-) -> bytes | None:
-    """Return the body of an answer, None if there is no memory for it."""
-    try:
-        return await read_answer_body(response, budget)
-    except NoMemoryError:
-        response.close()
-        return None
-
-
 def _is_refusal(response: aiohttp.ClientResponse) -> bool:
     return response.status == 421 or names.NOT_RUN in response.headers
 
--- a/src/bankrudder/platform/_body_slices.py
+++ b/src/bankrudder/platform/_body_slices.py
@@ -10,7 +10,7 @@
 from aiohttp import Payload
 from aiohttp.abc import AbstractStreamWriter
 
-SLICE_BYTES = 64 << 10
+SLICE_BYTES = 16 << 10
 """Size of the slices. The next one is written when the connection has taken enough."""
 
 
--- a/src/bankrudder/platform/_requests.py
+++ b/src/bankrudder/platform/_requests.py
@@ -6,6 +6,7 @@
 
 from bankrudder.decoding import decode_decimal
 from bankrudder.platform import _names as names
+from bankrudder.platform._transfers import HELD_DATA
 from bankrudder.relay import (
     IncomingRequest,
     Malformed,
@@ -94,8 +95,12 @@
 def response_to(reply: Reply) -> web.Response:
     """Return a reply in the form in which callers receive it."""
     match reply:
-        case Relayed(status=status, headers=headers, body=body):
-            return web.Response(status=status, headers=CIMultiDict(headers), body=body)
+        case Relayed(status=status, headers=headers, body=body, held=held):
+            response = web.Response(
+                status=status, headers=CIMultiDict(headers), body=body
+            )
+            response[HELD_DATA] = held
+            return response
         case NotRun(reason=reason, retry_after_s=seconds):
             return web.Response(
                 status=503,
--- a/src/bankrudder/platform/_transfers.py
+++ b/src/bankrudder/platform/_transfers.py
@@ -9,8 +9,8 @@
 import aiohttp
 from aiohttp import web
 
-from bankrudder.memory import Holding, MemoryBudget, TransferKind
-from bankrudder.platform._body_slices import body_slices
+from bankrudder.memory import HeldData, Holding, MemoryBudget, TransferKind
+from bankrudder.platform._body_slices import SLICE_BYTES, body_slices
 from bankrudder.platform._bounded_answers import (
     MAX_ANSWER_BYTES,
     check_stated_length,
@@ -23,6 +23,13 @@
 MAX_UNSTATED_ANSWER_BYTES = 32 << 20
 """Maximum size of an answer that states no length, and may have no end."""
 
+SENDING_BYTES = 256 << 10
+"""Largest number of bytes of a body that connections to endpoints hold besides: unsent
+ones in the process and in the kernel."""
+
+HELD_DATA = "held_data"
+"""Key under which a response has the data of its body, if that is held already."""
+
 SEND_POLL_INTERVAL_S = 0.02
 """Interval at which the unsent part of an answer is checked: a fraction of the time in
 which a caller on a slow link receives such an answer."""
@@ -67,14 +74,19 @@
     if (request.content_length or 0) > max_bytes:
         raise BodyTooLargeError
     body = await _read_chunks(request.content.iter_any(), holding, max_bytes)
+    # Each attempt has a part of the body in its connection to the endpoint.
+    if len(body) > SLICE_BYTES and not holding.grow(min(len(body), SENDING_BYTES)):
+        raise NoMemoryError
     holding.note_received()
     return body
 
 
 async def read_answer_body(
     response: aiohttp.ClientResponse, budget: MemoryBudget
-) -> bytes:
-    """Return the body of an endpoint's answer, which is held while it is read.
+) -> tuple[bytes, HeldData | None]:
+    """Return the body of an endpoint's answer, and what keeps it held.
+
+    A small body does not count and is not held.
 
     Raises
     ------
@@ -94,7 +106,8 @@
         TransferKind.ANSWER, lambda: holding.size_bytes, response.close
     )
     try:
-        return await _read_chunks(response.content.iter_any(), holding, max_bytes)
+        body = await _read_chunks(response.content.iter_any(), holding, max_bytes)
+        holding.note_received()
     except BodyTooLargeError:
         raise too_long(response, holding.size_bytes, max_bytes) from None
     except aiohttp.ClientError:
@@ -103,7 +116,12 @@
             raise NoMemoryError from None
         raise
     finally:
-        holding.release()
+        if not holding.is_received:
+            holding.release()
+    if holding.held_bytes:
+        return body, HeldData(holding)
+    holding.release()
+    return body, None
 
 
 async def _read_chunks(
@@ -154,13 +172,23 @@
     if request.method == "HEAD":
         return response  # its body is not sent
     sent_bytes = 0
-    holding = budget.hold(
-        TransferKind.ANSWER,
-        lambda: sent_bytes - _unsent_bytes(request),
-        lambda: _abort(request),
-    )
+
+    def transferred_bytes() -> int:
+        return sent_bytes - _unsent_bytes(request)
+
+    def end() -> None:
+        _abort(request)
+
+    held = response.get(HELD_DATA)
+    if isinstance(held, HeldData):
+        holding = held.holding
+        holding.begin_sending(transferred_bytes, end)
+    else:
+        holding = budget.hold(TransferKind.ANSWER, transferred_bytes, end)
     try:
-        if not holding.grow(len(body), is_required=not is_repeatable):
+        if not holding.size_bytes and not holding.grow(
+            len(body), is_required=not is_repeatable
+        ):
             raise NoMemoryError
         sent = _without_body(response, len(body))
         await sent.prepare(request)
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -371,6 +371,7 @@
             answer.proof,
             self._failed_answer_count,
             target.endpoint.id,
+            answer.held,
         )
 
     def _log_answer(self, answer: Answered, target: TrackedEndpoint) -> None:
--- a/src/bankrudder/relay/_streaming.py
+++ b/src/bankrudder/relay/_streaming.py
@@ -144,7 +144,11 @@
                 case Answered() if outcome.status < 500 or not self._may_resume():
                     await self._close()
                     return Relayed(
-                        outcome.status, outcome.headers, outcome.body, outcome.proof
+                        outcome.status,
+                        outcome.headers,
+                        outcome.body,
+                        outcome.proof,
+                        held=outcome.held,
                     )
                 case None:
                     return self._give_up()
--- a/src/bankrudder/relay/_values.py
+++ b/src/bankrudder/relay/_values.py
@@ -6,6 +6,7 @@
 
 from bankrudder.crashes import ContentId, RefusalPolicy, content_id
 from bankrudder.fleet import EndpointId, Generation, Headers, OutgoingRequest
+from bankrudder.memory import HeldData
 from bankrudder.workspaces import DenialReason
 from bankrudder.world import NO_WORKSPACE, WorkspaceName
 
@@ -91,6 +92,8 @@
         answer if it is one.
     endpoint : EndpointId
         The endpoint that answered.
+    held : HeldData or None
+        Keeps the memory of a large body counted.
     """
 
     status: int
@@ -99,6 +102,7 @@
     proof: str = ""
     failed_answers: int = 0
     endpoint: EndpointId = EndpointId("")
+    held: HeldData | None = None
 
 
 class RejectReason(Enum):
--- a/src/bankrudder/serving/__init__.py
+++ b/src/bankrudder/serving/__init__.py
@@ -5,6 +5,7 @@
     ConnectionTable,
     ConnectionTimeouts,
 )
+from bankrudder.serving._kernel_buffers import limit_kernel_buffers
 from bankrudder.serving._server import BoundedListener, BoundedServer
 
 __all__ = [
@@ -13,4 +14,5 @@
     "ConnectionState",
     "ConnectionTable",
     "ConnectionTimeouts",
+    "limit_kernel_buffers",
 ]
--- a/src/bankrudder/serving/_server.py
+++ b/src/bankrudder/serving/_server.py
@@ -10,7 +10,6 @@
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from typing import Any, cast
 
 import structlog
@@ -22,11 +21,12 @@
     ConnectionTable,
     ConnectionTimeouts,
 )
+from bankrudder.serving._kernel_buffers import limit_kernel_buffers
 from bankrudder.world import Address, host_and_port
 
-MAX_FRAMING_BYTES = 64 << 10
-"""Maximum size of what is not the body of a request, beyond the size of the body: four
-times the largest head that callers may send by default. Chunks of six bytes or more
+MAX_FRAMING_BYTES = 32 << 10
+"""Maximum size of what is not the body of a request, beyond the size of the body: twice
+the largest head that callers may send by default. Chunks of six bytes or more
 have less framing than data."""
 
 READ_BYTES = 16 << 10
@@ -36,9 +36,8 @@
 """Size from which the reading of a body pauses, once it is exceeded twice, until the
 request's handler takes it."""
 
-KERNEL_BUFFER_BYTES = 16 << 10
-"""Size of the kernel's receive buffer, which Linux doubles. A listener's connections
-inherit it."""
+WRITE_BUFFER_BYTES = 16 << 10
+"""Unsent bytes of a connection from which its handler waits before it writes more."""
 
 LINGERING_S = 2.0
 """Time for which the rest of a body is read and dropped after an early answer. If the
@@ -137,6 +136,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin a connection, unless there are too many."""
         self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._handler.begin(self._table)
         self._handler.connection_made(transport)
         self._table.add(self)
@@ -368,11 +368,7 @@
     listening = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
     try:
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Some networks have buffers of a fixed size.
-        with suppress(OSError):
-            listening.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER_BYTES
-            )
+        limit_kernel_buffers(listening)
         listening.bind((host, port))
     except OSError:
         listening.close()
--- a/tests/memory/test_budget.py
+++ b/tests/memory/test_budget.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bankrudder.memory import MemoryBudget, TransferKind
+from bankrudder.memory import HeldData, MemoryBudget, TransferKind
 from bankrudder.memory._budget import (
     KIND_RESERVE_BYTES,
     KIND_RESERVE_SHARE,
@@ -66,6 +66,29 @@
     assert not young.is_ended
 
 
+def test_an_answer_in_hand_is_not_ended_before_it_is_sent(budget, manual_clock):
+    answer = Transfer(budget, manual_clock)
+    assert answer.holding.grow(KIND_LIMIT)
+    answer.holding.note_received()
+    manual_clock.advance(2 * MIN_ENDED_AGE_S)
+    assert not Transfer(budget, manual_clock).holding.grow(1)
+    ended = []
+    answer.holding.begin_sending(lambda: 0, lambda: ended.append(True))
+    assert not Transfer(budget, manual_clock).holding.grow(1)
+    manual_clock.advance(MIN_ENDED_AGE_S)
+    assert Transfer(budget, manual_clock).holding.grow(1)
+    assert ended
+
+
+def test_data_is_held_until_nothing_refers_to_it(budget, manual_clock):
+    transfer = Transfer(budget, manual_clock)
+    assert transfer.holding.grow(KIND_LIMIT)
+    held = HeldData(transfer.holding)
+    assert budget.held_bytes == KIND_LIMIT
+    del held
+    assert budget.held_bytes == 0
+
+
 def test_a_slow_transfer_does_not_end_a_faster_one(budget, manual_clock):
     fast = Transfer(budget, manual_clock, bytes_per_s=100)
     slow = Transfer(budget, manual_clock, bytes_per_s=10)
--- a/tests/outside/endpoints.py
+++ b/tests/outside/endpoints.py
@@ -39,7 +39,8 @@
 
     ``fail_next`` holds the faults of the next requests: ``500``, ``full``, ``reset``,
     ``silent``, ``truncated``, ``foreign`` (the answer belongs to another request), or
-    one of ``ENDLESS_UNITS``, whose bytes are counted in ``endless_bytes``. A
+    one of ``ENDLESS_UNITS``, whose bytes are counted in ``endless_bytes``. An answer
+    echoes ``max_echo_bytes`` of its request at most, and ends with ``added_bytes``. A
     request whose body is in ``crash_on`` crashes the endpoint like a killed process:
     after ``crash_after_s``, or if ``crash_after_events`` is set, after that number of
     events of a stream.
@@ -56,6 +57,7 @@
         self.fail_next = []
         self.delay_s = 0.0
         self.max_echo_bytes = None
+        self.added_bytes = 0
         self.slots = 4
         self.refuses_when_full = False
         self.born = None
@@ -194,7 +196,8 @@
                 request.transport.write(head.encode() + body)
                 request.transport.close()
         echo = body[: self.max_echo_bytes]
-        return web.Response(body=b"answer to " + echo, headers=headers)
+        answer = b"answer to " + echo + bytes(self.added_bytes)
+        return web.Response(body=answer, headers=headers)
 
 
 class EngineStandIn(EndpointStandIn):
@@ -203,7 +206,8 @@
     ``events`` is the number of events of each stream. ``reset_after`` holds, for each
     of the next requests, the number of events after which the connection is reset. If
     ``second_answer_after_s`` is set, a second answer follows each stream after that
-    time, on the same connection, with all events but the first two.
+    time, on the same connection, with all events but the first two. The data of each
+    event ends with ``event_padding``.
     """
 
     def __init__(self, endpoint_id, model, events=4):
@@ -212,6 +216,7 @@
         self.version = 1
         self.events = events
         self.event_gap_s = 0.002
+        self.event_padding = ""
         self.reset_after = []
         self.second_answer_after_s = None
         self.resumed = []
@@ -324,6 +329,7 @@
             data = f"{request_id}-{number}"
             if self.appends_version:
                 data += f"-v{version}"
+            data += self.event_padding
             event = f"{prefix}id: {number}\ndata: {data}\n\n"
             await response.write(event.encode())
         if self.second_answer_after_s is not None:
--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -1,6 +1,7 @@
 """A complete site on this machine: daemons as processes, and stand-ins around them."""
 
 import asyncio
+import base64
 import json
 import os
 import resource
@@ -343,6 +344,14 @@
         status, _ = await self.ask(host, submission(batch_id, body).with_key(key))
         return status
 
+    async def submit_sample(self, host, batch_id, sample_body):
+        """Submit a batch of one sample with a body; return the status."""
+        document = batch(batch_id, samples=1)
+        document["items"][0]["body"] = base64.b64encode(sample_body).decode()
+        body = json.dumps(document).encode()
+        status, _ = await self.ask(host, submission(batch_id, body))
+        return status
+
     async def read(self, host, batch_id, after=0, key=""):
         """Read results once; return the status and the document."""
         call = reading(batch_id, after, wait_ms=500).with_key(key)
