Memory: a transfer that stands still gives way at any age

What callers saw: for a second, callers that read or sent nothing kept all others with large bodies out; requests got 503 while the room was taken by transfers without progress.

A transfer whose bytes have not changed for 0.25 s may now be ended for another one. One that makes progress is protected as before.

--- a/src/bankrudder/memory/_budget.py
+++ b/src/bankrudder/memory/_budget.py
@@ -10,8 +10,8 @@
 budget, so that neither takes the room of the other. If data does not fit, the slowest
 transfers are ended until it does.
 
-A transfer younger than `MIN_ENDED_AGE_S` is never ended, and an older one never ends
-one that is faster. A request that has
+A transfer that makes progress is not ended before `MIN_ENDED_AGE_S`, nor for an older
+one that is slower. One that stands still may be ended for any other. A request that has
 been read may run and is not ended: it stays held until it is answered. An answer that
 does not fit is broken off while it is read. One that was read stays held until it is
 sent, or until nothing refers to it, so that it is delivered even if the budget is used
@@ -40,6 +40,10 @@
 """Age from which a transfer may be ended. A caller that reads at once has received an
 answer of megabytes by then."""
 
+STALLED_S = 0.25
+"""Time without any progress from which a transfer stands still: several retransmissions
+on a link between data centres."""
+
 _log = structlog.get_logger("memory")
 
 
@@ -80,6 +84,8 @@
         self._held_bytes = 0
         self._is_ended = False
         self._is_received = False
+        self._progress_at = began_at
+        self._progress_bytes = 0
 
     @property
     def is_ended(self) -> bool:
@@ -114,6 +120,14 @@
         """Return the mean rate of the transfer so far."""
         return self._transferred_bytes() / max(self.age_s(now), 0.001)
 
+    def stalled_s(self, now: float) -> float:
+        """Return the time since progress was last seen, by calls of this method."""
+        transferred_bytes = self._transferred_bytes()
+        if transferred_bytes != self._progress_bytes:
+            self._progress_bytes = transferred_bytes
+            self._progress_at = now
+        return now - self._progress_at
+
     def grow(self, count: int, *, is_required: bool = False) -> bool:
         """Hold more bytes; return whether there is room for them.
 
@@ -150,6 +164,8 @@
             Ends the transfer by closing the caller's connection.
         """
         self._began_at = self._budget.now
+        self._progress_at = self._began_at
+        self._progress_bytes = 0
         self._transferred_bytes = transferred_bytes
         self._end = end
         self._is_received = False
@@ -307,15 +323,21 @@
         now = self._clock.monotonic()
         own_rate = holding.bytes_per_s(now)
         is_new = holding.age_s(now) < MIN_ENDED_AGE_S
+
+        def is_slower(each: Holding) -> bool:
+            is_old = each.age_s(now) >= MIN_ENDED_AGE_S
+            return is_old and (is_new or each.bytes_per_s(now) < own_rate)
+
+        candidates = [
+            each
+            for each in self._holdings
+            if each is not holding and each.held_bytes and not each.is_received
+        ]
         return sorted(
             (
                 each
-                for each in self._holdings
-                if each is not holding
-                and each.held_bytes
-                and not each.is_received
-                and each.age_s(now) >= MIN_ENDED_AGE_S
-                and (is_new or each.bytes_per_s(now) < own_rate)
+                for each in candidates
+                if each.stalled_s(now) >= STALLED_S or is_slower(each)
             ),
             key=lambda each: each.bytes_per_s(now),
         )
--- a/tests/memory/test_budget.py
+++ b/tests/memory/test_budget.py
@@ -9,6 +9,7 @@
     KIND_RESERVE_BYTES,
     KIND_RESERVE_SHARE,
     MIN_ENDED_AGE_S,
+    STALLED_S,
 )
 from manual_clock import ManualClock
 
@@ -66,6 +67,23 @@
     assert not young.is_ended
 
 
+def test_a_young_transfer_that_stands_still_is_ended(budget, manual_clock):
+    stalled = Transfer(budget, manual_clock)
+    assert stalled.holding.grow(KIND_LIMIT)
+    manual_clock.advance(STALLED_S)
+    assert Transfer(budget, manual_clock).holding.grow(1)
+    assert stalled.is_ended
+
+
+def test_a_young_transfer_that_makes_progress_is_not_ended(budget, manual_clock):
+    young = Transfer(budget, manual_clock, bytes_per_s=1000)
+    assert young.holding.grow(KIND_LIMIT)
+    for _ in range(3):
+        manual_clock.advance(MIN_ENDED_AGE_S / 4)
+        assert not Transfer(budget, manual_clock).holding.grow(1)
+    assert not young.is_ended
+
+
 def test_an_answer_in_hand_is_not_ended_before_it_is_sent(budget, manual_clock):
     answer = Transfer(budget, manual_clock)
     assert answer.holding.grow(KIND_LIMIT)
@@ -75,7 +93,7 @@
     ended = []
     answer.holding.begin_sending(lambda: 0, lambda: ended.append(True))
     assert not Transfer(budget, manual_clock).holding.grow(1)
-    manual_clock.advance(MIN_ENDED_AGE_S)
+    manual_clock.advance(STALLED_S)
     assert Transfer(budget, manual_clock).holding.grow(1)
     assert ended
 
