gRPC: a largest number of connections

What callers saw: 240 clients that connect and send nothing, or no request, took all descriptors of a process that may have 160; for those that begin as HTTP/2 clients this had no time limit, and neither callers nor the store got a connection.

Cause: the limits of callers' connections did not hold for the gRPC interface, whose connections the library accepts.

The library has an option for it. Clients reconnect when they have a request.

--- a/src/bankrudder/node/_adapter.py
+++ b/src/bankrudder/node/_adapter.py
@@ -4,7 +4,7 @@
 
 from bankrudder.duties import DutyApi
 from bankrudder.fleet import EndpointClient
-from bankrudder.memory import MemoryBudget
+from bankrudder.memory import MemoryBudget, ProcessLimits
 from bankrudder.node._documents import Documents
 from bankrudder.node._gateway import Gateway
 from bankrudder.node._settings import NodeSettings
@@ -56,6 +56,11 @@
         """The memory for the data of callers and endpoints."""
         ...
 
+    @property
+    def limits(self) -> ProcessLimits:
+        """The largest amounts that the parts of the process may use."""
+        ...
+
     @property
     def duties(self) -> DutyApi | None:
         """The client of the platform's API for duties, None if it has none."""
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -159,7 +159,12 @@
         from bankrudder.node._rpc_interface import RpcInterface
 
         return RpcInterface(
-            self._settings, rpc, self._components, self._clock, self.stop
+            self._settings,
+            rpc,
+            self._components,
+            self._clock,
+            self.stop,
+            self._adapter.limits.rpc_connections,
         )
 
     def _gauge_samples(self) -> Iterable[Sample]:
--- a/src/bankrudder/node/_rpc_interface.py
+++ b/src/bankrudder/node/_rpc_interface.py
@@ -56,6 +56,8 @@
     ----------
     drain : callable
         Requests the planned stop of the node.
+    max_connections : int
+        Largest number of connections of clients.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         components: NodeComponents,
         clock: Clock,
         drain: Callable[[], None],
+        max_connections: int,
     ):
         self._settings = settings
         self._components = components
@@ -90,7 +93,7 @@
             self._configuration, rpc.operator_token_sha256, rpc.limits
         )
         credentials = server_credentials(rpc.tls) if rpc.tls is not None else None
-        self._server = RpcServer.from_config(rpc.address, credentials)
+        self._server = RpcServer.from_config(rpc.address, credentials, max_connections)
         self._add_services(drain)
 
     async def start(self) -> None:
--- a/src/bankrudder/platform/_adapter.py
+++ b/src/bankrudder/platform/_adapter.py
@@ -85,6 +85,11 @@
         """The memory for the data of callers and endpoints."""
         return self._budget
 
+    @property
+    def limits(self) -> ProcessLimits:
+        """The largest amounts that the parts of the process may use."""
+        return self._limits
+
     @property
     def duties(self) -> DutyApi | None:
         """The client for the platform's duty API, None if none is configured."""
--- a/src/bankrudder/rpc/_server.py
+++ b/src/bankrudder/rpc/_server.py
@@ -9,6 +9,9 @@
 from bankrudder.wire import MAX_RECEIVED_BYTES
 from bankrudder.world import Address
 
+DEFAULT_MAX_CONNECTIONS = 1024
+"""Largest number of connections if no other is given."""
+
 MAX_STREAMS = 1024
 """Largest number of requests in progress on a connection."""
 
@@ -18,6 +21,10 @@
 WINDOW_BYTES = 64 << 10
 """Bytes that a connection may receive before a message is read."""
 
+MAX_IDLE_MS = 30_000
+"""Time after which a connection without requests is closed; its client reconnects when
+it has a request."""
+
 _OPTIONS = (
     ("grpc.max_receive_message_length", MAX_RECEIVED_BYTES),
     # Without this option, a second process could listen on the same address.
@@ -31,6 +38,7 @@
     # With the probe, windows grow to megabytes for each connection.
     ("grpc.http2.bdp_probe", 0),
     ("grpc.http2.lookahead_bytes", WINDOW_BYTES),
+    ("grpc.max_connection_idle_ms", MAX_IDLE_MS),
 )
 
 
@@ -41,13 +49,21 @@
     ----------
     credentials : grpc.ServerCredentials or None
         TLS credentials; None listens without TLS.
+    max_connections : int
+        Largest number of connections; further ones are closed at once.
     """
 
-    def __init__(self, address: Address, credentials: grpc.ServerCredentials | None):
+    def __init__(
+        self,
+        address: Address,
+        credentials: grpc.ServerCredentials | None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+    ):
         self.address = address
         self._credentials = credentials
+        limit = ("grpc.max_allowed_incoming_connections", max_connections)
         self._server = grpc.aio.server(
-            interceptors=(FailureInterceptor(),), options=_OPTIONS
+            interceptors=(FailureInterceptor(),), options=(*_OPTIONS, limit)
         )
 
     @classmethod
@@ -55,9 +71,10 @@
         cls,
         address: Address,
         credentials: grpc.ServerCredentials | None = None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> Self:
         """Make a server; `start` opens its listener."""
-        return cls(address, credentials)
+        return cls(address, credentials, max_connections)
 
     @property
     def grpc_server(self) -> grpc.aio.Server:
--- a/tests/crowds/test_rpc.py
+++ b/tests/crowds/test_rpc.py
@@ -5,7 +5,6 @@
 
 import asyncio
 
-import grpc
 import grpc.aio
 
 from outside.crowds import is_served
@@ -19,17 +18,20 @@
 SILENT_COUNT = 240
 """More connections than the process may have descriptors."""
 
+HTTP2_START = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + bytes((0, 0, 0, 4, 0, 0, 0, 0, 0))
+"""What a client sends before its first request: the preface and empty settings."""
+
 METHOD = "/bankrudder.v1.Calls/Call"
 
 
 async def send(address, message):
-    """Send a message on a connection of its own; return the status code."""
+    """Send a message on a connection of its own; return the failure's text."""
     options = [("grpc.use_local_subchannel_pool", 1)]
     async with grpc.aio.insecure_channel(address, options) as channel:
         try:
             await channel.unary_unary(METHOD)(message, timeout=10.0)
         except grpc.aio.AioRpcError as error:
-            return error.code()
+            return error.details()
 
 
 async def test_many_large_messages(start_site, measure):
@@ -51,3 +53,20 @@
     await until(host.is_ready)
     assert host.is_running
     assert meter.descriptor_peak < MAX_DESCRIPTORS
+
+
+async def test_idle_clients(start_site, gather_crowd, measure):
+    site, host = await start_site({}, rpc=RPC, max_descriptors=MAX_DESCRIPTORS)
+    meter = measure(host)
+    crowd = gather_crowd(host.rpc_address)
+    await crowd.send([HTTP2_START] * SILENT_COUNT)
+    assert await is_served(site, host)
+    assert host.is_running
+    assert meter.descriptor_peak < MAX_DESCRIPTORS
+    crowd.leave()
+
+    async def is_answered():
+        # The site has no configuration for this interface.
+        return "no_configuration" in await send(host.rpc_address, b"")
+
+    await until(is_answered)
