Feeds: a largest number of subscribers

What callers saw: 240 clients that connect to the feed of a host, silent or with the header of a subscriber, took all 160 descriptors of its process; callers, the store and readiness checks got none while they stayed.

Cause: the messaging library accepts any number of connections, and waits 10 s for those that do not begin.

Connections are now accepted by the host, 64 at most or a quarter of its descriptors. A host that finds no place reads the store itself, as it does without a reader.

--- a/src/bankrudder/feeds/_links.py
+++ b/src/bankrudder/feeds/_links.py
@@ -11,8 +11,10 @@
 import structlog
 
 from bankrudder.decoding import UnreadableDocumentError
+from bankrudder.feeds._listening import SubscriberListener
 from bankrudder.feeds._messages import FeedMessage, decode, encode
-from bankrudder.world import Address
+from bankrudder.feeds._places import SubscriberPlaces
+from bankrudder.world import Address, SystemClock
 
 QUEUE_MESSAGE_COUNT = 64
 """Queue length for a slow subscriber, beyond which messages are lost: the messages of
@@ -29,11 +31,23 @@
 
 
 class PublisherLink:
-    """Sends messages to all subscribers; owns its socket."""
+    """Sends messages to all subscribers; owns its sockets.
 
-    def __init__(self, address: Address):
+    Parameters
+    ----------
+    max_subscribers : int
+        Largest number of connections of subscribers.
+    """
+
+    def __init__(self, address: Address, max_subscribers: int):
         self._socket = pynng.Pub0(send_buffer_size=QUEUE_MESSAGE_COUNT)
-        self._socket.listen(f"tcp://{address}")
+        self._subscribers = SubscriberPlaces(self._socket, SystemClock())
+        self._listener = SubscriberListener(
+            address,
+            max_subscribers,
+            lambda: self._subscribers.taken_count,
+            self._subscribers.take,
+        )
 
     def send(self, message: FeedMessage) -> None:
         """Send a message; it is dropped if the send queue is full."""
@@ -45,7 +59,8 @@
             )
 
     def close(self) -> None:
-        """Close the socket."""
+        """Close the sockets."""
+        self._listener.close()
         self._socket.close()
 
 
--- a/src/bankrudder/feeds/_readers.py
+++ b/src/bankrudder/feeds/_readers.py
@@ -35,6 +35,8 @@
         Address at which this host, as a reader, serves its subscribers.
     min_hosts : int
         Smallest number of hosts in the fleet at which one reads for others.
+    max_subscribers : int
+        Largest number of connections of subscribers.
     make_publisher : callable
         Creates a publisher that sends its messages through the given callable.
     """
@@ -47,6 +49,7 @@
         data_centre: DataCentreName,
         address: Address,
         min_hosts: int,
+        max_subscribers: int,
         make_publisher: Callable[[Callable[[FeedMessage], None]], FeedPublisher],
     ):
         self._store = store
@@ -56,6 +59,7 @@
         self._election_order = RendezvousOrder(data_centre)
         self._address = address
         self._min_hosts = min_hosts
+        self._max_subscribers = max_subscribers
         self._make_publisher = make_publisher
         self._publisher: FeedPublisher | None = None
         self._publisher_link: PublisherLink | None = None
@@ -106,7 +110,7 @@
             # Imported late, because a small fleet does not need the library.
             from bankrudder.feeds._links import PublisherLink
 
-            self._publisher_link = PublisherLink(self._address)
+            self._publisher_link = PublisherLink(self._address, self._max_subscribers)
             self._publisher = self._make_publisher(self._publisher_link.send)
         # Subscribers depend on a reader, so they must detect its loss soon.
         self._presence.set_reads_for_others(True)
--- a/src/bankrudder/memory/_process_limits.py
+++ b/src/bankrudder/memory/_process_limits.py
@@ -16,7 +16,7 @@
 
 PROCESS_MB = 72.0
 """Memory that the process takes without callers, in megabytes. It includes connections
-of monitoring and readiness checks."""
+of monitoring, readiness checks and subscribers."""
 
 RPC_MB = 84.0
 """Memory of the gRPC interface without its connections, in megabytes: its library, and
@@ -46,8 +46,15 @@
 """Descriptors for the store, monitoring, readiness checks, duties, files, pipes and
 listeners."""
 
+MAX_SUBSCRIBERS = 64
+"""Largest number of connections to the feed of a host, which reads the store for the
+other hosts of a data centre. A host that finds no place reads the store itself."""
+
+SUBSCRIBERS_SHARE = 0.25
+"""Largest share of the other descriptors that subscribers may use."""
+
 CALLERS_DESCRIPTORS_SHARE = 0.5
-"""Share of the other descriptors that connections of callers may use; connections to
+"""Share of what then remains that connections of callers may use; connections to
 endpoints use the rest."""
 
 RPC_CONNECTIONS_SHARE = 0.5
@@ -62,6 +69,8 @@
     caller_connections, rpc_connections, endpoint_connections : int
         Connections that are open at the same time: of callers by HTTP and by gRPC, and
         to endpoints.
+    subscribers : int
+        Connections of hosts that subscribe to what this one reads.
     data_bytes : int
         Counted bytes of requests, answers and batches.
     """
@@ -69,11 +78,17 @@
     caller_connections: int
     rpc_connections: int
     endpoint_connections: int
+    subscribers: int
     data_bytes: int
 
     @classmethod
     def from_config(
-        cls, memory_mb: float | None, max_descriptors: int, *, has_rpc: bool = False
+        cls,
+        memory_mb: float | None,
+        max_descriptors: int,
+        *,
+        has_rpc: bool = False,
+        has_feeds: bool = False,
     ) -> Self:
         """Divide the memory, in megabytes, and the descriptors of a process.
 
@@ -81,6 +96,8 @@
         ----------
         has_rpc : bool
             Whether the process serves the gRPC interface.
+        has_feeds : bool
+            Whether the process may read the store for other hosts.
         """
         if memory_mb is None:
             memory_mb = ASSUMED_MEMORY_MB
@@ -88,6 +105,12 @@
         free_bytes = max(memory_mb - process_mb, 0.0) * BYTES_PER_MB
         data_share = 1 - CALLERS_MEMORY_SHARE - ENDPOINTS_MEMORY_SHARE
         free_descriptors = max(max_descriptors - OWN_DESCRIPTORS, 2 * MIN_CONNECTIONS)
+        subscribers = 0
+        if has_feeds:
+            subscribers = min(
+                int(SUBSCRIBERS_SHARE * free_descriptors), MAX_SUBSCRIBERS
+            )
+            free_descriptors -= subscribers
         caller_descriptors = int(CALLERS_DESCRIPTORS_SHARE * free_descriptors)
         callers = _connection_count(
             caller_descriptors,
@@ -103,6 +126,7 @@
                 ENDPOINTS_MEMORY_SHARE * free_bytes,
                 ENDPOINT_CONNECTION_BYTES,
             ),
+            subscribers=subscribers,
             data_bytes=int(max(data_share * free_bytes, MIN_DATA_MB * BYTES_PER_MB)),
         )
 
--- a/src/bankrudder/node/_components.py
+++ b/src/bankrudder/node/_components.py
@@ -84,6 +84,7 @@
         self._clock = clock
         self._endpoints = adapter.endpoints
         self._budget = adapter.budget
+        self._limits = adapter.limits
         self._documents = adapter.documents
         self.lifetime = Lifetime(str(uuid_utils.uuid4()))
         self.instruments = Instruments.from_config(settings.host, line_limit)
@@ -165,6 +166,7 @@
             self._settings.data_centre,
             feeds.address,
             feeds.min_hosts,
+            self._limits.subscribers,
             make_publisher,
         )
 
--- a/src/bankrudder/platform/_adapter.py
+++ b/src/bankrudder/platform/_adapter.py
@@ -55,6 +55,7 @@
             settings.memory_mb,
             _max_descriptors(settings),
             has_rpc=settings.rpc is not None,
+            has_feeds=settings.feeds is not None,
         )
         self._budget = MemoryBudget.from_config(self._limits, clock or SystemClock())
         self._store = PlatformStore.from_config(settings.store.address)
--- a/tests/feeds/test_links.py
+++ b/tests/feeds/test_links.py
@@ -1,9 +1,14 @@
-"""Subscribers read only so much of one message."""
+"""Subscribers read only so much of one message, and only so many are connected."""
 
 import asyncio
+import contextlib
+import socket
 import struct
 
-from bankrudder.feeds._links import MAX_MESSAGE_BYTES, SubscriberLink
+from bankrudder.feeds import FeedHeartbeat
+from bankrudder.feeds._links import MAX_MESSAGE_BYTES, PublisherLink, SubscriberLink
+from bankrudder.world import host_and_port
+from loopback import unique_address
 
 PUBLISHER_HEADER = b"\0SP\0" + struct.pack(">HH", 0x20, 0)
 """What a publisher sends first, by the protocol of the sockets."""
@@ -39,3 +44,47 @@
         link.close()
         server.close()
     assert sent_bytes < MAX_MESSAGE_BYTES
+
+
+async def test_only_so_many_subscribers_are_connected():
+    address = unique_address()
+    publisher = PublisherLink(address, 3)
+    messages = [[] for _ in range(4)]
+    silent = [await connect(address) for _ in range(12)]
+    subscribers = [SubscriberLink(address, each.append) for each in messages]
+    try:
+        number = 0
+        async with asyncio.timeout(WAIT_S):
+            while sum(map(bool, messages)) < 3:
+                number += 1
+                publisher.send(FeedHeartbeat(number, {}))
+                await asyncio.sleep(0.01)
+        assert sum(map(bool, messages)) == 3
+    finally:
+        for each in (*subscribers, publisher):
+            each.close()
+        for each in silent:
+            each.close()
+
+
+async def test_a_connection_that_begins_otherwise_is_closed():
+    address = unique_address()
+    publisher = PublisherLink(address, 3)
+    connection = await connect(address)
+    connection.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    try:
+        async with asyncio.timeout(WAIT_S):
+            loop = asyncio.get_running_loop()
+            with contextlib.suppress(ConnectionResetError):
+                assert await loop.sock_recv(connection, 1) == b""
+    finally:
+        connection.close()
+        publisher.close()
+
+
+async def connect(address):
+    connection = socket.socket()
+    connection.setblocking(False)
+    host, port = host_and_port(address)
+    await asyncio.get_running_loop().sock_connect(connection, (host, port))
+    return connection
--- a/tests/memory/test_process_limits.py
+++ b/tests/memory/test_process_limits.py
@@ -34,7 +34,9 @@
     smallest_mb, rpc_mb, data, max_descriptors
 ):
     memory_mb = data.draw(st.floats(smallest_mb, 1 << 16))
-    limits = ProcessLimits.from_config(memory_mb, max_descriptors, has_rpc=bool(rpc_mb))
+    limits = ProcessLimits.from_config(
+        memory_mb, max_descriptors, has_rpc=bool(rpc_mb), has_feeds=True
+    )
     callers = limits.caller_connections + limits.rpc_connections
     memory_bytes = (
         (PROCESS_MB + rpc_mb) * BYTES_PER_MB
@@ -43,7 +45,8 @@
         + limits.data_bytes
     )
     assert memory_bytes <= memory_mb * BYTES_PER_MB
-    assert OWN_DESCRIPTORS + callers + limits.endpoint_connections <= max_descriptors
+    hosts = limits.endpoint_connections + limits.subscribers
+    assert OWN_DESCRIPTORS + callers + hosts <= max_descriptors
     assert (limits.rpc_connections > 0) == bool(rpc_mb)
 
 
--- a/tests/outside/site.py
+++ b/tests/outside/site.py
@@ -57,7 +57,7 @@
         self.readiness_address = unique_address()
         self.metrics_address = unique_address()
         self.rpc_address = unique_address()
-        self._feed_address = unique_address()
+        self.feed_address = unique_address()
 
     @property
     def log_path(self):
@@ -106,7 +106,7 @@
             optional_settings["rpc"] = {"address": self.rpc_address, **self._rpc}
         if self._min_feed_hosts:
             optional_settings["feeds"] = {
-                "address": self._feed_address,
+                "address": self.feed_address,
                 "min_hosts": self._min_feed_hosts,
             }
         if self._duties:
