Batches: small ones count, and only so many wait for memory

What callers saw: 3,000 batches of one sample that wait for weights took a host of 128 MB to 91 to 97 MB, of which the budget counted 18 to 20 MB; so more of them would have ended it.

Cause: the first 16 KiB of each transfer do not count, as each connection has room for them. Batches in work used the same rule, but have no connection: 16 KiB is what such a batch takes. Batches that found no room had no limit on their number.

All bytes of a batch in work count, with 8 KiB for the batch itself, and while 64 batches wait for memory, others are refused as not run (no_memory, Retry-After).

tests/crowds/test_submissions.py::test_many_small_batches_that_wait asks that what is resident beyond a process without callers is counted: it failed before in both modes (97.9 and 96.8 MB resident, 94.3 and 96.4 MB allowed) and passes. tests/batches/test_room.py has both rules.

--- a/src/bankrudder/batches/_room.py
+++ b/src/bankrudder/batches/_room.py
@@ -7,7 +7,10 @@
 import structlog
 
 from bankrudder.batches._values import Batch, BatchId
-from bankrudder.memory import Holding, MemoryBudget, TransferKind
+from bankrudder.memory import Holding, MemoryBudget
+
+BATCH_BYTES = 8 << 10
+"""Memory of a batch besides its samples: its work, and what is known of its step."""
 
 SAMPLE_BYTES = 4 << 10
 """Memory of a sample besides its content: its state, and its text."""
@@ -21,6 +24,9 @@
 LOADING_BYTES = 2 << 20
 """Memory for reading a batch whose size is not known yet."""
 
+MAX_WAITING_BATCHES = 64
+"""Number of batches that wait for memory from which no others are accepted."""
+
 WAIT_INTERVAL_S = 0.1
 """Interval between two checks for room."""
 
@@ -38,7 +44,8 @@
     )
     waiting_count = min(len(batch.samples), MAX_WAITING_SAMPLES)
     return (
-        content_bytes
+        BATCH_BYTES
+        + content_bytes
         + SAMPLE_BYTES * len(batch.samples)
         + WAITING_BYTES * waiting_count
     )
@@ -51,6 +58,12 @@
         self._batch_id = batch_id
         self._holding = holding
         self._budget = budget
+        self._is_waiting = False
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the batch waits for memory."""
+        return self._is_waiting
 
     def try_hold(self, size_bytes: int) -> bool:
         """Hold at least `size_bytes` in all, if there is room."""
@@ -68,8 +81,13 @@
             held_bytes=self._budget.held_bytes,
             budget_bytes=self._budget.limit_bytes,
         )
-        while not self.try_hold(size_bytes):  # noqa: ASYNC110 - there is no event for it
-            await asyncio.sleep(WAIT_INTERVAL_S)
+        self._is_waiting = True
+        try:
+            # There is no event for it.
+            while not self.try_hold(size_bytes):  # noqa: ASYNC110
+                await asyncio.sleep(WAIT_INTERVAL_S)
+        finally:
+            self._is_waiting = False
 
 
 class BatchRoom:
@@ -77,13 +95,22 @@
 
     def __init__(self, budget: MemoryBudget):
         self._budget = budget
+        self._places: set[BatchPlace] = set()
+
+    @property
+    def is_full(self) -> bool:
+        """Whether so many batches wait for memory that no others may be accepted."""
+        waiting_count = sum(each.is_waiting for each in self._places)
+        return waiting_count >= MAX_WAITING_BATCHES
 
     @contextmanager
     def enter(self, batch_id: BatchId) -> Iterator[BatchPlace]:
         """Begin to hold memory for a batch, which is released at the end."""
-        holding = self._budget.hold(TransferKind.REQUEST, lambda: 0, lambda: None)
-        holding.note_received()  # it is not ended for other transfers
+        holding = self._budget.hold_work()
+        place = BatchPlace(batch_id, holding, self._budget)
+        self._places.add(place)
         try:
-            yield BatchPlace(batch_id, holding, self._budget)
+            yield place
         finally:
+            self._places.remove(place)
             holding.release()
--- a/src/bankrudder/batches/_service.py
+++ b/src/bankrudder/batches/_service.py
@@ -162,6 +162,11 @@
         """The moves of running samples."""
         return self._dispatcher.moves
 
+    @property
+    def has_room(self) -> bool:
+        """Whether further batches may be accepted; too many may wait for memory."""
+        return not self._room.is_full
+
     async def accept(self, batch: Batch) -> bool:
         """Store a batch, and start work on it if this host is its owner.
 
--- a/src/bankrudder/memory/_budget.py
+++ b/src/bankrudder/memory/_budget.py
@@ -65,6 +65,8 @@
         Returns how many bytes the other side has sent or received so far.
     end : callable
         Ends the transfer by closing its connection.
+    uncounted_bytes : int
+        Number of bytes that do not count.
     """
 
     def __init__(
@@ -74,8 +76,10 @@
         began_at: float,
         transferred_bytes: Callable[[], int],
         end: Callable[[], None],
+        uncounted_bytes: int,
     ):
         self._budget = budget
+        self._uncounted_bytes = uncounted_bytes
         self._kind = kind
         self._began_at = began_at
         self._transferred_bytes = transferred_bytes
@@ -138,9 +142,7 @@
             memory already and must be delivered.
         """
         size_bytes = self._size_bytes + count
-        added_bytes = (
-            max(size_bytes - self._budget.uncounted_bytes, 0) - self._held_bytes
-        )
+        added_bytes = max(size_bytes - self._uncounted_bytes, 0) - self._held_bytes
         if not self._budget.take(self, added_bytes, is_required=is_required):
             return False
         self._size_bytes = size_bytes
@@ -270,7 +272,25 @@
         end: Callable[[], None],
     ) -> Holding:
         """Begin a transfer, which holds no bytes yet."""
-        holding = Holding(self, kind, self._clock.monotonic(), transferred_bytes, end)
+        return self._begin(kind, transferred_bytes, end, self._uncounted_bytes)
+
+    def hold_work(self) -> Holding:
+        """Begin to hold data that is here and is worked on; all of it counts.
+
+        It is not ended for transfers.
+        """
+        holding = self._begin(TransferKind.REQUEST, lambda: 0, lambda: None, 0)
+        holding.note_received()
+        return holding
+
+    def _begin(
+        self,
+        kind: TransferKind,
+        transferred_bytes: Callable[[], int],
+        end: Callable[[], None],
+        uncounted_bytes: int,
+    ) -> Holding:
+        holding = Holding(self, kind, self.now, transferred_bytes, end, uncounted_bytes)
         self._holdings.add(holding)
         return holding
 
--- a/src/bankrudder/node/_gateway.py
+++ b/src/bankrudder/node/_gateway.py
@@ -184,6 +184,9 @@
 
     async def accept(self, batch: Batch) -> Reply | None:
         """Accept a batch, also if it is resubmitted; None means that it is accepted."""
+        if not self._batches.has_room:
+            _log.warning("gateway: no memory for another batch", batch=batch.id)
+            return NotRun(RejectReason.NO_MEMORY, ACCEPT_RETRY_AFTER_S)
         try:
             is_accepted = await self._batches.accept(batch)
         except StoreUnavailableError as error:
--- a/tests/crowds/test_submissions.py
+++ b/tests/crowds/test_submissions.py
@@ -7,9 +7,13 @@
 import asyncio
 import json
 
-from outside.crowds import sized_body
+from node.test_memory import gauge
+from outside.crowds import PROCESS_MB, sized_body
 from outside.site import batch, until
 
+WAITING_BATCH_COUNT = 3000
+"""Small batches that wait at the same time."""
+
 
 def submission_of(batch_id, size_bytes):
     """Return a submission of about a size whose samples are small."""
@@ -77,3 +81,23 @@
     await crowd.send([request.encode()] * 200)
     await asyncio.sleep(0.5)
     await check_survival(site, host, meter)
+
+
+async def test_many_small_batches_that_wait(
+    start_site, measure, settings, check_survival
+):
+    site, host = await start_site(settings)
+    meter = measure(host)
+    places = asyncio.Semaphore(16)
+
+    async def submit(number):
+        async with places:
+            # No engine has these weights, so the batch waits.
+            return await site.submit(host, f"w{number}", samples=1, min_version=99)
+
+    statuses = await asyncio.gather(*map(submit, range(WAITING_BATCH_COUNT)))
+    assert set(statuses) <= {202, 429, 503}
+    await check_survival(site, host, meter)
+    # What is not of the process alone counts as data.
+    data_bytes = await gauge(host, "bankrudder_held_bytes")
+    assert meter.resident_bytes < (PROCESS_MB << 20) + data_bytes
