gRPC: requests count as data, and only so many wait for their message

What callers saw: 24 clients with 1,000 calls each whose message does not come took a host of 256 MB with the gRPC interface to 260 MB. Besides, requests in progress could hold 64 MB there (max_held_bytes) beside the budget of the process, which was full at that size.

Cause: every call waited for its turn to be received, whatever their number, and the limit on held bytes knew nothing of the memory of the process.

4,096 calls may wait, as many as one caller may have in progress by default; others fail at once as not run (OVERLOADED, with a delay). Requests count as data from when they are received until they are answered, and fail the same way if there is no room. The account reserves 132 MB for the interface, which was 84.

tests/crowds/test_rpc.py::test_calls_whose_message_does_not_come failed before (273,060,932 bytes, 268,435,456 allowed) and passes; tests/rpc/test_limits.py and test_receiving.py have the two rules.

--- a/src/bankrudder/memory/_process_limits.py
+++ b/src/bankrudder/memory/_process_limits.py
@@ -18,9 +18,9 @@
 """Memory that the process takes without callers, in megabytes. It includes connections
 of monitoring, readiness checks and subscribers."""
 
-RPC_MB = 84.0
-"""Memory of the gRPC interface without its connections, in megabytes: its library, and
-the messages that are received at the same time."""
+RPC_MB = 132.0
+"""Memory of the gRPC interface without its connections, in megabytes: its library,
+the messages that are received at the same time, and the requests that wait for that."""
 
 CALLERS_MEMORY_SHARE = 1 / 4
 """Share of the remaining memory that connections of callers may use."""
--- a/src/bankrudder/node/_components.py
+++ b/src/bankrudder/node/_components.py
@@ -83,7 +83,7 @@
         self._settings = settings
         self._clock = clock
         self._endpoints = adapter.endpoints
-        self._budget = adapter.budget
+        self.budget = adapter.budget
         self._limits = adapter.limits
         self._documents = adapter.documents
         self.lifetime = Lifetime(str(uuid_utils.uuid4()))
@@ -264,7 +264,7 @@
             self._make_loads_follower(),
             self._store_clock.time_at,
             self._plans_steps,
-            self._budget,
+            self.budget,
         )
 
     @property
--- a/src/bankrudder/node/_rpc_interface.py
+++ b/src/bankrudder/node/_rpc_interface.py
@@ -90,7 +90,10 @@
             on_removed=lambda _: None,
         )
         self._context = RpcContext(
-            self._configuration, rpc.operator_token_sha256, rpc.limits
+            self._configuration,
+            rpc.operator_token_sha256,
+            rpc.limits,
+            components.budget,
         )
         credentials = server_credentials(rpc.tls) if rpc.tls is not None else None
         self._server = RpcServer.from_config(rpc.address, credentials, max_connections)
--- a/src/bankrudder/rpc/_context.py
+++ b/src/bankrudder/rpc/_context.py
@@ -9,6 +9,7 @@
 from bankrudder.config import ConfigurationIndex, ConfigurationService
 from bankrudder.exceptions import InvalidError, NotRunError
 from bankrudder.failures import FailureReason
+from bankrudder.memory import MemoryBudget
 from bankrudder.rpc._identity import authenticate, bearer_hash, require_role
 from bankrudder.rpc._limits import RequestLimiter
 from bankrudder.rpc._types import ServicerContext
@@ -40,6 +41,8 @@
         token needs no configuration, so that the first one can be applied.
     limits : RpcLimits, optional
         Limits on the requests in progress; default `RpcLimits` if None.
+    budget : MemoryBudget, optional
+        Memory for the requests; by default that of a process whose memory is unknown.
     """
 
     def __init__(
@@ -47,8 +50,9 @@
         configuration: ConfigurationService,
         operator_token_sha256: str = "",
         limits: RpcLimits | None = None,
+        budget: MemoryBudget | None = None,
     ):
-        self._limiter = RequestLimiter(limits or RpcLimits())
+        self._limiter = RequestLimiter(limits or RpcLimits(), budget)
         self._configuration = configuration
         self._operator_token_sha256 = operator_token_sha256
         self._stopping = False
--- a/src/bankrudder/rpc/_limits.py
+++ b/src/bankrudder/rpc/_limits.py
@@ -6,6 +6,7 @@
 
 from bankrudder.exceptions import NotRunError
 from bankrudder.failures import FailureReason
+from bankrudder.memory import MemoryBudget, TransferKind
 from bankrudder.world import CallerName, RpcLimits
 
 RETRY_AFTER_S = 1.0
@@ -13,10 +14,17 @@
 
 
 class RequestLimiter:
-    """Counts requests in progress, and refuses those that exceed a limit."""
+    """Counts requests in progress, and refuses those that exceed a limit.
 
-    def __init__(self, limits: RpcLimits):
+    Parameters
+    ----------
+    budget : MemoryBudget, optional
+        Memory for the requests; by default that of a process whose memory is unknown.
+    """
+
+    def __init__(self, limits: RpcLimits, budget: MemoryBudget | None = None):
         self._limits = limits
+        self._budget = budget or MemoryBudget.of_unknown_process()
         self._requests_by_caller: Counter[CallerName] = Counter()
         self._bytes_by_caller: Counter[CallerName] = Counter()
         self._request_count = 0
@@ -48,11 +56,18 @@
             ``OVERLOADED`` if it exceeds a limit, which the detail names.
         """
         self._check_limits(caller, size_bytes)
-        self._add(caller, 1, size_bytes)
+        holding = self._budget.hold(TransferKind.REQUEST, lambda: 0, lambda: None)
+        holding.note_received()
         try:
-            yield
+            if not holding.grow(size_bytes):
+                self._refuse(f"this node has no memory for {size_bytes} more bytes")
+            self._add(caller, 1, size_bytes)
+            try:
+                yield
+            finally:
+                self._add(caller, -1, -size_bytes)
         finally:
-            self._add(caller, -1, -size_bytes)
+            holding.release()
 
     def _check_limits(self, caller: CallerName, size_bytes: int) -> None:
         limits = self._limits
--- a/src/bankrudder/rpc/_receiving.py
+++ b/src/bankrudder/rpc/_receiving.py
@@ -16,6 +16,10 @@
 """Largest number of messages that are received at the same time. Until they are
 decoded, each takes up to twice the largest message."""
 
+MAX_WAITING = 4096
+"""Largest number of requests that wait until their message is received, as many as one
+caller may have in progress by default."""
+
 RECEIVE_TIMEOUT_S = 3.0
 """Time within which a message has to arrive, once it is received."""
 
@@ -31,6 +35,7 @@
 
     def __init__(self) -> None:
         self._places = asyncio.Semaphore(MAX_RECEIVING)
+        self._waiting_count = 0
 
     async def receive(self, messages: AsyncIterator[Any]) -> Any:
         """Return the message of a request, None if it has none.
@@ -38,13 +43,18 @@
         Raises
         ------
         NotRunError
-            ``OVERLOADED`` if it was not received in time.
+            ``OVERLOADED`` if it was not received in time, or too many others wait.
         """
+        if self._waiting_count >= MAX_WAITING:
+            raise _overloaded(f"{MAX_WAITING} other requests wait for their message")
+        self._waiting_count += 1
         try:
             async with asyncio.timeout(WAIT_TIMEOUT_S):
                 await self._places.acquire()
         except TimeoutError:
             raise _overloaded(f"{MAX_RECEIVING} other messages are received") from None
+        finally:
+            self._waiting_count -= 1
         try:
             async with asyncio.timeout(RECEIVE_TIMEOUT_S):
                 return await anext(messages, None)
--- a/tests/crowds/test_rpc.py
+++ b/tests/crowds/test_rpc.py
@@ -21,6 +21,10 @@
 HTTP2_START = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + bytes((0, 0, 0, 4, 0, 0, 0, 0, 0))
 """What a client sends before its first request: the preface and empty settings."""
 
+CALLERS_COUNT = 24
+CALLS_COUNT = 1000
+"""Calls of each caller whose message does not come."""
+
 METHOD = "/bankrudder.v1.Calls/Call"
 
 
@@ -70,3 +74,20 @@
         return "no_configuration" in await send(host.rpc_address, b"")
 
     await until(is_answered)
+
+
+async def test_calls_whose_message_does_not_come(start_site, measure):
+    site, host = await start_site({"memory_mb": MEMORY_MB}, rpc=RPC)
+    meter = measure(host)
+    options = [("grpc.use_local_subchannel_pool", 1)]
+
+    async def wait():
+        """Open calls on a connection of its own, and wait until they have ended."""
+        async with grpc.aio.insecure_channel(host.rpc_address, options) as channel:
+            calls = [channel.stream_unary(METHOD)() for _ in range(CALLS_COUNT)]
+            await asyncio.gather(*calls, return_exceptions=True)
+
+    await asyncio.gather(*(wait() for _ in range(CALLERS_COUNT)))
+    assert await is_served(site, host)
+    assert host.is_running
+    assert meter.peak_bytes < MEMORY_MB << 20
--- a/tests/rpc/test_limits.py
+++ b/tests/rpc/test_limits.py
@@ -4,6 +4,7 @@
 
 from bankrudder.exceptions import NotRunError
 from bankrudder.failures import FailureReason
+from bankrudder.memory import MemoryBudget
 from bankrudder.rpc._limits import RequestLimiter, RpcLimits
 from bankrudder.world import CallerName
 
@@ -71,3 +72,16 @@
     with pytest.raises(KeyError), limiter.admit(DESK, 7):
         raise KeyError
     assert (limiter.request_count, limiter.byte_count) == (0, 0)
+
+
+def test_requests_count_as_data_of_the_process(manual_clock):
+    budget = MemoryBudget(1000, manual_clock, uncounted_bytes=0)
+    limiter = RequestLimiter(RpcLimits(), budget)
+    with limiter.admit("a", 700):
+        assert budget.held_bytes == 700
+        with pytest.raises(NotRunError) as caught, limiter.admit("a", 700):
+            pass
+        assert caught.value.failure.reason is FailureReason.OVERLOADED
+    assert budget.held_bytes == 0
+    with limiter.admit("a", 700):
+        pass
--- a/tests/rpc/test_receiving.py
+++ b/tests/rpc/test_receiving.py
@@ -6,7 +6,7 @@
 
 from bankrudder.exceptions import NotRunError
 from bankrudder.rpc import _receiving
-from bankrudder.rpc._receiving import MAX_RECEIVING, MessageReceiver
+from bankrudder.rpc._receiving import MAX_RECEIVING, MAX_WAITING, MessageReceiver
 
 
 @pytest.fixture
@@ -60,3 +60,20 @@
             yield message
 
     assert await receiver.receive(nothing()) is None
+
+
+async def test_only_so_many_requests_wait():
+    receiver = MessageReceiver()
+    may_end = asyncio.Event()
+
+    async def messages():
+        await may_end.wait()
+        yield "m"
+
+    count = MAX_RECEIVING + MAX_WAITING
+    others = [asyncio.ensure_future(receiver.receive(messages())) for _ in range(count)]
+    await asyncio.sleep(0)
+    with pytest.raises(NotRunError):
+        await receiver.receive(messages())
+    may_end.set()
+    assert await asyncio.gather(*others) == ["m"] * count
