Listeners: metrics of connections, and Retry-After on 408

Connections that are closed for a limit were only in the log, which is limited; whether a crowd is there could not be seen from the metrics. A request whose body does not arrive in time is refused as not run with 408, but without the delay that 503 has.

The asserts failed before (no such metric, no such header), in tests/crowds/test_connections.py and tests/node/test_early_refusals.py.

--- a/src/bankrudder/node/_adapter.py
+++ b/src/bankrudder/node/_adapter.py
@@ -32,6 +32,16 @@
         """Number of requests that are not answered yet."""
         ...
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        ...
+
+    @property
+    def closed_connection_count(self) -> int:
+        """Number of connections that were closed for a limit, or not accepted."""
+        ...
+
     @property
     def held_bytes(self) -> int:
         """Bytes of bodies that the host holds."""
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -191,6 +191,7 @@
             ),
             "bankrudder_requests_in_progress": self._callers.in_progress,
             "bankrudder_held_bytes": self._callers.held_bytes,
+            "bankrudder_caller_connections": self._callers.connection_count,
             "bankrudder_orders_lease_held": int(self._components.lease.is_valid),
             "bankrudder_hosts_alive": len(self._components.presence.live_hosts()),
             "bankrudder_ready": int(self._components.gateway.is_ready),
@@ -203,6 +204,10 @@
         }
         for name, value in gauges.items():
             yield Sample.gauge(name, value)
+        yield Sample.counter(
+            "bankrudder_caller_connections_closed_total",
+            self._callers.closed_connection_count,
+        )
         for table, age_s in self._components.platform_state.table_ages_s().items():
             yield Sample.gauge("bankrudder_table_age_seconds", age_s, table=table)
         yield from self._line_samples()
--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -62,6 +62,9 @@
 MIN_BODY_TIMEOUT_S = 0.1
 """Shortest time for the rest of a body, so that one that came with its head is read."""
 
+BODY_RETRY_AFTER_S = 0.1
+"""Retry delay for a request whose body did not arrive in time."""
+
 MAX_HEADER_BYTES = 32768
 """Maximum size of the request line and of each header field.
 
@@ -267,7 +270,10 @@
                 request=incoming.request_id,
                 received_bytes=holding.size_bytes,
             )
-            response = web.Response(status=STATUS_REQUEST_TIMEOUT)
+            response = web.Response(
+                status=STATUS_REQUEST_TIMEOUT,
+                headers={names.RETRY_AFTER: f"{BODY_RETRY_AFTER_S:.2f}"},
+            )
             response.force_close()
             return response
 
--- a/src/bankrudder/serving/_server.py
+++ b/src/bankrudder/serving/_server.py
@@ -329,6 +329,16 @@
         host, port = self._runner.addresses[0][:2]
         return Address(f"{host}:{port}")
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._table)
+
+    @property
+    def closed_connection_count(self) -> int:
+        """Number of connections that were closed for a limit, or not accepted."""
+        return self._table.closed_count
+
     async def start(self) -> None:
         """Start listening.
 
--- a/tests/crowds/test_connections.py
+++ b/tests/crowds/test_connections.py
@@ -69,6 +69,7 @@
     assert host.is_running
     assert meter.descriptor_peak < MAX_DESCRIPTORS
     assert await host.is_ready()
+    assert await gauge(host, "bankrudder_caller_connections_closed_total") > 0
 
 
 @pytest.mark.parametrize("listener", ["readiness_address", "metrics_address"])
--- a/tests/node/test_early_refusals.py
+++ b/tests/node/test_early_refusals.py
@@ -65,6 +65,7 @@
     async with connected(small_site) as (reader, writer):
         writer.write(request.replace(b"9000", b"200") + b"x")
         assert await status_of(reader) == 408
+        assert b"Retry-After: " in await reader.readuntil(b"\r\n\r\n")
     assert run_count(small_site) == 0
 
 
