Crashes: long identifiers are not kept with lost requests either

What is known of lost requests, and of endpoints that crashed under them, outlasts the requests by minutes: up to 1,000 open losses and 12,000 rows, each with the identifier that its caller chose, of up to 16 KB, in memory and in the store. It serves only to tell the attempts of one request from others.

A long identifier is now replaced by its digest, as among the requests sent lately; both use the same function.

--- a/src/bankrudder/crashes/_values.py
+++ b/src/bankrudder/crashes/_values.py
@@ -35,8 +35,8 @@
     Attributes
     ----------
     request : str
-        Identifier that is common to the attempts of a request that may be hedged, empty
-        for other attempts.
+        Mark of the identifier that is common to the attempts of a request that may be
+        hedged, empty for other attempts.
     first_event : int
         Number of the event at which the attempt started or resumed the answer.
     next_event : int
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -53,7 +53,7 @@
 )
 from bankrudder.relay._waiting import first_done
 from bankrudder.routing import Route, RouteKind, ServiceName
-from bankrudder.world import Clock
+from bankrudder.world import Clock, request_mark
 
 _log = structlog.get_logger("relay")
 
@@ -173,7 +173,11 @@
         now = self._clock.monotonic()
         request = self._request
         self._sends[task] = Send(
-            self._content, target, now, request.request_id, policy=request.policy
+            self._content,
+            target,
+            now,
+            request_mark(request.request_id),
+            policy=request.policy,
         )
 
     def _must_take_turn(self) -> bool:
--- a/src/bankrudder/world/__init__.py
+++ b/src/bankrudder/world/__init__.py
@@ -26,6 +26,7 @@
 )
 from bankrudder.world._limits import RpcLimits
 from bankrudder.world._places import DataCentre, DataClass
+from bankrudder.world._request_marks import request_mark
 from bankrudder.world._steps import (
     SampleSlot,
     StepEnd,
@@ -71,6 +72,7 @@
     "VersionSpan",
     "Workspace",
     "WorkspaceName",
+    "request_mark",
     "address_error",
     "host_and_port",
 ]
