--- a/src/bankrudder/memory/_budget.py
+++ b/src/bankrudder/memory/_budget.py
@@ -344,22 +344,16 @@
         own_rate = holding.bytes_per_s(now)
         is_new = holding.age_s(now) < MIN_ENDED_AGE_S
 
-        def is_slower(each: Holding) -> bool:
+        def may_end(each: Holding) -> bool:
+            if each is holding or not each.held_bytes or each.is_received:
+                return False
+            if each.stalled_s(now) >= STALLED_S:
+                return True
             is_old = each.age_s(now) >= MIN_ENDED_AGE_S
             return is_old and (is_new or each.bytes_per_s(now) < own_rate)
 
-        candidates = [
-            each
-            for each in self._holdings
-            if each is not holding and each.held_bytes and not each.is_received
-        ]
         return sorted(
-            (
-                each
-                for each in candidates
-                if each.stalled_s(now) >= STALLED_S or is_slower(each)
-            ),
-            key=lambda each: each.bytes_per_s(now),
+            filter(may_end, self._holdings), key=lambda each: each.bytes_per_s(now)
         )
 
     def _log_end(self, ended: Holding, holding: Holding, count: int) -> None:
