Feeds: a pause after a connection that could not be accepted

Without descriptors the event loop would call the reader's listener again at once, for as long as a client waits. Found by reading; limits leave descriptors for it.

--- a/src/bankrudder/feeds/_listening.py
+++ b/src/bankrudder/feeds/_listening.py
@@ -24,6 +24,9 @@
 UNREAD_TIMEOUT_MS = 10_000
 """Time after which a connection is closed whose client takes nothing or is gone."""
 
+RETRY_PAUSE_S = 0.5
+"""Pause after a connection could not be accepted, as there was no descriptor left."""
+
 _log = structlog.get_logger("feeds")
 
 
@@ -54,20 +57,32 @@
         # In the order in which they were accepted.
         self._waiting: dict[socket.socket, None] = {}
         self._socket = _listening_socket(address)
-        self._loop.add_reader(self._socket.fileno(), self._accept)
+        self._retry: asyncio.TimerHandle | None = None
+        self._begin_accepting()
 
     def close(self) -> None:
         """Stop listening, and close the connections that were not handed over."""
+        if self._retry is not None:
+            self._retry.cancel()
         self._loop.remove_reader(self._socket.fileno())
         self._socket.close()
         for each in list(self._waiting):
             self._close(each)
 
+    def _begin_accepting(self) -> None:
+        self._loop.add_reader(self._socket.fileno(), self._accept)
+
     def _accept(self) -> None:
         """Accept one connection; the event loop calls again if there are more."""
         try:
             accepted, _ = self._socket.accept()
-        except OSError:
+        except (BlockingIOError, ConnectionAbortedError):
+            return
+        except OSError as error:
+            _log.warning("feeds: no connection accepted", reason=str(error))
+            # Without a pause the event loop would call again at once.
+            self._loop.remove_reader(self._socket.fileno())
+            self._retry = self._loop.call_later(RETRY_PAUSE_S, self._begin_accepting)
             return
         if not self._has_room() and not self._make_room():
             accepted.close()
