Endpoints: bodies do not outlast answers that are broken off

What callers saw: after each request of 8 MB whose answer of 8 MB was broken off, a host had 16 MB more (62, 78, 94, 110 MB after four of them), of which the budget counted none.

Cause: the HTTP client keeps the error with the answer; the error's frames refer to the answer, to what was read of it, and to the request. As with cancelled attempts, only the collector of cycles ends that.

--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -144,11 +144,14 @@
             return Refused(_connect_refusal(error))
         except TimeoutError:
             return Lost(LossReason.TIMEOUT)
-        except AnswerTooLongError:
+        except AnswerTooLongError as error:
+            _drop_frames(error)
             return Lost(LossReason.TOO_LONG)
-        except (aiohttp.ClientPayloadError, aiohttp.ClientResponseError):
+        except (aiohttp.ClientPayloadError, aiohttp.ClientResponseError) as error:
+            _drop_frames(error)
             return Lost(LossReason.BROKEN_OFF)
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError) as error:
+            _drop_frames(error)
             return Lost(LossReason.NO_ANSWER)
 
     @asynccontextmanager
@@ -170,9 +173,11 @@
             outcome = Refused(_connect_refusal(error))
         except TimeoutError:
             outcome = Lost(LossReason.TIMEOUT)
-        except AnswerTooLongError:
+        except AnswerTooLongError as error:
+            _drop_frames(error)
             outcome = Lost(LossReason.TOO_LONG)
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError) as error:
+            _drop_frames(error)
             outcome = Lost(LossReason.NO_ANSWER)
         try:
             yield outcome
@@ -286,6 +291,15 @@
     )
 
 
+def _drop_frames(error: BaseException) -> None:
+    """Remove the frames of an error that the HTTP client keeps with an answer.
+
+    They refer to the answer and to both bodies. The cycle would keep all of them in
+    memory until the collector runs, which counts objects and not bytes.
+    """
+    error.__traceback__ = None
+
+
 def _connect_refusal(error: aiohttp.ClientError) -> RefusalReason:
     """Return the reason why a connection attempt failed."""
     if not isinstance(error, aiohttp.ClientConnectorError):
--- a/tests/crowds/test_bodies.py
+++ b/tests/crowds/test_bodies.py
@@ -58,6 +58,26 @@
     await check_survival(site, host, meter)
 
 
+async def test_bodies_do_not_outlast_answers_that_are_broken_off(
+    start_site, measure, settings, check_survival
+):
+    site, host = await start_site(settings)
+    for each in site.scorers:
+        each.fail_next = ["truncated"] * 6
+    meter = measure(host)
+    body = bytes(8 << 20)
+    for number in range(6):
+        headers = {"X-Request-Id": f"broken-{number}", "X-Request-Deadline": "9000"}
+        status, _, _ = await site.call(
+            host, "POST", "/once/broken", body=body, headers=headers
+        )
+        assert status == 502
+        assert meter.resident_bytes < PROCESS_MB << 20
+    for each in site.scorers:
+        each.fail_next = []
+    await check_survival(site, host, meter)
+
+
 async def test_bodies_that_come_whole(
     start_site, gather_crowd, measure, settings, check_survival
 ):
