Answers: a connection that this host closes does not complete an answer

When this host closed a connection itself while it read a body without a length (the sessions of an endpoint's earlier run, a stop), the HTTP client took the end of the connection for the end of the body: an answer that had begun counted as whole, of a stream too. In chunks, and for a body that followed a status below 200, the reader got a RuntimeError of the HTTP client, which nothing handles: callers got a bare 500, and no outcome was noted for the endpoint.

Cause: closing ends the body only for connections that are lost. Fix: a connection that is closed or reset here first fails the body that is not complete yet.

Evidence: the six new tests fail on the code before: a body of 24 bytes that goes on is Answered once the client is closed, a stream ends without an error, status 000 with a body is Answered or waits for its deadline.

--- a/src/bankrudder/platform/_bounded_connections.py
+++ b/src/bankrudder/platform/_bounded_connections.py
@@ -66,8 +66,14 @@
         if self.transport is not None and self.transport.get_write_buffer_size():
             self.abort()
         else:
+            self._fail_body(aiohttp.ClientConnectionError("connection closed"))
             super().close()
 
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._fail_body(aiohttp.ClientConnectionError("connection reset"))
+        super().abort()
+
     def set_response_params(self, **options: Any) -> None:
         """Begin the next answer."""
         self._received_bytes = 0
@@ -147,9 +153,11 @@
             self._check_framing()
 
     def _fail_body(self, error: BaseException) -> None:
-        """End a body after bytes that cannot be parsed.
+        """End a body that is not complete.
 
-        The HTTP client closes the connection, but does not tell the body's reader.
+        The HTTP client does not tell the body's reader of bytes that cannot be parsed,
+        and takes a connection that is closed on this side for the end of a body without
+        a length.
         """
         body = self._body
         if body is not None and not body.is_eof() and body.exception() is None:
--- a/tests/outside/endpoints.py
+++ b/tests/outside/endpoints.py
@@ -38,12 +38,13 @@
     """Base of all endpoints: identity, HTTP server and records of requests.
 
     ``fail_next`` holds the faults of the next requests: ``500``, ``full``, ``reset``,
-    ``silent``, ``truncated``, ``foreign`` (the answer belongs to another request), or
-    one of ``ENDLESS_UNITS``, whose bytes are counted in ``endless_bytes``. An answer
-    echoes ``max_echo_bytes`` of its request at most, and ends with ``added_bytes``. A
-    request whose body is in ``crash_on`` crashes the endpoint like a killed process:
-    after ``crash_after_s``, or if ``crash_after_events`` is set, after that number of
-    events of a stream.
+    ``silent``, ``truncated``, ``foreign`` (the answer belongs to another request), one
+    of ``ENDLESS_UNITS``, whose bytes are counted in ``endless_bytes``, or the bytes to
+    send, in which ``%s`` becomes the identifier of the request. An answer echoes
+    ``max_echo_bytes`` of its request at most, and ends with ``added_bytes``. A request
+    whose body is in ``crash_on`` crashes the endpoint like a killed process: after
+    ``crash_after_s``, or if ``crash_after_events`` is set, after that number of events
+    of a stream.
     """
 
     def __init__(self, endpoint_id):
@@ -144,6 +145,10 @@
         self.run_counts[request_id] += 1
         self.busy += 1
         try:
+            if isinstance(fault, bytes):
+                request.transport.write(fault.replace(b"%s", request_id.encode()))
+                request.transport.close()
+                await asyncio.sleep(60)
             if fault in ENDLESS_UNITS:
                 await self._send_endless(request, request_id, fault)
             if body in self.crash_on and self.crash_after_events is None:
--- a/tests/platform/test_bounded_connections.py
+++ b/tests/platform/test_bounded_connections.py
@@ -300,3 +300,39 @@
             if received % 5000 == 0:
                 await asyncio.sleep(0.05)
     assert received == count
+
+
+@pytest.mark.parametrize("framing", [b"\r\n", b"Transfer-Encoding: chunked\r\n\r\n"])
+@pytest.mark.parametrize("call", [send, read_stream])
+async def test_a_body_without_end_of_no_status_is_broken_off(
+    serve, client, framing, call
+):
+    """Guards against an error of the HTTP client that nothing handles."""
+    head = HEAD.replace(b"200 OK\r\n", b"000 Status\r\n") + framing
+    server = serve(head, b"5\r\naaaaa\r\n")
+    async with asyncio.timeout(BRIEF_S):
+        assert isinstance(await call(client, server), Lost)
+    await assert_closed(server)
+
+
+async def test_a_body_whose_connection_this_host_closes_is_broken_off(serve, client):
+    server = serve(HEAD + b"\r\n", b"a", is_slow=True)
+    sending = asyncio.ensure_future(send(client, server))
+    await asyncio.sleep(BRIEF_S / 2)
+    await client.close()
+    assert isinstance(await sending, Lost)
+
+
+async def test_so_is_a_stream(serve, client):
+    server = serve(HEAD + b"\r\n", b"id: 0\ndata: a\n\n", is_slow=True)
+
+    async def read():
+        async with client.open_stream(entry(server), make_request()) as outcome:
+            async for _ in outcome.events:
+                pass
+
+    reading = asyncio.ensure_future(read())
+    await asyncio.sleep(BRIEF_S / 2)
+    await client.close()
+    with pytest.raises(StreamBrokenError):
+        await reading
