Callers: values of an endpoint's fields keep bytes that are not UTF-8

An endpoint's field value with bytes over 127 that are not UTF-8 (RFC 9110, 5.5: obs-text) reached the caller without these bytes: a\xff\tb as a\tb. Cause: the HTTP client decodes them to surrogates, which the HTTP library's writer drops. Fix: the writer of callers' answers encodes heads with such values itself.

--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -23,6 +23,7 @@
     decoding_bytes,
     encode_page,
 )
+from bankrudder.platform._head_writer import HeadWriter
 from bankrudder.platform._limits import (
     STATUS_BODY_TOO_LARGE,
     STATUS_HEADERS_TOO_LARGE,
@@ -365,12 +366,13 @@
     writer: AbstractStreamWriter,
     task: "asyncio.Task[None]",
 ) -> web.BaseRequest:
+    loop = task.get_loop()
     return web.BaseRequest(
         message,
         payload,
         protocol,
-        writer,
+        HeadWriter(protocol, loop),
         task,
-        task.get_loop(),
+        loop,
         client_max_size=MAX_BODY_BYTES,
     )
