Endpoints: an answer with two identifiers belongs to no request

Only one of several X-Request-Id fields was compared. An answer, or a refusal that promises that the request did not run, was taken although a second field named another request; an order's answer was taken although it echoed the identifier of a request behind an empty one. All fields have to name the request now.

--- a/src/bankrudder/platform/_answers.py
+++ b/src/bankrudder/platform/_answers.py
@@ -111,10 +111,10 @@
 def is_answer_to(response: aiohttp.ClientResponse, request: OutgoingRequest) -> bool:
     """Whether a response belongs to a request, by the identifier that it echoes."""
     # An endpoint may refuse a request before it has read the identifier.
-    echoed_id = response.headers.get(names.REQUEST_ID)
-    if echoed_id is None:
+    echoed_ids = response.headers.getall(names.REQUEST_ID, [])
+    if not echoed_ids:
         return response.status >= 400 and names.ANSWER_PROOF not in response.headers
-    return echoed_id == request.request_id
+    return all(each == request.request_id for each in echoed_ids)
 
 
 async def read_answer(
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -209,7 +209,7 @@
                 # The HTTP client may repeat a query.
                 middlewares=(),
             ) as response:
-                if response.headers.get(names.REQUEST_ID):
+                if any(response.headers.getall(names.REQUEST_ID, [])):
                     response.close()
                     _log_foreign_answer(endpoint, names.STATE_PATH)
                     return None
@@ -264,7 +264,7 @@
                     total=CONTROL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
                 ),
             ) as response:
-                if response.headers.get(names.REQUEST_ID):
+                if any(response.headers.getall(names.REQUEST_ID, [])):
                     response.close()
                     _log_foreign_answer(endpoint, names.ORDERS_PATH)
                     return OrderOutcome.UNKNOWN
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -11,6 +11,7 @@
 from bankrudder.fleet import (
     Answered,
     Endpoint,
+    LossReason,
     Lost,
     OpenedStream,
     OrderOutcome,
@@ -24,7 +25,7 @@
 from bankrudder.platform._store import PlatformStore
 from bankrudder.store import CommitUnknown, StoreUnavailableError, Transaction
 from outside.canned import CannedServer
-from outside.raw_answers import BROKEN, EVENT, LENGTH, answer, odd_answers
+from outside.raw_answers import BROKEN, EVENT, LENGTH, NOT_RUN, answer, odd_answers
 
 BROKEN_BODIES = [
     "a_size_of_a_chunk_that_is_none",
@@ -191,3 +192,25 @@
         server.answer = answer(b"Transfer-Encoding: chunked\r\n", body=chunk + rest)
         with pytest.raises(StreamBrokenError):
             await read_stream(client, server)
+
+
+@pytest.mark.parametrize("status", [b"200 OK", b"503 Full"])
+@pytest.mark.parametrize("other", [b"q2", b"", b"q1, q2"])
+async def test_an_answer_to_two_requests_is_none(server, client, status, other):
+    """Guards against a second identifier that nothing compares."""
+    fields = b"X-Request-Id: %s\r\n" % other + NOT_RUN + LENGTH
+    server.answer = answer(fields, line=b"HTTP/1.1 " + status)
+    assert await send(client, server) == Lost(LossReason.FOREIGN_ANSWER)
+    assert await read_stream(client, server) == Lost(LossReason.FOREIGN_ANSWER)
+
+
+async def test_an_identifier_may_be_echoed_twice(server, client):
+    server.answer = answer(b"X-Request-Id: q1\r\n" + LENGTH)
+    assert isinstance(await send(client, server), Answered)
+
+
+async def test_an_answer_to_a_request_is_none_to_an_order(server, client):
+    fields = b"X-Request-Id: \r\nX-Request-Id: q1\r\nContent-Length: 0\r\n\r\n"
+    server.answer = b"HTTP/1.1 202 Accepted\r\n" + fields
+    assert await client.order(entry(server), ORDER) is OrderOutcome.UNKNOWN
+    assert await client.state(entry(server)) is None
