Writes: only a status that promises it says that nothing was written

A put or a drop that was repeated after a lost reply, and then refused with 503, counted as not committed although the first one may have been applied.

Cause: the known statuses were listed, and the rest was taken for a refusal. Fix: the refusals are known (400 to 499, 503, 507; for orders 400 to 499, or a field that says so), and the rest is unknown; a refusal speaks only for its own attempt. An unknown outcome is settled by reading, as one without a reply.

--- a/src/bankrudder/platform/_duty_api.py
+++ b/src/bankrudder/platform/_duty_api.py
@@ -147,7 +147,7 @@
             return DutyOutcome.REFUSED
         case 409 if isinstance(call, EndpointOrder):
             return DutyOutcome.REFUSED  # no endpoint is available at the moment
-        case _ if status < 500:
+        case _ if 400 <= status < 500:
             return DutyOutcome.REJECTED
         case _:
             return DutyOutcome.UNKNOWN
--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -268,7 +268,7 @@
                     response.close()
                     _log_foreign_answer(endpoint, names.ORDERS_PATH)
                     return OrderOutcome.UNKNOWN
-                return _ORDER_OUTCOMES.get(response.status, OrderOutcome.REJECTED)
+                return _order_outcome(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return OrderOutcome.NOT_SENT
         except (aiohttp.ClientError, OSError, TimeoutError):
@@ -291,6 +291,14 @@
     )
 
 
+def _order_outcome(response: aiohttp.ClientResponse) -> OrderOutcome:
+    if response.status in _ORDER_OUTCOMES:
+        return _ORDER_OUTCOMES[response.status]
+    if 400 <= response.status < 500 or names.NOT_RUN in response.headers:
+        return OrderOutcome.REJECTED
+    return OrderOutcome.UNKNOWN
+
+
 def _drop_frames(error: BaseException) -> None:
     """Remove the frames of an error that the HTTP client keeps with an answer.
 
--- a/src/bankrudder/platform/_store.py
+++ b/src/bankrudder/platform/_store.py
@@ -90,6 +90,9 @@
 }
 
 
+_REFUSALS = frozenset({503, 507})
+"""Statuses that say that nothing was written, besides those from 400 to 499."""
+
 _log = structlog.get_logger("store")
 
 
@@ -129,6 +132,18 @@
         return tuple(each for each in self.changes if isinstance(each, Row))
 
 
+class _HttpReply(msgspec.Struct):
+    """A reply of the store as it was received.
+
+    `may_be_applied` is whether the call was sent before without a reply, so that it may
+    have been applied whatever this reply states.
+    """
+
+    status: int
+    body: bytes
+    may_be_applied: bool
+
+
 class _NoReplyError(Exception):
     """There is no usable reply.
 
@@ -164,15 +179,15 @@
         """Apply a transaction if all of its expectations hold."""
         body = msgspec.json.encode(_wire_transaction(transaction))
         try:
-            status, reply = await self._call("POST", names.COMMIT_PATH, body=body)
-            match status:
+            reply = await self._call("POST", names.COMMIT_PATH, body=body)
+            match reply.status:
                 case 200:
-                    decoded = _decode(reply)
+                    decoded = _decode(reply.body)
                     return Committed(decoded.version, decoded.store_time_s)
                 case 412:
-                    return Conflict(_decode(reply).rows)
+                    return Conflict(_decode(reply.body).rows)
                 case _:
-                    return NotCommitted(_error_kind_of(status))
+                    return _outcome_of_failure(reply)
         except _NoReplyError as error:
             return _outcome_without_reply(error)
 
@@ -212,7 +227,7 @@
     async def put_object(self, name: str, body: bytes) -> CommitOutcome:
         """Write an object that does not exist yet."""
         try:
-            status, _ = await self._call(
+            reply = await self._call(
                 "PUT",
                 names.PUT_OBJECT_PATH + _quoted(name),
                 body=body,
@@ -221,55 +236,51 @@
             )
         except _NoReplyError as error:
             return _outcome_without_reply(error)
-        match status:
+        match reply.status:
             case 200 | 201 | 204:
                 return Committed(RowVersion(0))
             case 412:
                 return Conflict(())
             case _:
-                return NotCommitted(_error_kind_of(status))
+                return _outcome_of_failure(reply)
 
     async def get_object(self, name: str) -> bytes | None:
         """Return an object, None if it does not exist."""
         try:
-            status, body = await self._call(
+            reply = await self._call(
                 "GET", names.GET_OBJECT_PATH + _quoted(name), timeout_s=OBJECT_TIMEOUT_S
             )
         except _NoReplyError as error:
             raise StoreUnavailableError(error.error_kind) from None
-        match status:
+        match reply.status:
             case 200:
-                return body
+                return reply.body
             case 404:
                 return None
-            case _:
+            case status:
                 raise StoreUnavailableError(_error_kind_of(status))
 
     async def drop_object(self, name: str) -> CommitOutcome:
         """Remove an object; succeed also if it does not exist."""
         try:
-            status, _ = await self._call(
-                "DELETE", names.DROP_OBJECT_PATH + _quoted(name)
-            )
+            reply = await self._call("DELETE", names.DROP_OBJECT_PATH + _quoted(name))
         except _NoReplyError as error:
             return CommitUnknown(error.error_kind)
-        if status in (200, 204, 404):
+        if reply.status in (200, 204, 404):
             return Committed(RowVersion(0))
-        return NotCommitted(_error_kind_of(status))
+        return _outcome_of_failure(reply)
 
     async def _read(
         self, path: str, query: dict[str, str], timeout_s: float = CALL_TIMEOUT_S
     ) -> _Reply:
         try:
-            status, body = await self._call(
-                "GET", path, query=query, timeout_s=timeout_s
-            )
-            match status:
+            reply = await self._call("GET", path, query=query, timeout_s=timeout_s)
+            match reply.status:
                 case 200:
-                    return _decode(body)
+                    return _decode(reply.body)
                 case 410:
                     raise HistoryLostError
-                case _:
+                case status:
                     raise StoreUnavailableError(_error_kind_of(status))
         except _NoReplyError as error:
             raise StoreUnavailableError(error.error_kind) from None
@@ -283,13 +294,16 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, bytes]:
+    ) -> _HttpReply:
         deadline = asyncio.get_running_loop().time() + timeout_s
         may_be_applied = False
         for _ in range(2 if method in REPEATABLE_METHODS else 1):
             left_s = deadline - asyncio.get_running_loop().time()
             try:
-                return await self._send(method, path, query, body, headers, left_s)
+                status, reply = await self._send(
+                    method, path, query, body, headers, left_s
+                )
+                return _HttpReply(status, reply, may_be_applied)
             except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
                 error_kind = StoreErrorKind.UNREACHABLE
                 raise _NoReplyError(error_kind, may_be_applied) from None
@@ -397,5 +411,14 @@
     return NotCommitted(error.error_kind)
 
 
+def _outcome_of_failure(reply: _HttpReply) -> NotCommitted | CommitUnknown:
+    """Return the outcome of a write whose reply is neither success nor conflict."""
+    error_kind = _error_kind_of(reply.status)
+    is_refused = reply.status in _REFUSALS or 400 <= reply.status < 500
+    if is_refused and not reply.may_be_applied:
+        return NotCommitted(error_kind)
+    return CommitUnknown(error_kind)
+
+
 def _error_kind_of(status: int) -> StoreErrorKind:
     return _ERROR_KIND_OF_STATUS.get(status, StoreErrorKind.REJECTED)
--- a/tests/outside/canned.py
+++ b/tests/outside/canned.py
@@ -7,14 +7,14 @@
 class CannedServer:
     """Sends ``answer`` to each request, and closes the connection.
 
-    ``%s`` in the answer becomes the identifier of the request. ``requests`` holds the
-    first line of each request. With ``resets`` the connection is reset, with ``parts``
-    each byte is sent by itself.
+    ``next_answers`` holds other answers to the next requests. ``%s`` in an answer
+    becomes the identifier of the request. ``requests`` holds the first line of each
+    request. With ``parts`` each byte is sent by itself.
     """
 
     def __init__(self, answer=b""):
         self.answer = answer
-        self.resets = False
+        self.next_answers = []
         self.parts = False
         self.requests = []
         self.address = ""
@@ -41,14 +41,13 @@
             )
             await reader.readexactly(int(fields.get("content-length", 0)))
             identifier = fields.get("x-request-id", "").encode()
-            answer = self.answer.replace(b"%s", identifier)
+            template = self.next_answers.pop(0) if self.next_answers else self.answer
+            answer = template.replace(b"%s", identifier)
             for part in _bytes_of(answer) if self.parts else [answer]:
                 writer.write(part)
                 await writer.drain()
                 if self.parts:
                     await asyncio.sleep(0)
-            if self.resets:
-                writer.transport.abort()
         writer.close()
 
 
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -23,7 +23,12 @@
 from bankrudder.platform._duty_api import HttpDutyApi
 from bankrudder.platform._endpoint_client import HttpEndpointClient
 from bankrudder.platform._store import PlatformStore
-from bankrudder.store import CommitUnknown, StoreUnavailableError, Transaction
+from bankrudder.store import (
+    CommitUnknown,
+    NotCommitted,
+    StoreUnavailableError,
+    Transaction,
+)
 from outside.canned import CannedServer
 from outside.raw_answers import BROKEN, EVENT, LENGTH, NOT_RUN, answer, odd_answers
 
@@ -214,3 +219,54 @@
     server.answer = b"HTTP/1.1 202 Accepted\r\n" + fields
     assert await client.order(entry(server), ORDER) is OrderOutcome.UNKNOWN
     assert await client.state(entry(server)) is None
+
+
+def status_only(status, fields=b""):
+    line = b"HTTP/1.1 %d Status\r\n" % status
+    return line + fields + b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize("status", [202, 206, 299, 302, 500, 502, 504, 599])
+async def test_a_status_that_promises_nothing_leaves_a_write_unknown(
+    server, store, client, duties, status
+):
+    """Guards against a write that is repeated because its answer was not understood."""
+    server.answer = status_only(status)
+    assert isinstance(await store.commit(Transaction()), CommitUnknown)
+    assert isinstance(await store.put_object("name", b"x"), CommitUnknown)
+    assert isinstance(await store.drop_object("name"), CommitUnknown)
+    if status != 202:
+        assert await client.order(entry(server), ORDER) is OrderOutcome.UNKNOWN
+        assert await duties.call(DUTY_CALLS[0], GRANT) is DutyOutcome.UNKNOWN
+
+
+@pytest.mark.parametrize("status", [400, 403, 404, 413, 429, 499, 503, 507])
+async def test_a_refusal_says_that_nothing_was_written(server, store, status):
+    server.answer = status_only(status)
+    assert isinstance(await store.commit(Transaction()), NotCommitted)
+    assert isinstance(await store.put_object("name", b"x"), NotCommitted)
+
+
+@pytest.mark.parametrize(
+    ("raw", "outcome"),
+    [
+        (status_only(400), OrderOutcome.REJECTED),
+        (status_only(429), OrderOutcome.REJECTED),
+        (status_only(503, NOT_RUN), OrderOutcome.REJECTED),
+        (status_only(503), OrderOutcome.UNKNOWN),
+    ],
+)
+async def test_a_refused_order_is_rejected(server, client, raw, outcome):
+    server.answer = raw
+    assert await client.order(entry(server), ORDER) is outcome
+
+
+@pytest.mark.parametrize("write", ["put_object", "drop_object"])
+async def test_a_refusal_of_a_repeated_write_does_not_speak_for_the_first_one(
+    server, store, write
+):
+    arguments = ("name", b"x") if write == "put_object" else ("name",)
+    server.next_answers = [b""]
+    server.answer = status_only(503)
+    assert isinstance(await getattr(store, write)(*arguments), CommitUnknown)
+    assert len(server.requests) == 2
