Writes: redirects are not followed

The HTTP client followed a redirect by itself: a commit or an order that was answered with 307 or 308 was sent again, to wherever the answer pointed, and its outcome was that of the other place. Requests and duty calls never did. Now no call does; an order or a write that is redirected has an unknown outcome.

--- a/src/bankrudder/platform/_endpoint_client.py
+++ b/src/bankrudder/platform/_endpoint_client.py
@@ -206,6 +206,7 @@
                 _url(endpoint, names.STATE_PATH),
                 headers={names.EXPECTED_ENDPOINT: endpoint.id},
                 timeout=aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S),
+                allow_redirects=False,
                 # The HTTP client may repeat a query.
                 middlewares=(),
             ) as response:
@@ -263,6 +264,7 @@
                 timeout=aiohttp.ClientTimeout(
                     total=CONTROL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
                 ),
+                allow_redirects=False,
             ) as response:
                 if any(response.headers.getall(names.REQUEST_ID, [])):
                     response.close()
--- a/src/bankrudder/platform/_store.py
+++ b/src/bankrudder/platform/_store.py
@@ -332,6 +332,7 @@
             data=outgoing_body(body or b""),
             headers=headers,
             timeout=timeout,
+            allow_redirects=False,
         ) as response:
             if (response.content_length or 0) <= LARGE_REPLY_BYTES:
                 return response.status, await read_body(response, MAX_REPLY_BYTES)
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -270,3 +270,19 @@
     server.answer = status_only(503)
     assert isinstance(await getattr(store, write)(*arguments), CommitUnknown)
     assert len(server.requests) == 2
+
+
+@pytest.mark.parametrize("status", [301, 302, 303, 307, 308])
+async def test_nothing_is_sent_to_where_an_answer_points(
+    server, client, store, duties, status
+):
+    """Guards against a write that the HTTP client sends again by itself."""
+    location = b"Location: http://%s/other\r\n" % server.address.encode()
+    server.answer = status_only(status, location)
+    await store.commit(Transaction())
+    await store.drop_object("name")
+    await client.order(entry(server), ORDER)
+    await client.state(entry(server))
+    await duties.call(DUTY_CALLS[0], GRANT)
+    await send(client, server)
+    assert len(server.requests) == 6
