Stop: what cannot end in the grace is not taken, and nothing is cut

In a planned stop a host took requests until 1 s before the end of its grace period, on kept and on new connections, and passed them on; at the end they were cut without an answer, requests that may not be repeated among them, and the process was killed. Cause: nothing asked whether a request can end in what is left; the listeners still took requests while the last ones were waited for; and no step of the stop had a limit of its own.

Fix: a schedule within the grace period says by when all requests must be answered. A request whose latest end (its deadline and its route's timeout; the deadline for a stream; the time limits of the store for a batch) is later gets 503 with Retry-After 0 and a closed connection: it did not run, and another host answers at once. That is asked before its body is read, before it is passed on, and at its turn after a wait. Once no request is in progress, the host refuses all, looks once more, and then closes. What was taken before the stop and outlasts the grace gets 504, gRPC's calls OUTCOME_UNKNOWN with the reason stopping, and a stream a reset connection. Handover, last usage and close have limits, so that the process ends by itself.

--- a/src/bankrudder/node/_adapter.py
+++ b/src/bankrudder/node/_adapter.py
@@ -27,6 +27,10 @@
 class RequestListener(Listener, Protocol):
     """A listener that counts its requests in progress."""
 
+    def end_requests(self) -> None:
+        """Answer the requests in progress at once; their outcome is unknown."""
+        ...
+
     @property
     def in_progress(self) -> int:
         """Number of requests that are not answered yet."""
--- a/src/bankrudder/node/_gateway.py
+++ b/src/bankrudder/node/_gateway.py
@@ -3,6 +3,7 @@
 Each operation returns its result, or a refusal as a value.
 """
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -18,6 +19,7 @@
 )
 from bankrudder.node._instruments import Instruments
 from bankrudder.node._key_refresher import KeyRefresher
+from bankrudder.node._planned_stop import PlannedStop
 from bankrudder.observe import Span, Tracer
 from bankrudder.relay import (
     Forwarder,
@@ -31,8 +33,9 @@
     StreamStarted,
     Unanswered,
     Unauthorized,
+    route_deadline,
 )
-from bankrudder.routing import CallerLimits, Route, RoutingTable
+from bankrudder.routing import CallerLimits, Route, RouteKind, RoutingTable
 from bankrudder.store import NotSettledError, StoreUnavailableError
 from bankrudder.workspaces import Admitted, ApiKey, Denial, DenialReason
 from bankrudder.world import NO_WORKSPACE, Clock, SampleId, WorkspaceName
@@ -48,6 +51,17 @@
 START_RETRY_AFTER_S = 0.5
 """Retry delay while no configuration is known: about the time that a start takes."""
 
+STOP_RETRY_AFTER_S = 0.0
+"""Retry delay for a request that a stopping host does not take: another host can answer
+it at once."""
+
+ACCEPT_LIMIT_S = 4.0
+"""Time in which the acceptance of a batch is settled, also if the store fails meanwhile
+and returns."""
+
+READ_LIMIT_S = 2.0
+"""The same time for a read of a batch, and for its end."""
+
 _log = structlog.get_logger("gateway")
 
 
@@ -85,21 +99,54 @@
         self._repository = repository
         self._instruments = instruments
         self._clock = clock
-        self._is_leaving = False
+        self._stop: PlannedStop | None = None
+        self._takes_requests = True
 
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send new connections to this host."""
-        return self._is_ready() and not self._is_leaving
+        return self._is_ready() and not self.is_leaving
 
     @property
     def is_leaving(self) -> bool:
         """Whether this host is draining for a planned stop."""
-        return self._is_leaving
-
-    def leave(self) -> None:
-        """Report the host as not ready; requests that arrive are still answered."""
-        self._is_leaving = True
+        return self._stop is not None
+
+    def leave(self, stop: PlannedStop) -> None:
+        """Report the host as not ready, and take only what ends before it stops."""
+        self._stop = stop
+
+    def refuse_all(self) -> None:
+        """Take no further requests."""
+        self._takes_requests = False
+
+    def stop_refusal(self, request: IncomingRequest, route: Route) -> NotRun | None:
+        """Return the refusal of a request that may not end before this host stops."""
+        match route.kind:
+            case RouteKind.ROLLOUT:
+                latest_end = self._clock.monotonic() + ACCEPT_LIMIT_S
+            case RouteKind.STREAM:
+                # The timeout of the route applies to the first event only.
+                latest_end = request.deadline
+            case _:
+                latest_end = route_deadline(request, route)
+        return self._refusal_until(latest_end)
+
+    def batch_call_refusal(self) -> NotRun | None:
+        """Return the refusal of a call that names a batch, as `stop_refusal`."""
+        return self._refusal_until(self._clock.monotonic() + READ_LIMIT_S)
+
+    def _refusal_until(self, latest_end: float) -> NotRun | None:
+        has_time = self._stop is None or self._stop.has_time_until(latest_end)
+        if has_time and self._takes_requests:
+            return None
+        return NotRun(RejectReason.STOPPING, STOP_RETRY_AFTER_S)
+
+    def _max_wait_s(self) -> float:
+        """Return for how long a reader may wait for results of a batch."""
+        if self._stop is None:
+            return math.inf
+        return self._stop.answers_end_at - READ_LIMIT_S - self._clock.monotonic()
 
     def route(self, host: str, path: str) -> Route | NotRun | NotFound:
         """Return the route of a request, or why it has none."""
@@ -157,7 +204,10 @@
         """Return an endpoint's response to a request, or why there is none."""
         with self._span("gateway.request", request, route) as span:
             traced = msgspec.structs.replace(request, trace=span.traceparent)
-            reply = await self._forwarder.forward(traced, route)
+            # A stop may begin while the request waits for its turn.
+            reply = await self._forwarder.forward(
+                traced, route, lambda: self.stop_refusal(traced, route)
+            )
             span.set(outcome=type(reply).__name__)
         self._record_reply(request, route, reply)
         return reply
@@ -219,7 +269,9 @@
         try:
             if not await self._is_visible(batch_id, caller_workspace):
                 return NotFound(RejectReason.NO_ROUTE)
-            page = await self._reader.results(batch_id, after, wait_s)
+            page = await self._reader.results(
+                batch_id, after, min(wait_s, max(self._max_wait_s(), 0.0))
+            )
         except StoreUnavailableError as error:
             return _store_unavailable(batch_id, error)
         return page if page is not None else NotFound(RejectReason.NO_ROUTE)
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -1,7 +1,8 @@
 """The node: starts its components, keeps them running, and drains before a stop."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Self
 
 import msgspec
@@ -12,29 +13,23 @@
 from bankrudder.node._adapter import Adapter
 from bankrudder.node._background import background_tasks
 from bankrudder.node._components import NodeComponents
+from bankrudder.node._planned_stop import PlannedStop
 from bankrudder.node._settings import NodeSettings
 from bankrudder.node._speed_samples import speed_samples
 from bankrudder.observe import MonitoringServer, Sample
 from bankrudder.scheduling import MoveReason
+from bankrudder.usage import UsageWriter
 from bankrudder.world import Clock
 
 if TYPE_CHECKING:
     from bankrudder.node._rpc_interface import RpcInterface
 
-MIN_DRAIN_S = 2.6
-"""Shortest time for which a stopping node still answers new connections: the load
-balancer checks readiness once a second and excludes a host after two failed checks."""
-
-BATCHES_GRACE_SHARE = 0.55
-"""Share of the grace period in which batches may still finish on this host before they
-are handed over: most finish sooner, and a handover takes well under a second."""
-
-CLOSE_MARGIN_S = 1.0
-"""Time reserved at the end of the grace period for closing connections."""
-
 HANDOVER_RETRY_PAUSE_S = 0.2
 """Pause before a handover that the store did not commit is tried again."""
 
+SAVE_LIMIT_S = 0.5
+"""Time limit of the last write of usage; what it would add is lost with it."""
+
 POLL_INTERVAL_S = 0.05
 """Interval between two checks while draining, and pause before a component that ended
 is run again."""
@@ -265,47 +260,73 @@
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _drain(self) -> None:
-        drain_started_at = self._clock.monotonic()
-        grace_s = self._settings.grace_s
+        stop = PlannedStop(self._clock.monotonic(), self._settings.grace_s)
         _log.info("node: stop begins", in_progress=self._callers.in_progress)
-        self._components.gateway.leave()
+        self._components.gateway.leave(stop)
         if self._rpc_interface is not None:
             self._rpc_interface.leave()
         self._components.presence.leave()
-        await asyncio.gather(
-            self._components.presence.announce(), self._components.leases.release()
-        )
+        await self._hand_over(stop)
         await self._wait_until(
-            drain_started_at + BATCHES_GRACE_SHARE * grace_s,
-            lambda: self._components.batches.running_batch_count == 0,
-            drain_started_at + MIN_DRAIN_S,
+            stop.answers_end_at, lambda: self._in_progress == 0, stop.rotation_ends_at
         )
-        close_deadline = drain_started_at + grace_s - CLOSE_MARGIN_S
-        while not await self._components.batches.hand_over_all():
-            if self._clock.monotonic() >= close_deadline:
-                break
-            await asyncio.sleep(HANDOVER_RETRY_PAUSE_S)
+        # What was taken since the last check of the requests is answered, too.
+        self._components.gateway.refuse_all()
+        await self._wait_until(stop.answers_end_at, lambda: self._in_progress == 0)
+        self._callers.end_requests()
+        if self._rpc_interface is not None:
+            self._rpc_interface.end_requests()
+        async with self._until(stop.closed_at, "close"):
+            await self._close()
+        _log.info(
+            "node: stopped",
+            seconds=round(self._clock.monotonic() - stop.begun_at, 3),
+        )
+
+    async def _hand_over(self, stop: PlannedStop) -> None:
+        """Let batches finish for a while, and hand the others over."""
+        async with self._until(stop.handover_at, "announce the stop"):
+            await asyncio.gather(
+                self._components.presence.announce(), self._components.leases.release()
+            )
         await self._wait_until(
-            close_deadline,
-            lambda: self._in_progress == 0,
-            drain_started_at + MIN_DRAIN_S,
+            stop.handover_at,
+            lambda: self._components.batches.running_batch_count == 0,
+            stop.rotation_ends_at,
         )
-        if self._components.usage is not None:
-            await self._components.usage.writer.write_unsaved()
+        async with self._until(stop.answers_end_at, "hand over batches"):
+            while True:
+                if await self._components.batches.hand_over_all():
+                    return
+                await asyncio.sleep(HANDOVER_RETRY_PAUSE_S)
+
+    async def _close(self) -> None:
         for task in self._tasks:
             task.cancel()
-        await self._callers.stop()
-        await self._readiness.stop()
+        closing = [self._callers.stop(), self._readiness.stop()]
         if self._rpc_interface is not None:
-            await self._rpc_interface.stop()
+            closing.append(self._rpc_interface.stop())
         if self._metrics_server is not None:
-            await self._metrics_server.stop()
+            closing.append(self._metrics_server.stop())
+        if self._components.usage is not None:
+            closing.append(self._save_usage(self._components.usage.writer))
+        await asyncio.gather(*closing)
         await self._adapter.close()
         await self._components.tracer.stop()
-        _log.info(
-            "node: stopped",
-            seconds=round(self._clock.monotonic() - drain_started_at, 3),
-        )
+
+    async def _save_usage(self, writer: UsageWriter) -> None:
+        async with self._until(self._clock.monotonic() + SAVE_LIMIT_S, "save usage"):
+            await writer.write_unsaved()
+
+    @asynccontextmanager
+    async def _until(self, deadline: float, purpose: str) -> AsyncIterator[None]:
+        """Cancel the block at a deadline."""
+        left_s = max(deadline - self._clock.monotonic(), 0.0)
+        try:
+            async with asyncio.timeout(left_s):
+                yield
+        except TimeoutError:
+            _log.warning("node: no time left", purpose=purpose, limit_s=left_s)
 
     @property
     def _in_progress(self) -> int:
@@ -315,7 +336,7 @@
         return self._callers.in_progress + rpc_in_progress
 
     async def _wait_until(
-        self, deadline: float, is_done: Callable[[], bool], not_before: float
+        self, deadline: float, is_done: Callable[[], bool], not_before: float = 0.0
     ) -> None:
         while (now := self._clock.monotonic()) < deadline:
             if is_done() and now >= not_before:
--- a/src/bankrudder/node/_rpc_interface.py
+++ b/src/bankrudder/node/_rpc_interface.py
@@ -127,6 +127,10 @@
         """Number of requests that are not answered yet."""
         return self._context.limiter.request_count
 
+    def end_requests(self) -> None:
+        """End the requests in progress with a failure of unknown outcome."""
+        self._server.end_requests()
+
     async def stop(self) -> None:
         """Stop listening, and cancel calls that exceed `STOP_GRACE_S`."""
         await self._server.stop(STOP_GRACE_S)
--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -51,9 +51,16 @@
     NotRun,
     RejectReason,
     StreamStarted,
+    Unanswered,
 )
 from bankrudder.routing import Route, RouteKind
-from bankrudder.serving import BoundedListener, ConnectionTable, ConnectionTimeouts
+from bankrudder.serving import (
+    BoundedListener,
+    ConnectionTable,
+    ConnectionTimeouts,
+    RequestEndedError,
+    RequestsInProgress,
+)
 from bankrudder.workspaces import Admitted
 from bankrudder.world import Address, Clock, SampleId
 
@@ -127,6 +134,7 @@
         self._gateway = gateway
         self._clock = clock
         self._in_progress = 0
+        self._unanswered = RequestsInProgress()
         self._decoding = LongWork()
 
     @property
@@ -139,6 +147,12 @@
         """Bytes of bodies that this host holds."""
         return self._budget.held_bytes
 
+    def end_requests(self) -> None:
+        """End the requests in progress; their outcome is unknown to their callers."""
+        if self._unanswered:
+            _log.warning("front: requests ended", count=len(self._unanswered))
+        self._unanswered.end_all()
+
     def _connection_timeouts(self) -> ConnectionTimeouts:
         limits = self._gateway.caller_limits
         return ConnectionTimeouts(limits.header_timeout_s, limits.idle_timeout_s)
@@ -147,7 +161,7 @@
         self._in_progress += 1
         try:
             with holding_request(request, self._budget) as holding:
-                response = await self._answer(request, holding)
+                response = await self._answer_or_end(request, holding)
             if self._gateway.is_leaving:
                 response.force_close()
             if isinstance(response, web.Response):
@@ -156,6 +170,15 @@
             self._in_progress -= 1
         return response
 
+    async def _answer_or_end(
+        self, request: web.BaseRequest, holding: Holding
+    ) -> web.StreamResponse:
+        try:
+            async with self._unanswered.track():
+                return await self._answer(request, holding)
+        except RequestEndedError:
+            return response_to(Unanswered(RejectReason.STOPPING, is_timeout=True))
+
     async def _send_within(
         self, request: web.BaseRequest, response: web.Response
     ) -> web.StreamResponse:
@@ -210,8 +233,8 @@
             return body
         incoming = msgspec.structs.replace(incoming, body=body)
         del body  # a batch is decoded without another reference to its request
-        # The configuration may have changed while the body arrived.
-        route = self._gateway.route(incoming.host, incoming.path)
+        # The configuration may have changed while the body arrived, or a stop begun.
+        route = self._route(incoming)
         match route:
             case NotRun() | NotFound():
                 return response_to(route)
@@ -231,7 +254,7 @@
         incoming = incoming_request(request, received_at)
         if isinstance(incoming, Malformed):
             return response_to(incoming)
-        route = self._gateway.route(incoming.host, incoming.path)
+        route = self._route(incoming)
         if not isinstance(route, Route):
             return response_to(route)
         max_body_bytes = MAX_BODY_BYTES
@@ -249,6 +272,13 @@
             incoming = with_workspace(incoming, admitted)
         return _PreparedRequest(incoming, max_body_bytes)
 
+    def _route(self, incoming: IncomingRequest) -> Route | NotRun | NotFound:
+        """Return the route of a request that can be served before this host stops."""
+        route = self._gateway.route(incoming.host, incoming.path)
+        if not isinstance(route, Route):
+            return route
+        return self._gateway.stop_refusal(incoming, route) or route
+
     async def _read_body(
         self,
         request: web.BaseRequest,
@@ -299,9 +329,10 @@
                 request=incoming.request_id,
                 reason=str(error),
             )
-            # A reset connection shows the caller that the stream is incomplete.
-            if request.transport is not None:
-                request.transport.abort()
+            _reset_connection(request)
+        except asyncio.CancelledError:
+            _reset_connection(request)
+            raise
         return response
 
     async def _accept_batch(
@@ -325,6 +356,9 @@
         return web.Response(status=202) if reply is None else response_to(reply)
 
     async def _batch_call(self, request: web.BaseRequest, path: str) -> web.Response:
+        refusal = self._gateway.batch_call_refusal()
+        if refusal is not None:
+            return response_to(refusal)
         admitted = await self._gateway.admit_batch_call(api_key(request))
         if not isinstance(admitted, Admitted):
             return response_to(admitted)
@@ -348,6 +382,9 @@
         return web.Response(body=encode_page(page), content_type="application/json")
 
     async def _sample_body(self, request: web.BaseRequest, path: str) -> web.Response:
+        refusal = self._gateway.batch_call_refusal()
+        if refusal is not None:
+            return response_to(refusal)
         admitted = await self._gateway.admit_batch_call(api_key(request))
         if not isinstance(admitted, Admitted):
             return response_to(admitted)
@@ -359,6 +396,12 @@
         return web.Response(body=found)
 
 
+def _reset_connection(request: web.BaseRequest) -> None:
+    """Show a caller that a stream is incomplete."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
 def _make_request(
     message: RawRequestMessage,
     payload: StreamReader,
--- a/src/bankrudder/relay/__init__.py
+++ b/src/bankrudder/relay/__init__.py
@@ -1,6 +1,7 @@
 """Caller requests and their replies, and the forwarding of requests to endpoints."""
 
 from bankrudder.relay._forwarder import Forwarder
+from bankrudder.relay._limits import route_deadline
 from bankrudder.relay._metering import NoMeter, RunMeter
 from bankrudder.relay._stream_attempt import StreamStarted
 from bankrudder.relay._streaming import StreamForwarder
@@ -31,4 +32,5 @@
     "StreamStarted",
     "Unanswered",
     "Unauthorized",
+    "route_deadline",
 ]
--- a/src/bankrudder/relay/_attempts.py
+++ b/src/bankrudder/relay/_attempts.py
@@ -1,6 +1,7 @@
 """The attempts of one request: endpoint selection, timing and outcome handling."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 from functools import cached_property
 
@@ -67,6 +68,11 @@
     during which endpoints crash is further limited by `CrashGuard`. Where overload is
     limited, a request that did not run yet waits for its turn, and repeats and hedges
     have a budget.
+
+    Parameters
+    ----------
+    refusal : callable
+        Returns why a request that did not run yet may not be sent now, None if it may.
     """
 
     def __init__(
@@ -81,8 +87,10 @@
         tracer: Tracer,
         meter: RunMeter,
         turn: Turn,
+        refusal: Callable[[], NotRun | None] = lambda: None,
     ):
         self._turn = turn
+        self._refusal = refusal
         self._blocked_since: float | None = None
         self._tracer = tracer
         self._meter = meter
@@ -115,6 +123,8 @@
                     rejection = await self._turn.wait()
                     if rejection is not None:
                         return NotRun(RejectReason.OVERLOADED, rejection.retry_after_s)
+                    if (refusal := self._refusal()) is not None:
+                        return refusal
                 self._send_next()
                 if not self._sends:
                     if not self._must_wait_for_suspects():
--- a/src/bankrudder/relay/_forwarder.py
+++ b/src/bankrudder/relay/_forwarder.py
@@ -1,6 +1,7 @@
 """Forwarding of requests to the endpoints of their route."""
 
 import random
+from collections.abc import Callable
 
 import structlog
 
@@ -75,8 +76,20 @@
         )
         return refusal
 
-    async def forward(self, request: IncomingRequest, route: Route) -> Reply:
-        """Return an endpoint's answer, or the reason why there is none."""
+    async def forward(
+        self,
+        request: IncomingRequest,
+        route: Route,
+        refusal: Callable[[], NotRun | None] = lambda: None,
+    ) -> Reply:
+        """Return an endpoint's answer, or the reason why there is none.
+
+        Parameters
+        ----------
+        refusal : callable
+            Called before the request is sent for the first time, or again after it
+            certainly did not run. Returns why it may not be sent now, None if it may.
+        """
         service = self.pick_service(route)
         attempts = Attempts(
             request,
@@ -89,6 +102,7 @@
             self._tracer,
             self._meter,
             self._turn(request, route, service),
+            refusal,
         )
         return await attempts.reply()
 
--- a/src/bankrudder/rpc/_interceptor.py
+++ b/src/bankrudder/rpc/_interceptor.py
@@ -15,6 +15,7 @@
 from bankrudder.rpc._failures import abort_with
 from bankrudder.rpc._receiving import MessageReceiver
 from bankrudder.rpc._types import MethodHandler, ServicerContext
+from bankrudder.serving import RequestEndedError, RequestsInProgress
 from bankrudder.wire import MAX_REQUEST_BYTES
 
 REQUEST_FIELD = "message"
@@ -34,11 +35,19 @@
 
     The failure of a `BankrudderError` is sent as it is. Any other exception becomes
     ``OUTCOME_UNKNOWN`` with the reason ``internal``, because the request may have
-    run. Cancellations pass through.
+    run; a request that `end_requests` ends has the reason ``stopping``. Cancellations
+    pass through.
     """
 
     def __init__(self) -> None:
         self._receiver = MessageReceiver()
+        self._requests = RequestsInProgress()
+
+    def end_requests(self) -> None:
+        """End the requests in progress; their outcome is unknown to their callers."""
+        if self._requests:
+            _log.warning("rpc: requests ended", count=len(self._requests))
+        self._requests.end_all()
 
     async def intercept_service(
         self,
@@ -53,16 +62,54 @@
         deserialize = _tolerant_deserializer(handler.request_deserializer)
         if handler.response_streaming:
             return grpc.stream_stream_rpc_method_handler(
-                _stream_with_failures(method, handler.unary_stream, self._receiver),
+                self._stream_with_failures(method, handler.unary_stream),
                 deserialize,
                 handler.response_serializer,
             )
         return grpc.stream_unary_rpc_method_handler(
-            _unary_with_failures(method, handler.unary_unary, self._receiver),
+            self._unary_with_failures(method, handler.unary_unary),
             deserialize,
             handler.response_serializer,
         )
 
+    def _unary_with_failures(
+        self, method: str, handle: Callable[..., Awaitable[Any]]
+    ) -> Callable[..., Any]:
+        async def guarded(
+            messages: AsyncIterator[Any], context: ServicerContext
+        ) -> Any:
+            try:
+                async with self._requests.track():
+                    request = await self._receiver.receive(messages)
+                    _check_decoded(method, request)
+                    return await handle(request, context)
+            except grpc.aio.AbortError:
+                raise
+            except Exception as error:
+                await abort_with(context, _failure_of(method, error))
+
+        return guarded
+
+    def _stream_with_failures(
+        self, method: str, handle: Callable[..., Any]
+    ) -> Callable[..., AsyncIterator[Any]]:
+        async def guarded(
+            messages: AsyncIterator[Any], context: ServicerContext
+        ) -> AsyncIterator[Any]:
+            try:
+                async with self._requests.track():
+                    request = await self._receiver.receive(messages)
+                    _check_decoded(method, request)
+                    async with aclosing(handle(request, context)) as events:
+                        async for event in events:
+                            yield event
+            except grpc.aio.AbortError:
+                raise
+            except Exception as error:
+                await abort_with(context, _failure_of(method, error))
+
+        return guarded
+
 
 class OversizedRequest(msgspec.Struct, frozen=True):
     """Placeholder for a request larger than `MAX_REQUEST_BYTES`."""
@@ -84,42 +131,6 @@
     return deserialize_or_mark
 
 
-def _unary_with_failures(
-    method: str, handle: Callable[..., Awaitable[Any]], receiver: MessageReceiver
-) -> Callable[..., Any]:
-    async def guarded(messages: AsyncIterator[Any], context: ServicerContext) -> Any:
-        try:
-            request = await receiver.receive(messages)
-            _check_decoded(method, request)
-            return await handle(request, context)
-        except grpc.aio.AbortError:
-            raise
-        except Exception as error:
-            await abort_with(context, _failure_of(method, error))
-
-    return guarded
-
-
-def _stream_with_failures(
-    method: str, handle: Callable[..., Any], receiver: MessageReceiver
-) -> Callable[..., AsyncIterator[Any]]:
-    async def guarded(
-        messages: AsyncIterator[Any], context: ServicerContext
-    ) -> AsyncIterator[Any]:
-        try:
-            request = await receiver.receive(messages)
-            _check_decoded(method, request)
-            async with aclosing(handle(request, context)) as events:
-                async for event in events:
-                    yield event
-        except grpc.aio.AbortError:
-            raise
-        except Exception as error:
-            await abort_with(context, _failure_of(method, error))
-
-    return guarded
-
-
 def _check_decoded(method: str, request: object) -> None:
     match request:
         case None | UndecodableRequest():
@@ -137,8 +148,15 @@
 
 
 def _failure_of(method: str, error: Exception) -> Failure:
-    if isinstance(error, BankrudderError):
-        return error.failure
+    match error:
+        case BankrudderError():
+            return error.failure
+        case RequestEndedError():
+            return Failure(
+                FailureKind.OUTCOME_UNKNOWN,
+                FailureReason.STOPPING,
+                f"this node stopped before {method} had ended",
+            )
     _log.exception("rpc: method failed", method=method)
     return Failure(
         FailureKind.OUTCOME_UNKNOWN,
--- a/src/bankrudder/rpc/_server.py
+++ b/src/bankrudder/rpc/_server.py
@@ -61,9 +61,10 @@
     ):
         self.address = address
         self._credentials = credentials
+        self._interceptor = FailureInterceptor()
         limit = ("grpc.max_allowed_incoming_connections", max_connections)
         self._server = grpc.aio.server(
-            interceptors=(FailureInterceptor(),), options=(*_OPTIONS, limit)
+            interceptors=(self._interceptor,), options=(*_OPTIONS, limit)
         )
 
     @classmethod
@@ -94,6 +95,10 @@
             self._server.add_secure_port(self.address, self._credentials)
         await self._server.start()
 
+    def end_requests(self) -> None:
+        """End the requests in progress with a failure of unknown outcome."""
+        self._interceptor.end_requests()
+
     async def stop(self, grace_s: float) -> None:
         """Refuse new calls; wait up to `grace_s` seconds for those in progress."""
         await self._server.stop(grace_s)
--- a/src/bankrudder/serving/__init__.py
+++ b/src/bankrudder/serving/__init__.py
@@ -5,6 +5,7 @@
     ConnectionTable,
     ConnectionTimeouts,
 )
+from bankrudder.serving._ending import RequestEndedError, RequestsInProgress
 from bankrudder.serving._kernel_buffers import limit_kernel_buffers
 from bankrudder.serving._server import BoundedListener, BoundedServer
 
@@ -14,5 +15,7 @@
     "ConnectionState",
     "ConnectionTable",
     "ConnectionTimeouts",
+    "RequestEndedError",
+    "RequestsInProgress",
     "limit_kernel_buffers",
 ]
--- a/tests/relay/test_attempts.py
+++ b/tests/relay/test_attempts.py
@@ -26,7 +26,13 @@
 )
 from bankrudder.observe import NoTraceExport, Tracer
 from bankrudder.overload import FreeTurn
-from bankrudder.relay import IncomingRequest, NotRun, Relayed, Unanswered
+from bankrudder.relay import (
+    IncomingRequest,
+    NotRun,
+    RejectReason,
+    Relayed,
+    Unanswered,
+)
 from bankrudder.relay._attempts import Attempts
 from bankrudder.relay._limits import MAX_SUSPECT_WAIT_S
 from bankrudder.relay._metering import NoMeter
@@ -129,7 +135,14 @@
         "r", "h", "/", RouteKind.IDEMPOTENT, services, 0.8, 0.01, max_attempts=3
     )
 
-    def make(client, max_attempts=3, *, strikes=0, policy=RefusalPolicy.LASTING):
+    def make(
+        client,
+        max_attempts=3,
+        *,
+        strikes=0,
+        policy=RefusalPolicy.LASTING,
+        refusal=lambda: None,
+    ):
         now = clock.monotonic()
         request = IncomingRequest(
             "q", "POST", "/x", "/x", "h", (), b"", now + 0.8, now, policy=policy
@@ -145,6 +158,7 @@
             Tracer("a", NoTraceExport()),
             NoMeter(),
             FreeTurn(),
+            refusal,
         )
 
     return make
@@ -223,3 +237,17 @@
     assert clock._times_s == []
     assert len(times_s) == 2 * count
     hanging.cancel()
+
+
+async def test_a_request_that_did_not_run_yet_can_be_refused_at_its_turn(make_attempts):
+    """Guards against one that is sent although the host stops before it can end."""
+    client = AnsweringEndpoints()
+    refusal = NotRun(RejectReason.STOPPING, 0.0)
+    assert await make_attempts(client, refusal=lambda: refusal).reply() == refusal
+    assert client.count == 0
+
+
+async def test_a_request_that_may_have_run_is_not_refused_any_more(make_attempts):
+    refusals = iter([None])
+    attempts = make_attempts(CrashingEndpoints(), refusal=lambda: next(refusals))
+    assert isinstance(await attempts.reply(), Unanswered)
