Answers: lines and fields of a head are limited as they arrive

Guards the memory of the connections to endpoints: a head is now read line by line before it is parsed, so that 64 KB of empty fields would have become 16,000 objects of a connection, and a value in thousands of folded parts would have been copied for each of them. The limits are those that the HTTP client applied.

--- a/src/bankrudder/platform/_answer_heads.py
+++ b/src/bankrudder/platform/_answer_heads.py
@@ -7,6 +7,11 @@
 
 import re
 
+MAX_LINE_BYTES = 8190
+MAX_FIELD_COUNT = 128
+"""Limits of the HTTP client on a line and on the fields of a head, applied here so that
+a head that exceeds them is not kept."""
+
 MAX_LENGTH_DIGITS = 18
 """Largest number of digits of a length that any parser can represent."""
 
@@ -68,6 +73,7 @@
             If no answer has such a line at this place.
         """
         line = line.removesuffix(b"\r")
+        check_line_length(line)
         if not self._lines:
             self._add_status_line(line)
         elif not line:
@@ -75,10 +81,8 @@
             return True
         elif line.startswith((b" ", b"\t")):
             self._add_folded(line)
-        elif _FIELD.fullmatch(line):
-            self._lines.append(line)
         else:
-            raise MalformedHeadError(f"field line {_quoted(line)}")
+            self._add_field(line)
         return False
 
     def encode(self) -> bytes:
@@ -100,10 +104,18 @@
             line = b"HTTP/1.1" + line[len(b"HTTP/1.x") :]
         self._lines.append(line)
 
+    def _add_field(self, line: bytes) -> None:
+        if not _FIELD.fullmatch(line):
+            raise MalformedHeadError(f"field line {_quoted(line)}")
+        if len(self._lines) > MAX_FIELD_COUNT:
+            raise MalformedHeadError(f"more than {MAX_FIELD_COUNT} fields")
+        self._lines.append(line)
+
     def _add_folded(self, line: bytes) -> None:
         if len(self._lines) == 1 or not _FOLDED.fullmatch(line):
             raise MalformedHeadError(f"folded line {_quoted(line)}")
         self._lines[-1] += b" " + line.strip(_BLANK)
+        check_line_length(self._lines[-1])
 
     def _complete(self) -> None:
         if self._has_body:
@@ -152,5 +164,11 @@
     return begin.startswith(data[: len(begin)])
 
 
+def check_line_length(line: bytes | bytearray) -> None:
+    """Raise `MalformedHeadError` if a line, or a part of it, is too long."""
+    if len(line) > MAX_LINE_BYTES:
+        raise MalformedHeadError(f"line of {len(line)} bytes or more")
+
+
 def _quoted(line: bytes) -> str:
     return repr(line[:_MAX_QUOTED_BYTES])
--- a/src/bankrudder/platform/_bounded_connections.py
+++ b/src/bankrudder/platform/_bounded_connections.py
@@ -21,6 +21,7 @@
 from bankrudder.platform._answer_heads import (
     AnswerHead,
     MalformedHeadError,
+    check_line_length,
     may_begin_head,
 )
 from bankrudder.platform._bounded_answers import AnswerTooLongError
@@ -125,6 +126,7 @@
                     self._parse_head()
                     return data[begin:]
             self._partial_line += data[begin:]
+            check_line_length(self._partial_line)
             if not self._head.status and not may_begin_head(self._partial_line):
                 raise MalformedHeadError("bytes that are no HTTP")
         except MalformedHeadError as error:
--- a/tests/platform/test_answer_heads.py
+++ b/tests/platform/test_answer_heads.py
@@ -7,6 +7,8 @@
 from hypothesis import strategies as st
 
 from bankrudder.platform._answer_heads import (
+    MAX_FIELD_COUNT,
+    MAX_LINE_BYTES,
     AnswerHead,
     MalformedHeadError,
     may_begin_head,
@@ -200,6 +202,32 @@
     assert is_head(b"HTTP/1.0 200 OK", b"Content-Length: 4")
 
 
+def test_a_head_has_only_so_many_fields():
+    fields = [b"X-A: %d" % number for number in range(MAX_FIELD_COUNT + 1)]
+    assert is_head(STATUS_LINE, *fields[:-1])
+    assert not is_head(STATUS_LINE, *fields)
+
+
+@pytest.mark.parametrize("begin", [b"HTTP/1.1 200 ", b"X-A: "])
+def test_a_line_has_only_so_many_bytes(begin):
+    def lines(count):
+        long_line = begin + (count - len(begin)) * b"a"
+        return [long_line] if begin.startswith(b"HTTP") else [STATUS_LINE, long_line]
+
+    assert is_head(*lines(MAX_LINE_BYTES))
+    assert not is_head(*lines(MAX_LINE_BYTES + 1))
+
+
+def test_so_has_a_folded_line():
+    """Guards against a value that is copied for each of thousands of parts."""
+    head = AnswerHead()
+    head.add(STATUS_LINE)
+    head.add(b"X-A: a")
+    with pytest.raises(MalformedHeadError):
+        for _ in range(MAX_LINE_BYTES):
+            head.add(b" a")
+
+
 @given(st.binary(max_size=12))
 def test_a_first_line_in_part_is_judged_as_the_whole_line(data):
     line = b"HTTP/1.1 200 OK"
