Soak: bytes that are no answer, and stops beside slow endpoints

A set of fault kinds of endpoints and a store that answer with bytes that are no answer, and of planned stops while scorers take 2 s; a host that has to be killed at the end of its grace period is a violation, unless it was frozen. A feed passes over bytes that are no message, which held already.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,7 @@
 from outside.site import ENGINES, SCORERS, Site, configuration  # noqa: E402
 from soak.clients import Caller, CrashingCaller, Trainer  # noqa: E402
 from soak.faults import (  # noqa: E402
+    BROKEN_ANSWER_KINDS,
     CRASHING_KINDS,
     DUTY_KINDS,
     FIRST_KINDS,
@@ -68,6 +69,7 @@
     "third": THIRD_KINDS,
     "crashing": CRASHING_KINDS,
     "duties": DUTY_KINDS,
+    "broken_answers": BROKEN_ANSWER_KINDS,
     "all": frozenset(KINDS),
 }
 
@@ -104,6 +106,7 @@
         self._injected = []
         self._started_at = 0.0
         self._restarting = set()
+        self.frozen = set()
 
     def pick_host(self, fault):
         """Return the host that `fault` affects."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,10 +5,17 @@
 from dataclasses import dataclass, replace
 
 from outside.crashing import CRASHING
+from outside.raw_answers import BROKEN
 from outside.site import HANGUP_SIGNAL, PAUSE_SIGNAL, RESUME_SIGNAL
 from outside.store import GateMode
 from soak.proxy import LinkMode
 
+GRACE_S = 8.0
+"""The grace period of the daemons."""
+
+SLOW_ANSWER_S = 2.0
+"""Duration of the scorers' answers during a slow stop."""
+
 RECOVERY_WAIT_S = 6.0
 """Time after the last fault in which the service has to recover completely."""
 
@@ -69,16 +76,34 @@
     host = run.pick_host(fault)
     if host.is_running:
         host.terminate()
-        # The grace period of the daemons is 8 s.
-        await host.wait_exited(9.0)
+        await host.wait_exited(GRACE_S + 1.0)
+    await run.restart(host)
+
+
+async def _slow_stop(run, fault):
+    """Stop a host while scorers are slow; it has to end by itself in the grace."""
+    host = run.pick_host(fault)
+    for scorer in run.site.scorers:
+        scorer.delay_s = SLOW_ANSWER_S
+    if host.is_running:
+        process_id = host.pid
+        host.terminate()
+        began = time.monotonic()
+        await host.wait_exited(GRACE_S)
+        if time.monotonic() - began >= GRACE_S and host not in run.frozen:
+            run.history.killed_stops.append((host.name, process_id))
+    for scorer in run.site.scorers:
+        scorer.delay_s = 0.0
     await run.restart(host)
 
 
 async def _freeze(run, fault):
     host = run.pick_host(fault)
+    run.frozen.add(host)
     host.signal_if_running(PAUSE_SIGNAL)
     await asyncio.sleep(fault.duration_s)
     host.signal_if_running(RESUME_SIGNAL)
+    run.frozen.discard(host)
 
 
 async def _hang_up(run, fault):
@@ -146,6 +171,21 @@
     endpoints[fault.target % len(endpoints)].fail_next += [failure] * 3
 
 
+async def _endpoint_answers_none(run, fault):
+    """Let an endpoint answer with bytes that are no answer."""
+    endpoints = run.site.engines + run.site.scorers
+    endpoints[fault.target % len(endpoints)].fail_next += _broken_answers(fault)
+
+
+async def _store_answers_none(run, fault):
+    run.pick_host(fault).gate.broken_replies += _broken_answers(fault)
+
+
+def _broken_answers(fault):
+    kinds = [*BROKEN.values()]
+    return [kinds[(fault.target + number) % len(kinds)] for number in range(3)]
+
+
 async def _order_lost(run, fault):
     run.site.engines[fault.target % len(run.site.engines)].lose_order_replies += 1
 
@@ -370,3 +410,25 @@
 
 WORKSPACE_KINDS = DUTY_KINDS - THIRD_KINDS
 """Kinds that need workspaces; a run without any of them has no workspaces."""
+
+BROKEN_ANSWER_KINDS = frozenset(
+    {
+        "endpoint_answers_none",
+        "store_answers_none",
+        "slow_stop",
+        "stop",
+        "kill",
+        "hang_up",
+        "store_replies_lost",
+        "endpoint_full",
+        "endpoint_truncates",
+        "configuration_changed",
+    }
+)
+"""Bytes that are no answer, stops beside slow endpoints, and similar faults."""
+
+KINDS |= {
+    "endpoint_answers_none": _endpoint_answers_none,
+    "store_answers_none": _store_answers_none,
+    "slow_stop": _slow_stop,
+}
--- a/soak/history.py
+++ b/soak/history.py
@@ -103,6 +103,9 @@
     crashes: dict = field(default_factory=lambda: defaultdict(list))
     """Times at which endpoints began to run a crashing request, by its content."""
 
+    killed_stops: list = field(default_factory=list)
+    """``(host, process)`` of each planned stop that exceeded the grace period."""
+
     recovered_at: float = 0.0
     """Time at which the last fault had ended and all hosts were ready."""
 
@@ -127,6 +130,10 @@
     found += _late_sample_violations(history)
     found += _revision_violations(history)
     found += _crash_violations(history)
+    found += [
+        f"{host} (process {process_id}) did not end within its grace period"
+        for host, process_id in history.killed_stops
+    ]
     return found
 
 
--- a/tests/feeds/test_links.py
+++ b/tests/feeds/test_links.py
@@ -7,6 +7,7 @@
 
 from bankrudder.feeds import FeedHeartbeat
 from bankrudder.feeds._links import MAX_MESSAGE_BYTES, PublisherLink, SubscriberLink
+from bankrudder.feeds._messages import encode
 from bankrudder.world import host_and_port
 from loopback import unique_address
 
@@ -88,3 +89,38 @@
     host, port = host_and_port(address)
     await asyncio.get_running_loop().sock_connect(connection, (host, port))
     return connection
+
+
+async def test_bytes_that_are_no_message_are_passed_over():
+    """Guards against a feed that ends, or a change that nobody sent."""
+    heartbeat = FeedHeartbeat(7, {"servers": 0.5})
+    whole = encode(heartbeat)
+    broken = [
+        b"",
+        b"\x00",
+        b"HTTP/1.1 000 X\r\n\r\n",
+        whole[:-1],
+        whole + b"\x00",
+        BLOCK,
+    ]
+    received = asyncio.Queue()
+
+    async def publish(reader, writer):
+        writer.write(PUBLISHER_HEADER)
+        await reader.readexactly(len(PUBLISHER_HEADER))
+        for data in [*broken, whole]:
+            writer.write(struct.pack(">Q", len(data)) + data)
+        await writer.drain()
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(publish, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    link = SubscriberLink(f"{host}:{port}", received.put_nowait)
+    try:
+        async with asyncio.timeout(WAIT_S):
+            assert await received.get() == heartbeat
+        assert received.empty()
+    finally:
+        link.close()
+        server.close()
--- a/tests/outside/store.py
+++ b/tests/outside/store.py
@@ -108,6 +108,9 @@
         Whether commits that are not delayed are rejected with status 400.
     garbled_reply : bytes
         Body of every reply, unless it is empty.
+    broken_replies : list of bytes
+        Bytes that are sent instead of the replies to the next commits, which are
+        applied.
     ends_after_object : bool
         Whether the gate ends without a reply once it has written an object.
     late_share : float
@@ -123,6 +126,7 @@
         self.hang_replies = False
         self.rejects_after_delay = False
         self.garbled_reply = b""
+        self.broken_replies = []
         self.ends_after_object = False
         self.late_share = 0.0
         self.refuses_table = ""
@@ -231,6 +235,10 @@
         if self.lose_replies:
             self.lose_replies -= 1
             request.transport.abort()
+        if self.broken_replies:
+            request.transport.write(self.broken_replies.pop(0))
+            request.transport.close()
+            await asyncio.sleep(60)
         if self.hang_replies:
             await asyncio.sleep(60)
         if conflicting is None:
--- a/tests/soak/test_history.py
+++ b/tests/soak/test_history.py
@@ -145,6 +145,10 @@
         history(crashes={"c": [1.0] * 8 + [8.5] * 4}, recovered_at=5.0),
         "4 more times",
     ),
+    "a stopped host is killed": (
+        history(killed_stops=[("host-1", 42)]),
+        "process 42",
+    ),
     "a revision decreases": (
         history(revisions=[("h", 1, 4), ("h", 1, 3)]),
         "went back",
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -35,11 +35,18 @@
 }
 """Seeds drawn from the fault kinds of workspaces and duties, and why they are kept."""
 
+BROKEN_ANSWER_SEEDS = {
+    8: "the first seed with bytes that are no answer, and with stops beside slow "
+    "endpoints; it never failed",
+}
+"""Seeds drawn from the fault kinds of broken answers, and why they are kept."""
+
 KEPT_SEEDS = [
     *(("first", seed) for seed in FIRST_SEEDS),
     *(("second", seed) for seed in SECOND_SEEDS),
     *(("third", seed) for seed in THIRD_SEEDS),
     *(("duties", seed) for seed in DUTY_SEEDS),
+    *(("broken_answers", seed) for seed in BROKEN_ANSWER_SEEDS),
 ]
 """Pairs of a set of fault kinds and a seed."""
 
