gRPC: a call that a stopping node refuses is repeated elsewhere at once

Clients waited for a second before they asked another node, as the refusal told them, while that node could answer. The delay is a tenth of a second now.

--- a/src/bankrudder/rpc/_context.py
+++ b/src/bankrudder/rpc/_context.py
@@ -22,8 +22,9 @@
     RpcLimits,
 )
 
-RETRY_AFTER_S = 1.0
-"""Retry delay for a request that a stopping node refuses."""
+STOP_RETRY_AFTER_S = 0.1
+"""Retry delay for a request that a stopping node refuses: another node can answer it at
+once, and the delay limits the attempts of a client that knows no other node."""
 
 _BUILT_IN_OPERATOR = CallerName("operator")
 """Name of the caller that presents the operator token of the node's settings."""
@@ -151,7 +152,7 @@
             raise NotRunError(
                 FailureReason.STOPPING,
                 "this node is stopping",
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=STOP_RETRY_AFTER_S,
             )
 
     def _holds_operator_token(self, context: ServicerContext) -> bool:
--- a/tests/rpc/test_planned_stop.py
+++ b/tests/rpc/test_planned_stop.py
@@ -16,6 +16,9 @@
 GRACE_S = 8.0
 """The grace period in the settings of the hosts."""
 
+HIGHEST_RETRY_AFTER_S = 0.25
+"""Another host is to answer soon."""
+
 CLIENT_COUNT = 8
 PAUSE_S = 0.1
 
@@ -68,6 +71,7 @@
         with pytest.raises(NotRunError) as caught:
             await caller.call("desk", b"after", timeout_s=0.5)
         assert caught.value.failure.reason is FailureReason.STOPPING
+        assert caught.value.failure.retry_after_s <= HIGHEST_RETRY_AFTER_S
         assert (await running).data == b"answer to before"
     assert arrived_bodies(site.scorers) == {b"before": 1}
 
