Stop: the schedule begins with the request to stop

The grace period of the platform begins with the signal, not once the start has ended or the event loop has run. The end of a batch is a write and may take as long as an acceptance; a time-out that is not of the schedule is not swallowed.

--- a/src/bankrudder/node/_gateway.py
+++ b/src/bankrudder/node/_gateway.py
@@ -55,12 +55,10 @@
 """Retry delay for a request that a stopping host does not take: another host can answer
 it at once."""
 
-ACCEPT_LIMIT_S = 4.0
-"""Time in which the acceptance of a batch is settled, also if the store fails meanwhile
-and returns."""
-
+WRITE_LIMIT_S = 4.0
 READ_LIMIT_S = 2.0
-"""The same time for a read of a batch, and for its end."""
+"""Times in which the acceptance or the end of a batch, and a read of it, are answered,
+also if the store fails meanwhile."""
 
 _log = structlog.get_logger("gateway")
 
@@ -124,7 +122,7 @@
         """Return the refusal of a request that may not end before this host stops."""
         match route.kind:
             case RouteKind.ROLLOUT:
-                latest_end = self._clock.monotonic() + ACCEPT_LIMIT_S
+                latest_end = self._clock.monotonic() + WRITE_LIMIT_S
             case RouteKind.STREAM:
                 # The timeout of the route applies to the first event only.
                 latest_end = request.deadline
@@ -132,9 +130,10 @@
                 latest_end = route_deadline(request, route)
         return self._refusal_until(latest_end)
 
-    def batch_call_refusal(self) -> NotRun | None:
+    def batch_call_refusal(self, *, is_write: bool) -> NotRun | None:
         """Return the refusal of a call that names a batch, as `stop_refusal`."""
-        return self._refusal_until(self._clock.monotonic() + READ_LIMIT_S)
+        limit_s = WRITE_LIMIT_S if is_write else READ_LIMIT_S
+        return self._refusal_until(self._clock.monotonic() + limit_s)
 
     def _refusal_until(self, latest_end: float) -> NotRun | None:
         has_time = self._stop is None or self._stop.has_time_until(latest_end)
--- a/src/bankrudder/node/_node.py
+++ b/src/bankrudder/node/_node.py
@@ -28,7 +28,7 @@
 """Pause before a handover that the store did not commit is tried again."""
 
 SAVE_LIMIT_S = 0.5
-"""Time limit of the last write of usage; what it would add is lost with it."""
+"""Time limit of the last write of usage; counts that are not written then are lost."""
 
 POLL_INTERVAL_S = 0.05
 """Interval between two checks while draining, and pause before a component that ended
@@ -67,6 +67,7 @@
             settings, self._components.gateway, clock
         )
         self._stop_requested = asyncio.Event()
+        self._stop_requested_at = 0.0
         self._tasks: list[asyncio.Task[None]] = []
 
     @classmethod
@@ -100,7 +101,9 @@
 
     def stop(self) -> None:
         """Request a planned stop; `run` drains and returns."""
-        self._stop_requested.set()
+        if not self._stop_requested.is_set():
+            self._stop_requested_at = self._clock.monotonic()
+            self._stop_requested.set()
 
     async def run(self) -> None:
         """Serve until a planned stop has completed.
@@ -260,7 +263,7 @@
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _drain(self) -> None:
-        stop = PlannedStop(self._clock.monotonic(), self._settings.grace_s)
+        stop = PlannedStop(self._stop_requested_at, self._settings.grace_s)
         _log.info("node: stop begins", in_progress=self._callers.in_progress)
         self._components.gateway.leave(stop)
         if self._rpc_interface is not None:
@@ -323,9 +326,11 @@
         """Cancel the block at a deadline."""
         left_s = max(deadline - self._clock.monotonic(), 0.0)
         try:
-            async with asyncio.timeout(left_s):
+            async with asyncio.timeout(left_s) as scope:
                 yield
         except TimeoutError:
+            if not scope.expired():
+                raise
             _log.warning("node: no time left", purpose=purpose, limit_s=left_s)
 
     @property
--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -356,14 +356,15 @@
         return web.Response(status=202) if reply is None else response_to(reply)
 
     async def _batch_call(self, request: web.BaseRequest, path: str) -> web.Response:
-        refusal = self._gateway.batch_call_refusal()
+        is_end = request.method == "DELETE"
+        refusal = self._gateway.batch_call_refusal(is_write=is_end)
         if refusal is not None:
             return response_to(refusal)
         admitted = await self._gateway.admit_batch_call(api_key(request))
         if not isinstance(admitted, Admitted):
             return response_to(admitted)
         batch_id = BatchId(path.removeprefix(names.BATCH_PATH_PREFIX))
-        if request.method == "DELETE":
+        if is_end:
             reply = await self._gateway.end(batch_id, admitted.workspace)
             return web.Response(status=200) if reply is None else response_to(reply)
         after = decode_decimal(request.query.get("after", "0"))
@@ -382,7 +383,7 @@
         return web.Response(body=encode_page(page), content_type="application/json")
 
     async def _sample_body(self, request: web.BaseRequest, path: str) -> web.Response:
-        refusal = self._gateway.batch_call_refusal()
+        refusal = self._gateway.batch_call_refusal(is_write=False)
         if refusal is not None:
             return response_to(refusal)
         admitted = await self._gateway.admit_batch_call(api_key(request))
