--- a/tests/platform/test_endpoint_client.py
+++ b/tests/platform/test_endpoint_client.py
@@ -4,6 +4,7 @@
 import itertools
 from contextlib import asynccontextmanager
 
+import msgspec
 import pytest
 from aiohttp import web
 
@@ -160,3 +161,15 @@
         async with client.open_stream(entry, make_request(2)) as stream:
             assert isinstance(stream, OpenedStream)
             assert stream.version is None
+
+
+async def test_a_connection_is_reused_after_an_answer_without_a_body():
+    """Such an answer may state the length of a body that does not follow."""
+    async with serve_endpoint(10) as (endpoint, entry, client):
+        for _ in range(3):
+            request = msgspec.structs.replace(
+                make_request(next(request_numbers)), method="HEAD"
+            )
+            outcome = await client.send(entry, request)
+            assert (outcome.status, outcome.body) == (200, b"")
+        assert len(endpoint.connections) == 1
