--- a/src/bankrudder/platform/_listeners.py
+++ b/src/bankrudder/platform/_listeners.py
@@ -10,18 +10,16 @@
 from aiohttp.http_parser import RawRequestMessage
 from multidict import CIMultiDict
 
-from bankrudder.batches import BatchId
-from bankrudder.decoding import decode_decimal
 from bankrudder.fleet import StreamBrokenError
 from bankrudder.memory import Holding, MemoryBudget
 from bankrudder.node import Gateway
 from bankrudder.offloading import LongWork
 from bankrudder.platform import _names as names
+from bankrudder.platform._batch_calls import BatchCalls
 from bankrudder.platform._batch_documents import (
     MalformedBatchError,
     decode_batch,
     decoding_bytes,
-    encode_page,
 )
 from bankrudder.platform._head_writer import HeadWriter
 from bankrudder.platform._limits import (
@@ -62,7 +60,7 @@
     RequestsInProgress,
 )
 from bankrudder.workspaces import Admitted
-from bankrudder.world import Address, Clock, SampleId
+from bankrudder.world import Address, Clock
 
 STATUS_REQUEST_TIMEOUT = 408
 """Status of a request whose body did not arrive in time, so that it did not run."""
@@ -80,13 +78,6 @@
 the configuration allows.
 """
 
-LONG_POLL_MARGIN_S = 0.1
-"""Time by which a long poll is answered before the caller's maximum wait ends."""
-
-MAX_LONG_POLL_S = 5.0
-"""Longest time for which a long poll waits, whatever the caller's maximum wait is. A
-connection on which one waits is not closed for others."""
-
 LARGE_BATCH_BYTES = 512 << 10
 """Size from which a batch is decoded in a thread; it may have thousands of samples."""
 
@@ -135,6 +126,7 @@
         self._clock = clock
         self._in_progress = 0
         self._unanswered = RequestsInProgress()
+        self._batch_calls = BatchCalls(gateway)
         self._decoding = LongWork()
 
     @property
@@ -186,9 +178,7 @@
 
         Results of a batch that do not fit are refused: other hosts have them, too.
         """
-        is_repeatable = request.path.startswith(
-            (names.BATCH_PATH_PREFIX, names.SAMPLE_PATH_PREFIX)
-        )
+        is_repeatable = BatchCalls.handles(request.path)
         try:
             return await send_answer(
                 request, response, self._budget, is_repeatable=is_repeatable
@@ -217,11 +207,8 @@
     ) -> web.StreamResponse:
         """Answer a request; its body is read only if the request can be served."""
         received_at = self._clock.monotonic()
-        path = request.path
-        if path.startswith(names.BATCH_PATH_PREFIX):
-            return await self._batch_call(request, path)
-        if path.startswith(names.SAMPLE_PATH_PREFIX):
-            return await self._sample_body(request, path)
+        if BatchCalls.handles(request.path):
+            return await self._batch_calls.answer(request)
         prepared = await self._prepare(request, received_at)
         if isinstance(prepared, web.Response):
             return prepared
@@ -355,47 +342,6 @@
         reply = await self._gateway.accept(batch)
         return web.Response(status=202) if reply is None else response_to(reply)
 
-    async def _batch_call(self, request: web.BaseRequest, path: str) -> web.Response:
-        is_end = request.method == "DELETE"
-        refusal = self._gateway.batch_call_refusal(is_write=is_end)
-        if refusal is not None:
-            return response_to(refusal)
-        admitted = await self._gateway.admit_batch_call(api_key(request))
-        if not isinstance(admitted, Admitted):
-            return response_to(admitted)
-        batch_id = BatchId(path.removeprefix(names.BATCH_PATH_PREFIX))
-        if is_end:
-            reply = await self._gateway.end(batch_id, admitted.workspace)
-            return web.Response(status=200) if reply is None else response_to(reply)
-        after = decode_decimal(request.query.get("after", "0"))
-        if after is None:
-            return response_to(Malformed("after"))
-        wait_ms = decode_decimal(request.headers.get(names.MAX_WAIT_MS, "0"))
-        wait_s = 0.0 if wait_ms is None else min(wait_ms / 1000, MAX_LONG_POLL_S)
-        page = await self._gateway.results(
-            batch_id,
-            after,
-            max(wait_s - LONG_POLL_MARGIN_S, 0.0),
-            admitted.workspace,
-        )
-        if isinstance(page, NotRun | NotFound):
-            return response_to(page)
-        return web.Response(body=encode_page(page), content_type="application/json")
-
-    async def _sample_body(self, request: web.BaseRequest, path: str) -> web.Response:
-        refusal = self._gateway.batch_call_refusal(is_write=False)
-        if refusal is not None:
-            return response_to(refusal)
-        admitted = await self._gateway.admit_batch_call(api_key(request))
-        if not isinstance(admitted, Admitted):
-            return response_to(admitted)
-        batch_id = BatchId(path.removeprefix(names.SAMPLE_PATH_PREFIX))
-        sample_id = SampleId(request.query.get("id", ""))
-        found = await self._gateway.sample_body(batch_id, sample_id, admitted.workspace)
-        if isinstance(found, NotRun | NotFound):
-            return response_to(found)
-        return web.Response(body=found)
-
 
 def _reset_connection(request: web.BaseRequest) -> None:
     """Show a caller that a stream is incomplete."""
